--- /dev/null
+++ b/outcome/outcome.go
@@ -0,0 +1,129 @@
+// Package outcome holds the typed answer to the question "did it run?" and the
+// error type that every duty returns to the one before it.
+//
+// A request that fails is in one of three states. NotRun is a promise: nothing
+// was passed to an engine or service. Ran means that it ran and failed there.
+// Unknown covers everything else, in particular every transport error after
+// the first byte was sent.
+package outcome
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// State tells whether a request reached its engine or service.
+type State uint8
+
+// States of a failed request. The zero value is Unknown, so that a forgotten
+// field never promises more than is known.
+const (
+	Unknown State = iota
+	NotRun
+	Ran
+)
+
+// String returns the name used in logs, events and answers.
+func (s State) String() string {
+	switch s {
+	case NotRun:
+		return "not_run"
+	case Ran:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// Code is the stable name of a failure. Callers and operators may rely on it.
+type Code string
+
+// Codes of failures.
+const (
+	CodeInvalidRequest   Code = "invalid_request"
+	CodeInvalidKey       Code = "invalid_api_key"
+	CodeModelNotFound    Code = "model_not_found"
+	CodePromptTooLong    Code = "prompt_too_long"
+	CodeDeadline         Code = "deadline_infeasible"
+	CodeDeadlinePassed   Code = "deadline_passed"
+	CodeOverloaded       Code = "overloaded"
+	CodeAccountLimit     Code = "account_limit"
+	CodeNoEndpoint       Code = "no_endpoint"
+	CodeLeaving          Code = "endpoint_leaving"
+	CodeNoQuorum         Code = "no_quorum"
+	CodeConflict         Code = "conflict"
+	CodeStillRunning     Code = "still_running"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeStaleFence       Code = "stale_fencing_number"
+	CodeEngineFailed     Code = "engine_failed"
+	CodeEngineStalled    Code = "engine_stalled"
+	CodeTransport        Code = "transport"
+	CodeCanceled         Code = "canceled"
+	CodeTruncated        Code = "answer_truncated"
+	CodeShuttingDown     Code = "shutting_down"
+	CodeUnsupported      Code = "unsupported"
+	CodeInternal         Code = "internal"
+	CodeNotFound         Code = "not_found"
+	CodeMemoryReserved   Code = "memory_reserved"
+	CodeGroupUnavailable Code = "group_unavailable"
+)
+
+// Error is a failure with the step and peer at which it arose.
+type Error struct {
+	Code       Code
+	State      State
+	Message    string
+	Step       string        // step at which it arose, such as "endpoint.admit"
+	Peer       string        // instance at which it arose
+	RetryAfter time.Duration // when the caller may come back; 0 when not known
+	Cause      error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%s: %s (%s)", e.Code, e.Message, e.State)
+	if e.Step != "" {
+		text += " at " + e.Step
+	}
+	if e.Peer != "" {
+		text += " on " + e.Peer
+	}
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Refuse returns an Error that promises that the request was not run.
+func Refuse(code Code, step, format string, args ...any) *Error {
+	return &Error{Code: code, State: NotRun, Step: step, Message: fmt.Sprintf(format, args...)}
+}
+
+// Fail returns an Error in the given state with its cause.
+func Fail(code Code, state State, step string, cause error) *Error {
+	return &Error{Code: code, State: state, Step: step, Message: string(code), Cause: cause}
+}
+
+// From returns err as an *Error. An error of another type becomes an internal
+// failure in state Unknown.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(trace.Unwrap(err), &e) || errors.As(err, &e) {
+		return e
+	}
+	return &Error{Code: CodeInternal, State: Unknown, Message: err.Error(), Cause: err}
+}
+
+// StateOf returns the state that err carries, Unknown when it carries none.
+func StateOf(err error) State {
+	return From(err).State
+}
--- /dev/null
+++ b/outcome/outcome_test.go
@@ -0,0 +1,25 @@
+package outcome_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/outcome"
+)
+
+func TestFromKeepsTheState(t *testing.T) {
+	g := NewWithT(t)
+	refused := outcome.Refuse(outcome.CodeLeaving, "endpoint.admit", "leaving")
+	wrapped := fmt.Errorf("submit: %w", refused)
+
+	g.Expect(outcome.From(wrapped)).To(BeIdenticalTo(refused))
+	g.Expect(outcome.StateOf(wrapped)).To(Equal(outcome.NotRun))
+}
+
+func TestAnErrorOfAnotherTypePromisesNothing(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(outcome.StateOf(errors.New("connection reset"))).To(Equal(outcome.Unknown))
+}
