--- a/coord/quorum/member.go
+++ b/coord/quorum/member.go
@@ -74,8 +74,8 @@
 	return slices.Concat(c.Voters, c.Learners)
 }
 
-// apply returns the configuration after one change.
-func (c Configuration) apply(change Change) (Configuration, error) {
+// With returns the configuration after one change.
+func (c Configuration) With(change Change) (Configuration, error) {
 	disk := change.Member.Disk
 	_, isVoter := c.Voter(disk)
 	learner, isLearner := c.Learner(disk)
