--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -55,8 +55,8 @@
 	KeyDigests      []string `json:"key_digests"       toml:"key_digests"`      // SHA-256 of each key, in hexadecimal
 	Models          []string `json:"models"            toml:"models"`           // empty for all
 	Share           int      `json:"share"             toml:"share"`            // weight against other accounts, at least 1
-	ShortTokens     int      `json:"short_tokens"      toml:"short_tokens"`     // tokens of work per second for prompts up to 32,000 tokens
-	LongTokens      int      `json:"long_tokens"       toml:"long_tokens"`      // tokens of work per second for longer prompts
+	ShortTokens     int      `json:"short_tokens"      toml:"short_tokens"`     // tokens of work per second for prompts up to 32,000 tokens; 0 for no limit
+	LongTokens      int      `json:"long_tokens"       toml:"long_tokens"`      // tokens of work per second for longer prompts; 0 for no limit
 	DefaultDeadline Duration `json:"default_deadline"  toml:"default_deadline"` // for prompts up to 32,000 tokens; 0 for the fleet's
 	LongDeadline    Duration `json:"long_deadline"     toml:"long_deadline"`    // for longer prompts; 0 for the fleet's
 }
