Membership without a central place; wire; HTTP interface

Cause: no list of endpoints exists, and every endpoint telling every entry would alone break 13 KB/s at 2,700 endpoints. Ruled out: full mesh heartbeats; one watcher (a single cut would kill a live member); random gossip with whole views. Change: coord/membership: heartbeats to 3 rendezvous-hashed watchers that carry only unseen changes; dead by majority of watchers; an isolated watcher holds its judgement; refutation. wire: submit ports over connect-go. api: OpenAI calls. The test of an isolated watcher and the loss test failed first: a member marked dead was never told so; its own record now goes to it until it refutes.

--- /dev/null
+++ b/api/errors.go
@@ -0,0 +1,149 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/jacinthplank/jacinthplank/outcome"
+	"github.com/jacinthplank/jacinthplank/timeline"
+)
+
+// ErrorBody is the error object of the OpenAI interface with what this product
+// adds to it.
+type ErrorBody struct {
+	Error ErrorObject `json:"error"`
+}
+
+// ErrorObject tells what went wrong and whether the request was run.
+type ErrorObject struct {
+	Message      string `json:"message"`
+	Type         string `json:"type"`
+	Param        string `json:"param,omitempty"`
+	Code         string `json:"code"`
+	NotRun       bool   `json:"not_run"`
+	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+	RequestID    string `json:"request_id"`
+}
+
+// paramError is a refusal that names the field at fault.
+type paramError struct {
+	refusal *outcome.Error
+	param   string
+}
+
+func (e paramError) Error() string { return e.refusal.Error() }
+
+func (e paramError) Unwrap() error { return e.refusal }
+
+// badField refuses a request for one of its fields.
+func badField(param, format string, args ...any) error {
+	return paramError{outcome.Refuse(outcome.CodeInvalidRequest, "entry.read", format, args...), param}
+}
+
+// statuses are the HTTP statuses of codes; others answer 500.
+var statuses = map[outcome.Code]int{
+	outcome.CodeInvalidRequest:   http.StatusBadRequest,
+	outcome.CodePromptTooLong:    http.StatusBadRequest,
+	outcome.CodeUnsupported:      http.StatusBadRequest,
+	outcome.CodeInvalidKey:       http.StatusUnauthorized,
+	outcome.CodeModelNotFound:    http.StatusNotFound,
+	outcome.CodeNotFound:         http.StatusNotFound,
+	outcome.CodeConflict:         http.StatusConflict,
+	outcome.CodeStillRunning:     http.StatusConflict,
+	outcome.CodeAccountLimit:     http.StatusTooManyRequests,
+	outcome.CodeEngineFailed:     http.StatusBadGateway,
+	outcome.CodeTransport:        http.StatusBadGateway,
+	outcome.CodeTruncated:        http.StatusBadGateway,
+	outcome.CodeOutcomeUnknown:   http.StatusBadGateway,
+	outcome.CodeOverloaded:       http.StatusServiceUnavailable,
+	outcome.CodeDeadline:         http.StatusServiceUnavailable,
+	outcome.CodeNoEndpoint:       http.StatusServiceUnavailable,
+	outcome.CodeLeaving:          http.StatusServiceUnavailable,
+	outcome.CodeNoQuorum:         http.StatusServiceUnavailable,
+	outcome.CodeMemoryReserved:   http.StatusServiceUnavailable,
+	outcome.CodeGroupUnavailable: http.StatusServiceUnavailable,
+	outcome.CodeShuttingDown:     http.StatusServiceUnavailable,
+	outcome.CodeDeadlinePassed:   http.StatusGatewayTimeout,
+	outcome.CodeEngineStalled:    http.StatusGatewayTimeout,
+}
+
+// errorTypes are the OpenAI types of statuses; others are "server_error".
+var errorTypes = map[int]string{
+	http.StatusBadRequest:      "invalid_request_error",
+	http.StatusNotFound:        "invalid_request_error",
+	http.StatusConflict:        "invalid_request_error",
+	http.StatusUnauthorized:    "authentication_error",
+	http.StatusTooManyRequests: "rate_limit_error",
+}
+
+// fail writes the final answer of a request that failed before any byte of an
+// answer was written.
+func (x *exchange) fail(err error) {
+	refused.Inc()
+	e := outcome.From(err)
+	x.recordFailure(e)
+	status := statusOf(e.Code)
+	h := x.w.Header()
+	h.Set("Content-Type", "application/json")
+	if seconds := retryAfterSeconds(e.RetryAfter); seconds > 0 {
+		h.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	if e.State != outcome.NotRun {
+		// Clients of the OpenAI interface repeat failed requests on their own
+		// unless told not to.
+		h.Set("X-Should-Retry", "false")
+	}
+	x.w.WriteHeader(status)
+	_ = json.NewEncoder(x.w).Encode(x.errorBody(err))
+}
+
+func (x *exchange) errorBody(err error) ErrorBody {
+	e := outcome.From(err)
+	object := ErrorObject{
+		Message:      e.Message,
+		Type:         typeOf(statusOf(e.Code)),
+		Code:         string(e.Code),
+		NotRun:       e.State == outcome.NotRun,
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+		RequestID:    x.id,
+	}
+	var p paramError
+	if errors.As(err, &p) {
+		object.Param = p.param
+	}
+	return ErrorBody{Error: object}
+}
+
+func (x *exchange) recordFailure(e *outcome.Error) {
+	if x.account == nil {
+		return
+	}
+	kind := timeline.KindFailed
+	if e.State == outcome.NotRun {
+		kind = timeline.KindRefused
+	}
+	x.record(kind, string(e.Code), e.Message)
+}
+
+func statusOf(code outcome.Code) int {
+	if status, ok := statuses[code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+func typeOf(status int) string {
+	if name, ok := errorTypes[status]; ok {
+		return name
+	}
+	return "server_error"
+}
+
+// retryAfterSeconds rounds up to whole seconds, as the header wants them.
+func retryAfterSeconds(d time.Duration) int {
+	return int(math.Ceil(d.Seconds()))
+}
--- /dev/null
+++ b/api/service.go
@@ -0,0 +1,94 @@
+package api
+
+import (
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/gorilla/mux"
+
+	"github.com/jacinthplank/jacinthplank/fleet"
+	"github.com/jacinthplank/jacinthplank/outcome"
+	"github.com/jacinthplank/jacinthplank/submit"
+	"github.com/jacinthplank/jacinthplank/timeline"
+)
+
+// passedHeaders are the headers of a caller that a plain service sees.
+var passedHeaders = []string{"Content-Type", "Accept", "Accept-Language"}
+
+// service passes a call to a plain service.
+func (s *Server) service(x *exchange) error {
+	call, err := x.call()
+	if err != nil {
+		return err
+	}
+	x.record(timeline.KindReceived, "", call.Method+" "+call.Path+" of "+call.Service)
+	ctx, cancel := x.context(call.Remaining)
+	defer cancel()
+	reply, err := s.options.Caller.Call(ctx, call)
+	if err != nil {
+		return x.late(ctx, err)
+	}
+	x.record(timeline.KindFinished, http.StatusText(reply.Status), "")
+	for name, value := range reply.Header {
+		x.w.Header().Set(name, value)
+	}
+	x.w.WriteHeader(reply.Status)
+	_, _ = x.w.Write(reply.Body)
+	return nil
+}
+
+// call reads a call of a plain service. A call that is not idempotent and has
+// no key uses its own request id as key.
+func (x *exchange) call() (submit.Call, error) {
+	name := mux.Vars(x.r)["service"]
+	service, err := x.findService(name)
+	if err != nil {
+		return submit.Call{}, err
+	}
+	path := strings.TrimPrefix(x.r.URL.EscapedPath(), "/v1/services/"+name)
+	if path == "" {
+		path = "/"
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, defaultMaxBody))
+	if err != nil {
+		return submit.Call{}, outcome.Refuse(outcome.CodeInvalidRequest, "entry.read", "the body could not be read or is over %d bytes", defaultMaxBody)
+	}
+	remaining, err := x.remaining(0)
+	if err != nil {
+		return submit.Call{}, err
+	}
+	call := submit.Call{
+		ID:        x.id,
+		Key:       x.r.Header.Get(headerIdempotencyKey),
+		Account:   x.account.Name,
+		Service:   name,
+		Method:    x.r.Method,
+		Path:      path,
+		Header:    map[string]string{},
+		Body:      body,
+		Remaining: remaining,
+		Once:      service.IsOnce(x.r.Method, path),
+	}
+	if call.Key == "" {
+		call.Key = x.id
+	}
+	if x.r.URL.RawQuery != "" {
+		call.Path += "?" + x.r.URL.RawQuery
+	}
+	for _, header := range passedHeaders {
+		if value := x.r.Header.Get(header); value != "" {
+			call.Header[header] = value
+		}
+	}
+	return call, nil
+}
+
+func (x *exchange) findService(name string) (*fleet.Service, error) {
+	for i := range x.config.Services {
+		if x.config.Services[i].Name == name {
+			return &x.config.Services[i], nil
+		}
+	}
+	return nil, outcome.Refuse(outcome.CodeNotFound, "entry.read", "there is no service %q", name)
+}
--- a/gen/jacinthplank/v1/jacinthplankv1connect/peer.connect.go
+++ b/gen/jacinthplank/v1/jacinthplankv1connect/peer.connect.go
@@ -33,8 +33,8 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// PeerServiceAnnounceProcedure is the fully-qualified name of the PeerService's Announce RPC.
-	PeerServiceAnnounceProcedure = "/jacinthplank.v1.PeerService/Announce"
+	// PeerServiceExchangeProcedure is the fully-qualified name of the PeerService's Exchange RPC.
+	PeerServiceExchangeProcedure = "/jacinthplank.v1.PeerService/Exchange"
 	// PeerServiceConfigurationProcedure is the fully-qualified name of the PeerService's Configuration
 	// RPC.
 	PeerServiceConfigurationProcedure = "/jacinthplank.v1.PeerService/Configuration"
@@ -48,8 +48,8 @@
 
 // PeerServiceClient is a client for the jacinthplank.v1.PeerService service.
 type PeerServiceClient interface {
-	// Announce tells of an endpoint. It is the endpoint's heartbeat as well.
-	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
+	// Exchange is a heartbeat that carries changes of membership both ways.
+	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
 	// Configuration returns what the receiver has beyond the caller's version.
 	Configuration(context.Context, *connect.Request[v1.ConfigurationRequest]) (*connect.Response[v1.ConfigurationResponse], error)
 	// Events returns events of the receiver's time line.
@@ -71,10 +71,10 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	peerServiceMethods := v1.File_jacinthplank_v1_peer_proto.Services().ByName("PeerService").Methods()
 	return &peerServiceClient{
-		announce: connect.NewClient[v1.AnnounceRequest, v1.AnnounceResponse](
+		exchange: connect.NewClient[v1.ExchangeRequest, v1.ExchangeResponse](
 			httpClient,
-			baseURL+PeerServiceAnnounceProcedure,
-			connect.WithSchema(peerServiceMethods.ByName("Announce")),
+			baseURL+PeerServiceExchangeProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Exchange")),
 			connect.WithClientOptions(opts...),
 		),
 		configuration: connect.NewClient[v1.ConfigurationRequest, v1.ConfigurationResponse](
@@ -106,16 +106,16 @@
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	announce      *connect.Client[v1.AnnounceRequest, v1.AnnounceResponse]
+	exchange      *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	configuration *connect.Client[v1.ConfigurationRequest, v1.ConfigurationResponse]
 	events        *connect.Client[v1.EventsRequest, v1.EventsResponse]
 	status        *connect.Client[v1.StatusRequest, v1.StatusResponse]
 	drain         *connect.Client[v1.DrainRequest, v1.DrainResponse]
 }
 
-// Announce calls jacinthplank.v1.PeerService.Announce.
-func (c *peerServiceClient) Announce(ctx context.Context, req *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error) {
-	return c.announce.CallUnary(ctx, req)
+// Exchange calls jacinthplank.v1.PeerService.Exchange.
+func (c *peerServiceClient) Exchange(ctx context.Context, req *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
+	return c.exchange.CallUnary(ctx, req)
 }
 
 // Configuration calls jacinthplank.v1.PeerService.Configuration.
@@ -140,8 +140,8 @@
 
 // PeerServiceHandler is an implementation of the jacinthplank.v1.PeerService service.
 type PeerServiceHandler interface {
-	// Announce tells of an endpoint. It is the endpoint's heartbeat as well.
-	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
+	// Exchange is a heartbeat that carries changes of membership both ways.
+	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
 	// Configuration returns what the receiver has beyond the caller's version.
 	Configuration(context.Context, *connect.Request[v1.ConfigurationRequest]) (*connect.Response[v1.ConfigurationResponse], error)
 	// Events returns events of the receiver's time line.
@@ -159,10 +159,10 @@
 // and JSON codecs. They also support gzip compression.
 func NewPeerServiceHandler(svc PeerServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	peerServiceMethods := v1.File_jacinthplank_v1_peer_proto.Services().ByName("PeerService").Methods()
-	peerServiceAnnounceHandler := connect.NewUnaryHandler(
-		PeerServiceAnnounceProcedure,
-		svc.Announce,
-		connect.WithSchema(peerServiceMethods.ByName("Announce")),
+	peerServiceExchangeHandler := connect.NewUnaryHandler(
+		PeerServiceExchangeProcedure,
+		svc.Exchange,
+		connect.WithSchema(peerServiceMethods.ByName("Exchange")),
 		connect.WithHandlerOptions(opts...),
 	)
 	peerServiceConfigurationHandler := connect.NewUnaryHandler(
@@ -191,8 +191,8 @@
 	)
 	return "/jacinthplank.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case PeerServiceAnnounceProcedure:
-			peerServiceAnnounceHandler.ServeHTTP(w, r)
+		case PeerServiceExchangeProcedure:
+			peerServiceExchangeHandler.ServeHTTP(w, r)
 		case PeerServiceConfigurationProcedure:
 			peerServiceConfigurationHandler.ServeHTTP(w, r)
 		case PeerServiceEventsProcedure:
@@ -210,8 +210,8 @@
 // UnimplementedPeerServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedPeerServiceHandler struct{}
 
-func (UnimplementedPeerServiceHandler) Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jacinthplank.v1.PeerService.Announce is not implemented"))
+func (UnimplementedPeerServiceHandler) Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jacinthplank.v1.PeerService.Exchange is not implemented"))
 }
 
 func (UnimplementedPeerServiceHandler) Configuration(context.Context, *connect.Request[v1.ConfigurationRequest]) (*connect.Response[v1.ConfigurationResponse], error) {
