--- a/coord/membership/fleet_test.go
+++ b/coord/membership/fleet_test.go
@@ -18,7 +18,6 @@
 	names   []string
 	stopped map[string]bool
 	cut     func(from, to string) bool
-	bytes   int // of records exchanged, by the caller's measure
 	sent    int // messages
 	records int // records in them
 	changes map[string][]membership.Change
