--- /dev/null
+++ b/breaker/breaker_test.go
@@ -0,0 +1,69 @@
+package breaker_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/breaker"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func TestFailuresOpenAndOneProbeCloses(t *testing.T) {
+	g := NewWithT(t)
+	s := breaker.NewSet()
+	for range 3 {
+		s.Failed(start, "a")
+	}
+	g.Expect(s.Blocked(start, "a")).To(BeTrue())
+
+	later := start.Add(2 * time.Second)
+	g.Expect(s.Blocked(later, "a")).To(BeFalse())
+	g.Expect(s.Acquire(later, "a")).To(BeTrue())
+	g.Expect(s.Acquire(later, "a")).To(BeFalse(), "a second probe")
+	g.Expect(s.Blocked(later, "a")).To(BeTrue())
+
+	s.Failed(later, "a")
+	g.Expect(s.Blocked(later.Add(1500*time.Millisecond), "a")).To(BeTrue(), "the pause is twice as long")
+	later = later.Add(3 * time.Second)
+	g.Expect(s.Acquire(later, "a")).To(BeTrue())
+	s.Succeeded(later, "a")
+	g.Expect(s.State("a")).To(Equal(breaker.Closed))
+}
+
+func TestRefusalsNeverOpen(t *testing.T) {
+	g := NewWithT(t)
+	s := breaker.NewSet()
+	for range 20 {
+		s.Failed(start, "a")
+		s.Refused(start, "a")
+	}
+	g.Expect(s.Blocked(start, "a")).To(BeFalse())
+}
+
+func TestSlowEndpointsAreEjectedUpToAFifth(t *testing.T) {
+	g := NewWithT(t)
+	s := breaker.NewSet()
+	var names []string
+	for i := range 10 {
+		name := fmt.Sprint("e", i)
+		names = append(names, name)
+		took := time.Second
+		if i < 4 {
+			took = 10 * time.Second
+		}
+		for range 5 {
+			s.Measured(start, name, took, time.Second)
+		}
+	}
+	g.Expect(s.Eject(start, names)).To(HaveLen(2))
+	g.Expect(s.Eject(start, names)).To(BeEmpty(), "no further ones")
+
+	later := start.Add(2 * time.Second)
+	g.Expect(s.Acquire(later, "e0")).To(BeTrue())
+	s.Measured(later, "e0", time.Second, time.Second)
+	g.Expect(s.State("e0")).To(Equal(breaker.Closed))
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -19,8 +19,10 @@
 	FleetRatio = 0.1
 	// AccountRatio is the retries earned by each first attempt of one account.
 	AccountRatio = 0.2
-	// Burst is the most retries that a budget holds.
-	Burst = 10.0
+	// FleetBurst is the most retries that the fleet's budget holds.
+	FleetBurst = 50.0
+	// AccountBurst is the most retries that an account's budget holds.
+	AccountBurst = 10.0
 	// MaxAttempts is the most attempts at one request.
 	MaxAttempts = 4
 
@@ -36,14 +38,18 @@
 // Budget is a bounded count of retries. It is not safe for concurrent use.
 type Budget struct {
 	ratio float64
+	burst float64
 	left  float64
 }
 
-// NewBudget returns a full budget to which each first attempt adds ratio.
-func NewBudget(ratio float64) *Budget { return &Budget{ratio: ratio, left: Burst} }
+// NewBudget returns a full budget of burst retries to which each first attempt
+// adds ratio.
+func NewBudget(ratio, burst float64) *Budget {
+	return &Budget{ratio: ratio, burst: burst, left: burst}
+}
 
 // Earn counts a first attempt.
-func (b *Budget) Earn() { b.left = min(b.left+b.ratio, Burst) }
+func (b *Budget) Earn() { b.left = min(b.left+b.ratio, b.burst) }
 
 // Has reports whether one retry is left.
 func (b *Budget) Has() bool { return b.left >= 1 }
@@ -61,7 +67,7 @@
 
 // NewBudgets returns full budgets.
 func NewBudgets() *Budgets {
-	return &Budgets{fleet: NewBudget(FleetRatio), accounts: map[string]*Budget{}}
+	return &Budgets{fleet: NewBudget(FleetRatio, FleetBurst), accounts: map[string]*Budget{}}
 }
 
 // Earn counts a first attempt of an account.
@@ -90,7 +96,7 @@
 func (b *Budgets) account(name string) *Budget {
 	budget := b.accounts[name]
 	if budget == nil {
-		budget = NewBudget(AccountRatio)
+		budget = NewBudget(AccountRatio, AccountBurst)
 		b.accounts[name] = budget
 	}
 	return budget
