--- /dev/null
+++ b/engine/emulator/emulator_test.go
@@ -0,0 +1,178 @@
+package emulator_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/engine"
+	"github.com/jacinthplank/jacinthplank/engine/emulator"
+	"github.com/jacinthplank/jacinthplank/outcome"
+)
+
+func workOf(name string, tokens, maxTokens int) engine.Work {
+	blocks := make([]engine.Block, tokens/engine.BlockTokens)
+	for i := range blocks {
+		blocks[i] = engine.Block(len(name)*1000 + int(name[0])<<32 + i)
+	}
+	return engine.Work{
+		Key:       engine.Key{Request: name, Attempt: 1},
+		Model:     "draft",
+		Prompt:    engine.Prompt{Tokens: tokens, Blocks: blocks},
+		MaxTokens: maxTokens,
+	}
+}
+
+func readAll(s engine.Stream) (string, engine.Chunk, error) {
+	var text strings.Builder
+	var last engine.Chunk
+	for {
+		c, err := s.Next(context.Background())
+		if errors.Is(err, io.EOF) {
+			return text.String(), last, nil
+		}
+		if err != nil {
+			return text.String(), last, err
+		}
+		text.WriteString(c.Text)
+		last = c
+	}
+}
+
+func TestAContinuationYieldsTheSameWords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		e := emulator.New(emulator.Config{Seed: 1})
+		defer e.Close()
+		w := workOf("a", 2000, 20)
+		whole, last, err := readAll(must(e.Generate(t.Context(), w)))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(last.Finish).To(Equal(engine.FinishLength))
+		g.Expect(last.Usage).To(Equal(engine.Usage{PromptTokens: 2000, GeneratedTokens: 20}))
+
+		w.Key.Attempt = 2
+		w.Offset = 8
+		w.Generated = strings.Join(strings.SplitAfter(whole, " ")[:8], "")
+		rest, last, err := readAll(must(e.Generate(t.Context(), w)))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(w.Generated + rest).To(Equal(whole))
+		g.Expect(last.Usage.CachedTokens).To(Equal(1536))
+		g.Expect(e.HeldBlocks()).To(BeZero())
+	})
+}
+
+func TestPrefillTimeGrowsWithPosition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		e := emulator.New(emulator.Config{PrefillPerSec: 10_000, AttentionScale: 100_000})
+		defer e.Close()
+		elapsed := func(w engine.Work) time.Duration {
+			began := time.Now()
+			_, _, err := readAll(must(e.Generate(t.Context(), w)))
+			g.Expect(err).NotTo(HaveOccurred())
+			return time.Since(began)
+		}
+		g.Expect(elapsed(workOf("a", 10_000, 0))).To(BeNumerically("~", 1050*time.Millisecond, time.Millisecond))
+		g.Expect(elapsed(workOf("b", 200_000, 0))).To(BeNumerically("~", 40*time.Second, 10*time.Millisecond))
+		// All of a but its last block is cached.
+		w := workOf("a", 10_000, 0)
+		w.Key.Attempt = 2
+		g.Expect(elapsed(w)).To(BeNumerically("<", 30*time.Millisecond))
+	})
+}
+
+func TestMemoryIsBoundedAndCancelFreesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		e := emulator.New(emulator.Config{MemoryBlocks: 400, EventLag: time.Second})
+		defer e.Close()
+		first := workOf("a", 40_000, 8_000)
+		second := workOf("b", 16_000, 10)
+		_ = must(e.Generate(t.Context(), first))
+		waiting := must(e.Generate(t.Context(), second))
+		time.Sleep(3 * time.Second)
+		g.Expect(e.HeldBlocks()).To(Equal(375))
+		g.Expect(e.Cancel(t.Context(), first.Key)).To(Succeed())
+		g.Expect(e.Cancel(t.Context(), first.Key)).To(Succeed())
+		_, last, err := readAll(waiting)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(last.Finish).To(Equal(engine.FinishLength))
+		g.Expect(e.HeldBlocks()).To(BeZero())
+
+		time.Sleep(2 * time.Second)
+		events, err := e.CacheEvents(t.Context(), 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(events).To(HaveLen(40_000/512 + 16_000/512 + 10)) // 10 were dropped to make room
+	})
+}
+
+func TestFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		e := emulator.New(emulator.Config{ChecksFencing: true})
+		defer e.Close()
+		stream := must(e.Generate(t.Context(), workOf("a", 1000, 100)))
+		e.Freeze()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		g.Expect(outcome.StateOf(e.Cancel(ctx, engine.Key{Request: "a", Attempt: 1}))).To(Equal(outcome.Unknown))
+		e.Thaw()
+		time.Sleep(time.Second)
+		e.Kill()
+		text, _, err := readAll(stream)
+		g.Expect(text).NotTo(BeEmpty())
+		g.Expect(outcome.From(err).Code).To(Equal(outcome.CodeEngineFailed))
+		e.Revive()
+		g.Expect(e.Holdings(t.Context())).To(BeEmpty())
+
+		g.Expect(e.Order(t.Context(), engine.Order{Kind: engine.OrderLoadModel, Target: "big", Fence: 7})).To(Succeed())
+		stale := e.Order(t.Context(), engine.Order{Kind: engine.OrderUnloadModel, Target: "big", Fence: 6})
+		g.Expect(outcome.From(stale).Code).To(Equal(outcome.CodeStaleFence))
+	})
+}
+
+func TestAGroupReadsExportedMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		fabric := &emulator.Fabric{}
+		a := emulator.New(emulator.Config{Name: "a", Fabric: fabric})
+		defer a.Close()
+		b := emulator.New(emulator.Config{Name: "b", Fabric: fabric})
+		defer b.Close()
+
+		whole := workOf("group", 800_000, 5)
+		first, second := engine.SegmentOf(800_000, 0, 2), engine.SegmentOf(800_000, 1, 2)
+		w := whole
+		w.Segment, w.MaxTokens = &first, 0
+		_, _, err := readAll(must(a.Generate(t.Context(), w)))
+		g.Expect(err).NotTo(HaveOccurred())
+		handle, err := a.Export(t.Context(), w.Key)
+		g.Expect(err).NotTo(HaveOccurred())
+
+		w = whole
+		w.Segment, w.Context = &second, []string{handle}
+		text, _, err := readAll(must(b.Generate(t.Context(), w)))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(text).To(HavePrefix(emulator.Word(whole.Prompt, 0)))
+		g.Expect(a.HeldBlocks()).To(Equal(first.Tokens() / 128))
+
+		g.Expect(a.Cancel(t.Context(), w.Key)).To(Succeed())
+		g.Expect(b.Cancel(t.Context(), w.Key)).To(Succeed())
+		_, err = b.Generate(t.Context(), w)
+		g.Expect(outcome.StateOf(err)).To(Equal(outcome.NotRun))
+		g.Expect(a.HeldBlocks() + b.HeldBlocks()).To(BeZero())
+	})
+}
+
+func must(s engine.Stream, err error) engine.Stream {
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
