coord: revision, once, fence, budget and state: the replicated state of a control quorum

Cause: the control duty needs deterministic state for the accepted configuration, once-records, fencing numbers and leased budgets.

Weighed: time from the proposer's wall clock lets one wrong clock forget once-records early; time as the machine's clock plus the leader's monotonic clock can only lag.

--- /dev/null
+++ b/coord/once/table.go
@@ -0,0 +1,207 @@
+package once
+
+import (
+	"container/heap"
+	"slices"
+	"strings"
+)
+
+// Table is the once-records of a fleet.
+type Table struct {
+	records map[Key]*Record
+	due     dueHeap
+	fence   uint64
+	limit   int
+}
+
+// NewTable returns an empty table of at most limit records, MaxRecords for 0.
+func NewTable(limit int) *Table {
+	if limit <= 0 {
+		limit = MaxRecords
+	}
+	return &Table{records: make(map[Key]*Record), limit: limit}
+}
+
+// Claim decides on a claim at time now.
+func (t *Table) Claim(now int64, c Claim) Answer {
+	t.Advance(now)
+	r, known := t.records[c.Key]
+	switch {
+	case known && r.Request == c.Request && r.Body == c.Body && r.State == Running:
+		return Answer{Verdict: Granted, Fence: r.Fence, Request: r.Request}
+	case known && r.Request == c.Request:
+		return r.answer()
+	case known && slices.Contains(r.Released, c.Request):
+		return Answer{Verdict: IsReleased, Request: c.Request}
+	case known && r.State == Released:
+		return t.grant(now, c, r.Released)
+	case known && r.Body != c.Body:
+		return Answer{Verdict: KeyReused, Request: r.Request}
+	case known:
+		return r.answer()
+	case len(t.records) >= t.limit:
+		return Answer{Verdict: TableFull}
+	default:
+		return t.grant(now, c, nil)
+	}
+}
+
+func (t *Table) grant(now int64, c Claim, released []string) Answer {
+	t.fence++
+	r := &Record{
+		Key: c.Key, Request: c.Request, Body: c.Body,
+		Fence: t.fence, State: Running, Retention: c.Retention, Released: released,
+	}
+	if r.Retention <= 0 {
+		r.Retention = DefaultRetention
+	}
+	remaining := c.Remaining
+	if remaining <= 0 {
+		remaining = DefaultDeadline
+	}
+	r.Due = now + (remaining + Grace).Microseconds()
+	t.put(r)
+	return Answer{Verdict: Granted, Fence: r.Fence, Request: r.Request}
+}
+
+// Record notes the outcome of a claim. Only the holder of the claim may; the
+// first outcome stands and is returned to each resend, but that a holder which
+// outlived its deadline may still turn unknown to done.
+func (t *Table) Record(now int64, o Outcome) Answer {
+	t.Advance(now)
+	r, known := t.records[o.Key]
+	if !known {
+		return t.releaseAhead(now, o)
+	}
+	if r.Request != o.Request || (o.Fence != 0 && o.Fence != r.Fence) {
+		return Answer{Verdict: NotHolder, Request: r.Request}
+	}
+	if r.State != Running && (r.State != Unknown || o.State != Done) {
+		return recorded(r, o)
+	}
+	if o.State == Released {
+		r.release()
+	} else {
+		r.State = o.State
+		r.Reply = o.Reply.bounded()
+	}
+	t.end(now, r)
+	return Answer{Verdict: WasRecorded, Fence: r.Fence, Request: r.Request}
+}
+
+// releaseAhead keeps the release of a claim that has not arrived, so that the
+// claim is not granted when it comes late.
+func (t *Table) releaseAhead(now int64, o Outcome) Answer {
+	if o.State != Released || len(t.records) >= t.limit {
+		return Answer{Verdict: NotHolder}
+	}
+	r := &Record{Key: o.Key, Request: o.Request, Retention: DefaultRetention}
+	r.release()
+	t.end(now, r)
+	return Answer{Verdict: WasRecorded, Request: r.Request}
+}
+
+func recorded(r *Record, o Outcome) Answer {
+	if r.State == o.State && r.Reply.equal(o.Reply.bounded()) {
+		return Answer{Verdict: WasRecorded, Fence: r.Fence, Request: r.Request}
+	}
+	return r.answer()
+}
+
+// end starts the retention of a record.
+func (t *Table) end(now int64, r *Record) {
+	r.Due = now + r.Retention.Microseconds()
+	t.put(r)
+}
+
+func (t *Table) put(r *Record) {
+	t.records[r.Key] = r
+	heap.Push(&t.due, dueItem{at: r.Due, record: r})
+}
+
+// Advance turns overdue claims to unknown and forgets records whose retention
+// has passed. A running claim is never forgotten.
+func (t *Table) Advance(now int64) {
+	for len(t.due) > 0 && t.due[0].at <= now {
+		item := heap.Pop(&t.due).(dueItem)
+		r := item.record
+		if t.records[r.Key] != r || r.Due != item.at {
+			continue // replaced or ended since
+		}
+		if r.State == Running {
+			r.State = Unknown
+			t.end(item.at, r)
+			continue
+		}
+		delete(t.records, r.Key)
+	}
+}
+
+// Get returns the record of a key.
+func (t *Table) Get(k Key) (Record, bool) {
+	r, known := t.records[k]
+	if !known {
+		return Record{}, false
+	}
+	return *r, true
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int { return len(t.records) }
+
+// Saved is a Table in a snapshot.
+type Saved struct {
+	Fence   uint64   `json:"fence"`
+	Records []Record `json:"records,omitempty"` // sorted by key
+}
+
+// Save returns the table's content.
+func (t *Table) Save() Saved {
+	s := Saved{Fence: t.fence, Records: make([]Record, 0, len(t.records))}
+	for _, r := range t.records {
+		s.Records = append(s.Records, *r)
+	}
+	slices.SortFunc(s.Records, func(a, b Record) int { return a.Key.compare(b.Key) })
+	return s
+}
+
+// Load replaces the table's content.
+func (t *Table) Load(s Saved) {
+	t.fence = s.Fence
+	t.records = make(map[Key]*Record, len(s.Records))
+	t.due = nil
+	for _, r := range s.Records {
+		t.put(&r)
+	}
+}
+
+func (k Key) compare(o Key) int {
+	if c := strings.Compare(k.Account, o.Account); c != 0 {
+		return c
+	}
+	if c := strings.Compare(k.Service, o.Service); c != 0 {
+		return c
+	}
+	return strings.Compare(k.Key, o.Key)
+}
+
+// dueItem may be stale: it counts only while record.Due equals at.
+type dueItem struct {
+	at     int64
+	record *Record
+}
+
+type dueHeap []dueItem
+
+func (h dueHeap) Len() int           { return len(h) }
+func (h dueHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h dueHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *dueHeap) Push(x any)        { *h = append(*h, x.(dueItem)) }
+
+func (h *dueHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = dueItem{}
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/coord/state/query.go
@@ -0,0 +1,72 @@
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/jacinthplank/jacinthplank/coord/once"
+	"github.com/jacinthplank/jacinthplank/coord/revision"
+)
+
+// Query reads the machine. Exactly one of its pointers is set.
+type Query struct {
+	Configuration *ConfigurationAfter `json:"configuration,omitempty"`
+	Once          *once.Key           `json:"once,omitempty"`
+	Fence         *NextFence          `json:"fence,omitempty"` // reads the highest number, takes none
+}
+
+// ConfigurationAfter asks for what follows a version.
+type ConfigurationAfter struct {
+	Have revision.Version `json:"have"`
+}
+
+// Answer is the answer to a Query: the member that matches it is set.
+type Answer struct {
+	Error         string           `json:"error,omitempty"`
+	Configuration *revision.Update `json:"configuration,omitempty"`
+	Once          *once.Record     `json:"once,omitempty"`
+	Fence         uint64           `json:"fence,omitempty"`
+}
+
+// Query answers from the state of this machine.
+func (m *Machine) Query(query []byte) []byte {
+	var q Query
+	if err := json.Unmarshal(query, &q); err != nil {
+		return encodeAnswer(Answer{Error: fmt.Sprintf("state: query: %v", err)})
+	}
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return encodeAnswer(m.answer(q))
+}
+
+func (m *Machine) answer(q Query) Answer {
+	switch {
+	case q.Configuration != nil:
+		u := m.register.After(q.Configuration.Have)
+		return Answer{Configuration: &u}
+	case q.Once != nil:
+		if r, known := m.once.Get(*q.Once); known {
+			return Answer{Once: &r}
+		}
+		return Answer{}
+	case q.Fence != nil:
+		return Answer{Fence: m.fences.Highest(q.Fence.Target)}
+	default:
+		return Answer{Error: "state: empty query"}
+	}
+}
+
+// Configuration returns what a reader at version have lacks.
+func (m *Machine) Configuration(have revision.Version) revision.Update {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.register.After(have)
+}
+
+func encodeAnswer(a Answer) []byte {
+	text, err := json.Marshal(a)
+	if err != nil {
+		return []byte(`{"error":"state: answer without an encoding"}`)
+	}
+	return text
+}
