--- a/timeline/event.go
+++ b/timeline/event.go
@@ -2,6 +2,12 @@
 // the events of many daemons into one time line.
 package timeline
 
+import (
+	"time"
+
+	"github.com/jacinthplank/jacinthplank/outcome"
+)
+
 // Kind is the type of an event.
 type Kind string
 
@@ -48,8 +54,11 @@
 	Endpoint   string
 	Step       string
 	Peer       string
-	Outcome    string // code of a failure, or a finish
-	Detail     string // short text for people
+	Outcome    string        // code of a failure, or a finish
+	Detail     string        // short text for people
+	Tokens     int           // received and placed: tokens of the prompt; finished: tokens of the answer
+	Remaining  time.Duration // time left to the deadline; 0 when it does not matter
+	State      outcome.State // refused and failed: whether the attempt ran
 }
 
 // Recorder takes events. The daemon's name and the clock are filled in by it.
--- /dev/null
+++ b/timeline/text.go
@@ -0,0 +1,136 @@
+package timeline
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jacinthplank/jacinthplank/outcome"
+)
+
+// timeLayout is how the text and the page write the time of an event.
+const timeLayout = "2006-01-02 15:04:05.000000"
+
+// WriteText writes the line as a table, with what is missing first.
+func (l Line) WriteText(w io.Writer) error {
+	for _, warning := range l.Warnings() {
+		if _, err := fmt.Fprintln(w, "! "+warning); err != nil {
+			return err
+		}
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "TIME (UTC)\tDAEMON\tEVENT\tREQUEST\tABOUT")
+	for i := range l.Events {
+		e := &l.Events[i]
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\n", e.Stamp().Time().Format(timeLayout), e.Daemon, e.Kind, requestOf(e), e.About())
+	}
+	return table.Flush()
+}
+
+// Warnings tells in plain sentences which events may be missing.
+func (l Line) Warnings() []string {
+	var warnings []string
+	for _, u := range l.Unreachable {
+		warnings = append(warnings, fmt.Sprintf("Daemon %s could not be asked: its events are missing (%s).", u.Daemon, u.Reason))
+	}
+	for _, g := range l.Gaps {
+		warnings = append(warnings, fmt.Sprintf("Daemon %s keeps no events from before %s: at most %d are missing.", g.Daemon, g.Since.Format(timeLayout), g.Lost))
+	}
+	return warnings
+}
+
+// About returns the parts of the event that are set, for people.
+func (e *Event) About() string {
+	var parts []string
+	add := func(name, value string) {
+		if value != "" {
+			parts = append(parts, name+"="+value)
+		}
+	}
+	add("account", e.Account)
+	add("endpoint", e.Endpoint)
+	if e.Tokens > 0 {
+		add("tokens", fmt.Sprint(e.Tokens))
+	}
+	if e.Remaining > 0 {
+		add("remaining", e.Remaining.Round(time.Millisecond).String())
+	}
+	add("outcome", e.Outcome)
+	if e.tellsState() {
+		add("state", e.State.String())
+	}
+	add("step", e.Step)
+	add("peer", e.Peer)
+	if e.Detail != "" {
+		parts = append(parts, "("+e.Detail+")")
+	}
+	return strings.Join(parts, " ")
+}
+
+func (e *Event) tellsState() bool {
+	return e.Kind == KindRefused || e.Kind == KindFailed || e.State != outcome.Unknown
+}
+
+func requestOf(e *Event) string {
+	if e.Attempt == 0 {
+		return e.Request
+	}
+	return fmt.Sprintf("%s/%d", e.Request, e.Attempt)
+}
+
+// WriteJSON writes the line as one JSON object.
+func (l Line) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(l)
+}
+
+// jsonEvent is the form of an event in JSON.
+type jsonEvent struct {
+	Time      string `json:"time"`
+	WallUs    int64  `json:"wall_us"`
+	Logical   uint32 `json:"logical"`
+	Daemon    string `json:"daemon"`
+	Kind      Kind   `json:"kind"`
+	Request   string `json:"request,omitempty"`
+	Attempt   uint32 `json:"attempt,omitempty"`
+	Account   string `json:"account,omitempty"`
+	Endpoint  string `json:"endpoint,omitempty"`
+	Step      string `json:"step,omitempty"`
+	Peer      string `json:"peer,omitempty"`
+	Outcome   string `json:"outcome,omitempty"`
+	State     string `json:"state,omitempty"`
+	Tokens    int    `json:"tokens,omitempty"`
+	Remaining string `json:"remaining,omitempty"`
+	Detail    string `json:"detail,omitempty"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (e Event) MarshalJSON() ([]byte, error) {
+	out := jsonEvent{
+		Time:     e.Stamp().Time().Format(time.RFC3339Nano),
+		WallUs:   e.WallMicros,
+		Logical:  e.Logical,
+		Daemon:   e.Daemon,
+		Kind:     e.Kind,
+		Request:  e.Request,
+		Attempt:  e.Attempt,
+		Account:  e.Account,
+		Endpoint: e.Endpoint,
+		Step:     e.Step,
+		Peer:     e.Peer,
+		Outcome:  e.Outcome,
+		Tokens:   e.Tokens,
+		Detail:   e.Detail,
+	}
+	if e.tellsState() {
+		out.State = e.State.String()
+	}
+	if e.Remaining > 0 {
+		out.Remaining = e.Remaining.String()
+	}
+	return json.Marshal(out)
+}
