The thin whole path: caller, entry, endpoint process, engine

Cause: everything else hangs on the interfaces between the processes, so the path has to run before its parts grow. Change: gossip (membership over connect-go), daemon (duties under the supervisor tree, health, graceful shutdown), services and plainservice (calls of plain services, at most once where declared), jacinthplankd run/check/demo. The endpoint side passes requests on directly until the ledger lands. Ruled out: sending calls that are not idempotent over kept connections, since net/http repeats a request with an Idempotency-Key when a reused connection breaks. Measured: jacinthplankd demo answers a streamed chat over loopback.

--- /dev/null
+++ b/daemon/caller.go
@@ -0,0 +1,17 @@
+package daemon
+
+import (
+	"github.com/jacinthplank/jacinthplank/directory"
+	"github.com/jacinthplank/jacinthplank/services"
+	"github.com/jacinthplank/jacinthplank/submit"
+)
+
+// newCaller returns the router of plain services' calls.
+func (d *Daemon) newCaller() submit.Caller {
+	return services.New(services.Options{
+		Directory:     d.directory,
+		Dial:          func(e directory.Endpoint) submit.Caller { return d.network.endpoint(e.Name, e.Address) },
+		Recorder:      d.recorder,
+		FailureDomain: d.settings.Instance.FailureDomain,
+	})
+}
--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jacinthplank/jacinthplank/api"
+	"github.com/jacinthplank/jacinthplank/directory"
+	"github.com/jacinthplank/jacinthplank/entry"
+	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
+	"github.com/jacinthplank/jacinthplank/submit"
+	"github.com/jacinthplank/jacinthplank/supervise"
+)
+
+// entryDuty takes the requests of callers.
+type entryDuty struct {
+	api      *api.Server
+	server   *http.Server
+	listener net.Listener
+}
+
+func (d *Daemon) provisionEntry(facts *pb.MemberFacts) error {
+	l, err := d.callerListener()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	router := entry.NewRouter(entry.Options{
+		Directory:     d.directory,
+		Dial:          d.dialEndpoint,
+		Configuration: d.config.current,
+		Recorder:      d.recorder,
+		FailureDomain: d.settings.Instance.FailureDomain,
+	})
+	server := api.New(api.Options{
+		Submitter:     router,
+		Caller:        d.newCaller(),
+		Configuration: d.config.current,
+		Recorder:      d.recorder,
+		Log:           d.log,
+		NewID:         d.options.NewID,
+	})
+	d.entry = &entryDuty{api: server, listener: l}
+	d.entry.server = newServer(d.callerRoutes(server.Handler()))
+	facts.CallerAddress = l.Addr().String()
+	return nil
+}
+
+func (d *Daemon) callerListener() (net.Listener, error) {
+	if d.options.CallerListener != nil {
+		return d.options.CallerListener, nil
+	}
+	l, err := net.Listen("tcp", d.settings.Entry.Listen)
+	if err != nil {
+		return nil, trace.Wrap(err, "listen for callers on %s", d.settings.Entry.Listen)
+	}
+	return l, nil
+}
+
+func (d *Daemon) dialEndpoint(e directory.Endpoint) submit.Endpoint {
+	return d.network.endpoint(e.Name, e.Address)
+}
+
+// callerRoutes adds the health paths, which the balancer asks on the callers'
+// address.
+func (d *Daemon) callerRoutes(h http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/healthz", d.healthy)
+	mux.HandleFunc("/readyz", d.readiness)
+	mux.Handle("/", h)
+	return mux
+}
+
+func (e *entryDuty) duties() []supervise.Duty {
+	return []supervise.Duty{&listenerDuty{"callers", e.server, e.listener}}
+}
--- /dev/null
+++ b/daemon/provision.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jacinthplank/jacinthplank/fleet"
+	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
+	"github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1/jacinthplankv1connect"
+	"github.com/jacinthplank/jacinthplank/gossip"
+	"github.com/jacinthplank/jacinthplank/settings"
+	"github.com/jacinthplank/jacinthplank/submit"
+)
+
+// provision makes the parts of the duties, in an order in which each finds what
+// it needs.
+func (d *Daemon) provision() error {
+	facts := &pb.MemberFacts{}
+	if err := d.provisionConfiguration(); err != nil {
+		return trace.Wrap(err)
+	}
+	if d.settings.Has(settings.DutyControl) {
+		if err := d.provisionControl(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	if d.settings.Has(settings.DutyEndpoint) {
+		if err := d.provisionEndpoint(facts); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	if d.settings.Has(settings.DutyEntry) {
+		if err := d.provisionEntry(facts); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	d.gossip = gossip.New(gossip.Options{
+		Self:      d.self(facts),
+		Seeds:     d.settings.Instance.Seeds,
+		Dial:      func(address string) gossip.Peer { return d.network.peer(address) },
+		Version:   d.version,
+		Backlog:   d.backlog,
+		OnChange:  d.memberChanged,
+		OnVersion: d.newerVersion,
+		OnBacklog: d.peerBacklog,
+	})
+	return nil
+}
+
+// handler returns the routes for the other processes.
+func (d *Daemon) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(jacinthplankv1connect.NewPeerServiceHandler(&peerService{d}))
+	if d.endpoint != nil {
+		mux.Handle(d.endpoint.server.Handler())
+	}
+	if d.control != nil {
+		d.control.register(mux)
+	}
+	d.registerHealth(mux)
+	return mux
+}
+
+// backlog of the endpoint here; nil without one.
+func (d *Daemon) backlog() *submit.Backlog {
+	if d.endpoint == nil {
+		return nil
+	}
+	return d.endpoint.backlog()
+}
+
+// newerVersion hears that a peer has a newer configuration.
+func (d *Daemon) newerVersion(address string, v fleet.Version) {
+	d.config.newer(address, v)
+}
+
+// drain makes the daemon leave: its membership tells so, its endpoint refuses
+// new work.
+func (d *Daemon) drain(ctx context.Context) {
+	if d.draining.Swap(true) {
+		return
+	}
+	d.log.Info("draining")
+	if d.endpoint != nil {
+		d.endpoint.drain()
+	}
+	d.gossipLeaving(ctx)
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,110 @@
+// Package demo runs one daemon of each duty and an emulated engine in one
+// process, joined over loopback as separate processes would be.
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jacinthplank/jacinthplank/daemon"
+	"github.com/jacinthplank/jacinthplank/engine/emulator"
+	"github.com/jacinthplank/jacinthplank/fleet"
+	"github.com/jacinthplank/jacinthplank/settings"
+)
+
+// Names used by the demo.
+const (
+	Model = "draft"
+	Key   = "demo-key"
+)
+
+// Options are the settings of a demo.
+type Options struct {
+	Listen string // address for callers
+	Out    io.Writer
+	Log    *slog.Logger
+}
+
+// Configuration is what the demo has in force.
+func Configuration() *fleet.Configuration {
+	digest := sha256.Sum256([]byte(Key))
+	return &fleet.Configuration{
+		Version:        fleet.Version{Epoch: 1, Revision: 1},
+		Name:           "demo",
+		FailureDomains: []fleet.FailureDomain{{Name: "here", Region: "local"}},
+		Models:         []fleet.Model{{Name: Model, Endpoints: 1, MaxPrompt: fleet.MaxPromptTokens}},
+		Accounts:       []fleet.Account{{Name: "demo", KeyDigests: []string{hex.EncodeToString(digest[:])}, Share: fleet.DefaultShare}},
+		Limits:         fleet.DefaultLimits(),
+	}
+}
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, o Options) error {
+	entry, err := newEntry(o)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	endpoint, err := newEndpoint(o, entry.Address())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	greet(o.Out, entry.CallerAddress())
+	return runAll(ctx, entry, endpoint)
+}
+
+func runAll(ctx context.Context, daemons ...*daemon.Daemon) error {
+	var wait sync.WaitGroup
+	errs := make([]error, len(daemons))
+	for i, d := range daemons {
+		wait.Go(func() { errs[i] = d.Run(ctx) })
+	}
+	wait.Wait()
+	return trace.NewAggregate(errs...)
+}
+
+func newEntry(o Options) (*daemon.Daemon, error) {
+	s := settings.Defaults()
+	s.Instance = settings.Instance{
+		Name:          "demo-entry",
+		FailureDomain: "here",
+		Duties:        []settings.Duty{settings.DutyEntry},
+		Listen:        "127.0.0.1:0",
+	}
+	s.Entry = settings.Entry{Listen: o.Listen}
+	return daemon.New(s, daemon.Options{Log: o.Log, Configuration: Configuration()})
+}
+
+func newEndpoint(o Options, seed string) (*daemon.Daemon, error) {
+	s := settings.Defaults()
+	s.Instance = settings.Instance{
+		Name:          "demo-endpoint",
+		FailureDomain: "here",
+		Duties:        []settings.Duty{settings.DutyEndpoint},
+		Listen:        "127.0.0.1:0",
+		Seeds:         []string{seed},
+	}
+	s.Endpoint.Kind = "emulated"
+	e := emulator.New(emulator.Config{Name: "demo-engine", Seed: 1, Models: []string{Model}, ChecksFencing: true})
+	return daemon.New(s, daemon.Options{Log: o.Log, Engine: e, Configuration: Configuration()})
+}
+
+const greeting = `One entry, one endpoint process and one emulated engine are running.
+Ask for a streamed answer with
+
+  curl -N http://%s/v1/chat/completions \
+    -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' \
+    -d '{"model":"%s","stream":true,"max_tokens":40,"messages":[{"role":"user","content":"How many homes were finished in May?"}]}'
+
+Stop with Ctrl-C.
+`
+
+func greet(out io.Writer, address string) {
+	fmt.Fprintf(out, greeting, address, Key, Model)
+}
--- a/supervise/supervise.go
+++ b/supervise/supervise.go
@@ -23,6 +23,9 @@
 
 var restarts = metrics.NewCounter("jacinthplank_duty_restarts_total")
 
+// ErrDone is what a duty returns that has ended for good.
+var ErrDone = suture.ErrDoNotRestart
+
 // Duty is one duty: a loop that runs until its context ends.
 type Duty interface {
 	// Name is used in logs.
