distribution: configuration in force on each daemon, spread by telling a few peers

A daemon applies only a higher version whose digest fits, tells 6 peers, and asks one random peer a second; peers that do not answer are left alone for 3 s.

--- /dev/null
+++ b/distribution/gossip.go
@@ -0,0 +1,228 @@
+package distribution
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+
+	"github.com/jacinthplank/jacinthplank/coord/revision"
+	"github.com/jacinthplank/jacinthplank/fleet"
+	jacinthplankv1 "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
+	"github.com/jacinthplank/jacinthplank/ring"
+	"github.com/jacinthplank/jacinthplank/timeline"
+)
+
+var (
+	questions = metrics.NewCounter("jacinthplank_configuration_questions_total")
+	unheard   = metrics.NewCounter("jacinthplank_configuration_questions_failed_total")
+)
+
+// newsCapacity is how many pieces of news wait for the duty.
+const newsCapacity = 64
+
+// Ask puts a question to the peer at an address.
+type Ask func(ctx context.Context, address string, q *jacinthplankv1.ConfigurationRequest) (*jacinthplankv1.ConfigurationResponse, error)
+
+// Options of a Gossip.
+type Options struct {
+	Store     *Store
+	Address   string          // of this daemon, told to peers
+	Peers     func() []string // addresses of the other daemons
+	Ask       Ask
+	CacheFile string // file for the configuration in force, empty for none
+	Log       *slog.Logger
+	Events    timeline.Recorder
+	Rand      *rand.Rand // used by the duty only; nil for one seeded at random
+}
+
+// Gossip is the duty that keeps a Store up to date and its peers with it.
+type Gossip struct {
+	options Options
+	planner *Planner
+	news    *ring.Ring[item]
+	telling sync.WaitGroup
+}
+
+// item is one piece of news: a peer's version, that it did not answer, or an
+// update that is at hand.
+type item struct {
+	address string
+	version fleet.Version
+	failed  bool
+	update  *revision.Update
+}
+
+// NewGossip returns the duty over a store.
+func NewGossip(o Options) *Gossip {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Events == nil {
+		o.Events = timeline.Discard{}
+	}
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return &Gossip{options: o, planner: NewPlanner(o.Rand), news: ring.New[item](newsCapacity, ring.DropOldest)}
+}
+
+// Name implements supervise.Duty.
+func (g *Gossip) Name() string { return "distribution" }
+
+// Heard tells that the peer at an address has a version, as read from an
+// announcement or a reply. It never blocks.
+func (g *Gossip) Heard(address string, v fleet.Version) {
+	if address != "" && g.options.Store.Version().Less(v) {
+		g.news.Put(item{address: address, version: v})
+	}
+}
+
+// Offer hands over an update that did not come from a peer. It never blocks.
+func (g *Gossip) Offer(u revision.Update) { g.news.Put(item{update: &u}) }
+
+// Configuration is the handler of PeerService.Configuration.
+func (g *Gossip) Configuration(_ context.Context, r *connect.Request[jacinthplankv1.ConfigurationRequest]) (*connect.Response[jacinthplankv1.ConfigurationResponse], error) {
+	return connect.NewResponse(g.Answer(r.Msg)), nil
+}
+
+// Answer answers a peer's question, and learns from it when the peer is ahead.
+func (g *Gossip) Answer(q *jacinthplankv1.ConfigurationRequest) *jacinthplankv1.ConfigurationResponse {
+	have := versionOf(q.GetHave())
+	g.Heard(q.GetAddress(), have)
+	return encodeUpdate(g.options.Store.Update(have, q.GetWhole()))
+}
+
+// Serve implements supervise.Duty.
+func (g *Gossip) Serve(ctx context.Context) error {
+	defer g.telling.Wait()
+	for ctx.Err() == nil {
+		g.read(ctx)
+		address, wait := g.planner.Next(time.Now(), g.options.Store.Version(), g.options.Peers())
+		if address != "" {
+			g.pull(ctx, address)
+			continue
+		}
+		g.wait(ctx, wait)
+	}
+	return ctx.Err()
+}
+
+// read takes in the news that waits.
+func (g *Gossip) read(ctx context.Context) {
+	for {
+		select {
+		case n := <-g.news.Items():
+			g.take(ctx, n)
+		default:
+			return
+		}
+	}
+}
+
+func (g *Gossip) wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case n := <-g.news.Items():
+		g.take(ctx, n)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (g *Gossip) take(ctx context.Context, n item) {
+	switch {
+	case n.update != nil:
+		if err := g.apply(ctx, *n.update, "control"); err != nil {
+			g.options.Log.Error("configuration not applied", "version", n.update.Version.String(), "error", err)
+		}
+	case n.failed:
+		g.planner.Failed(time.Now(), n.address)
+	default:
+		g.planner.Heard(n.address, n.version)
+	}
+}
+
+// pull asks one peer and applies what it has beyond this daemon. When deltas do
+// not fit, it asks for the whole configuration.
+func (g *Gossip) pull(ctx context.Context, address string) {
+	err := g.ask(ctx, address, false)
+	if errors.Is(err, ErrDigest) {
+		err = g.ask(ctx, address, true)
+	}
+	if err != nil {
+		unheard.Inc()
+		g.planner.Failed(time.Now(), address)
+	}
+}
+
+func (g *Gossip) ask(ctx context.Context, address string, whole bool) error {
+	reply, err := g.question(ctx, address, whole)
+	if err != nil {
+		return err
+	}
+	g.planner.Answered(address, versionOf(reply.GetVersion()))
+	if !g.options.Store.Version().Less(versionOf(reply.GetVersion())) {
+		return nil
+	}
+	return g.apply(ctx, decodeUpdate(reply), address)
+}
+
+func (g *Gossip) question(ctx context.Context, address string, whole bool) (*jacinthplankv1.ConfigurationResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, PullTimeout)
+	defer cancel()
+	questions.Inc()
+	reply, err := g.options.Ask(ctx, address, &jacinthplankv1.ConfigurationRequest{
+		Have: encodeVersion(g.options.Store.Version()), Address: g.options.Address, Whole: whole,
+	})
+	return reply, trace.Wrap(err)
+}
+
+// apply puts an update in force, tells peers and keeps a copy on disk.
+func (g *Gossip) apply(ctx context.Context, u revision.Update, from string) error {
+	changed, err := g.options.Store.Apply(u)
+	if err != nil || !changed {
+		return err
+	}
+	g.options.Events.Record(timeline.Event{
+		Kind: timeline.KindRevision, Step: "distribution.apply", Peer: from, Detail: u.Version.String(),
+	})
+	g.options.Log.Info("configuration in force", "version", u.Version.String(), "from", from)
+	g.spread(ctx)
+	g.save()
+	return nil
+}
+
+// spread tells a few peers without waiting for them; those that are behind then
+// pull from here.
+func (g *Gossip) spread(ctx context.Context) {
+	for _, address := range g.planner.Sample(time.Now(), g.options.Peers(), FanOut) {
+		g.telling.Go(func() { g.tell(ctx, address) })
+	}
+}
+
+func (g *Gossip) tell(ctx context.Context, address string) {
+	reply, err := g.question(ctx, address, false)
+	if err != nil {
+		unheard.Inc()
+		g.news.Put(item{address: address, failed: true})
+		return
+	}
+	g.Heard(address, versionOf(reply.GetVersion()))
+}
+
+func (g *Gossip) save() {
+	if g.options.CacheFile == "" {
+		return
+	}
+	if err := g.options.Store.Save(g.options.CacheFile); err != nil {
+		g.options.Log.Error("configuration not kept on disk", "file", g.options.CacheFile, "error", err)
+	}
+}
--- /dev/null
+++ b/distribution/planner.go
@@ -0,0 +1,130 @@
+package distribution
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/jacinthplank/jacinthplank/fleet"
+)
+
+// Timing and fan-out of the spreading of configurations.
+const (
+	ProbePeriod = time.Second            // mean time between questions to a random peer
+	RetryPeriod = 200 * time.Millisecond // from a peer that did not answer to the next
+	AvoidTime   = 3 * time.Second        // how long a peer that did not answer is left alone
+	PullTimeout = 500 * time.Millisecond // for one question to one peer
+	FanOut      = 6                      // peers told of a new version
+)
+
+// Planner decides which peer to ask and when. It does no I/O; addresses name
+// the peers.
+type Planner struct {
+	rand    *rand.Rand
+	ahead   map[string]fleet.Version // what peers are known to have
+	avoided map[string]time.Time     // until when a peer is left alone
+	probe   time.Time                // when to ask a random peer
+}
+
+// NewPlanner returns a planner that draws from r.
+func NewPlanner(r *rand.Rand) *Planner {
+	return &Planner{rand: r, ahead: make(map[string]fleet.Version), avoided: make(map[string]time.Time)}
+}
+
+// Heard notes that a peer has a version.
+func (p *Planner) Heard(address string, v fleet.Version) {
+	if p.ahead[address].Less(v) {
+		p.ahead[address] = v
+	}
+}
+
+// Next returns the peer to ask now. With none to ask it returns an empty
+// address and the time to wait, which is to be cut short by news.
+func (p *Planner) Next(now time.Time, have fleet.Version, peers []string) (string, time.Duration) {
+	if address := p.furthest(now, have); address != "" {
+		return address, 0
+	}
+	if p.probe.IsZero() {
+		p.schedule(now)
+	}
+	if wait := p.probe.Sub(now); wait > 0 {
+		return "", wait
+	}
+	p.schedule(now)
+	if sample := p.Sample(now, peers, 1); len(sample) == 1 {
+		return sample[0], 0
+	}
+	return "", p.probe.Sub(now)
+}
+
+// furthest returns the peer with the highest version above have, and forgets
+// the peers that are not ahead. Among equals it draws.
+func (p *Planner) furthest(now time.Time, have fleet.Version) string {
+	best, ties := "", 0
+	for _, address := range slices.Sorted(maps.Keys(p.ahead)) {
+		v := p.ahead[address]
+		if !have.Less(v) {
+			delete(p.ahead, address)
+			continue
+		}
+		if p.avoid(now, address) {
+			continue
+		}
+		switch {
+		case best == "" || p.ahead[best].Less(v):
+			best, ties = address, 1
+		case p.ahead[best] == v:
+			ties++
+			if p.rand.IntN(ties) == 0 {
+				best = address
+			}
+		}
+	}
+	return best
+}
+
+// schedule draws the time of the next probe.
+func (p *Planner) schedule(now time.Time) {
+	spread := time.Duration(p.rand.Int64N(int64(ProbePeriod)))
+	p.probe = now.Add(ProbePeriod/2 + spread)
+}
+
+// Answered notes the version that a peer has answered with, which may be lower
+// than what was heard of it.
+func (p *Planner) Answered(address string, v fleet.Version) {
+	delete(p.avoided, address)
+	p.ahead[address] = v
+}
+
+// Failed notes that a peer did not answer. Another is asked soon.
+func (p *Planner) Failed(now time.Time, address string) {
+	delete(p.ahead, address)
+	p.avoided[address] = now.Add(AvoidTime)
+	if retry := now.Add(RetryPeriod); retry.Before(p.probe) {
+		p.probe = retry
+	}
+}
+
+// Sample draws up to n different peers that are not avoided.
+func (p *Planner) Sample(now time.Time, peers []string, n int) []string {
+	sample := make([]string, 0, n)
+	for _, i := range p.rand.Perm(len(peers)) {
+		if len(sample) == n {
+			break
+		}
+		if !p.avoid(now, peers[i]) {
+			sample = append(sample, peers[i])
+		}
+	}
+	return sample
+}
+
+func (p *Planner) avoid(now time.Time, address string) bool {
+	until, avoided := p.avoided[address]
+	if avoided && !now.Before(until) {
+		delete(p.avoided, address)
+		return false
+	}
+	return avoided
+}
