--- /dev/null
+++ b/coord/quorum/log.go
@@ -0,0 +1,89 @@
+package quorum
+
+// entryLog is the part of the log that is in memory: the entries after base.
+type entryLog struct {
+	baseIndex uint64
+	baseTerm  uint64
+	entries   []Entry
+}
+
+func (l *entryLog) lastIndex() uint64 { return l.baseIndex + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	if len(l.entries) == 0 {
+		return l.baseTerm
+	}
+	return l.entries[len(l.entries)-1].Term
+}
+
+// term returns the term of the entry at index, false when it isn't known.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.baseIndex:
+		return l.baseTerm, true
+	case index < l.baseIndex || index > l.lastIndex():
+		return 0, false
+	default:
+		return l.entries[index-l.baseIndex-1].Term, true
+	}
+}
+
+// matches reports whether the entry at index is known to have the given term.
+func (l *entryLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+func (l *entryLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
+
+// truncate drops the entries from index on. What was handed out keeps its own
+// copy of them.
+func (l *entryLog) truncate(index uint64) {
+	kept := index - l.baseIndex - 1
+	l.entries = l.entries[:kept:kept]
+}
+
+// slice returns the entries from index first to last, both included, but no
+// more than maxBytes bytes when there is more than one.
+func (l *entryLog) slice(first, last uint64, maxBytes int) []Entry {
+	last = min(last, l.lastIndex())
+	if first > last || first <= l.baseIndex {
+		return nil
+	}
+	from := first - l.baseIndex - 1
+	to := from
+	size := 0
+	for to < last-l.baseIndex {
+		size += len(l.entries[to].Data)
+		if size > maxBytes && to > from {
+			break
+		}
+		to++
+	}
+	return l.entries[from:to:to]
+}
+
+// compact drops the entries up to index.
+func (l *entryLog) compact(index uint64) {
+	term, ok := l.term(index)
+	if !ok || index <= l.baseIndex {
+		return
+	}
+	kept := l.entries[index-l.baseIndex:]
+	l.entries = append(make([]Entry, 0, len(kept)), kept...)
+	l.baseIndex, l.baseTerm = index, term
+}
+
+// reset makes the log empty after index.
+func (l *entryLog) reset(index, term uint64) {
+	*l = entryLog{baseIndex: index, baseTerm: term}
+}
+
+// isUpToDate reports whether a log that ends with index and term is at least as
+// complete as this one.
+func (l *entryLog) isUpToDate(index, term uint64) bool {
+	if term != l.lastTerm() {
+		return term > l.lastTerm()
+	}
+	return index >= l.lastIndex()
+}
--- a/coord/quorum/member.go
+++ b/coord/quorum/member.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// DiskIdentity names a disk: 32 hexadecimal digits made at its first use.
+// DiskIdentity names a disk: 16 hexadecimal digits made at its first use.
 type DiskIdentity string
 
 // Member is one member of the quorum. Members of a first configuration are
--- /dev/null
+++ b/coord/quorum/membership.go
@@ -0,0 +1,83 @@
+package quorum
+
+// promoteLag is the number of committed entries that a learner may lack when it
+// is promoted.
+const promoteLag = 64
+
+// ChangeMember appends one change of members and returns its index. Changes go
+// one at a time: another one is refused until this one is committed.
+func (c *Core) ChangeMember(change Change) (index, term uint64, err error) {
+	if c.role != Leader || c.leading.transfer != "" {
+		return 0, 0, ErrNoQuorum
+	}
+	isPending := c.members[len(c.members)-1].index > c.commit
+	if isPending || c.commit < c.leading.termStart {
+		return 0, 0, ErrChangePending
+	}
+	next, err := c.Configuration().With(change)
+	if err != nil {
+		return 0, 0, err
+	}
+	if change.Kind == Promote && !c.isCaughtUp(change.Member.Disk) {
+		return 0, 0, ErrNotCaughtUp
+	}
+	index = c.log.lastIndex() + 1
+	c.append(Entry{Index: index, Term: c.hard.Term, Kind: EntryConfiguration, Data: encodeConfiguration(next)})
+	c.trackMembers()
+	return index, c.hard.Term, nil
+}
+
+// isCaughtUp reports whether a member has synced what is committed, but for a
+// few entries.
+func (c *Core) isCaughtUp(disk DiskIdentity) bool {
+	p := c.leading.progress[disk]
+	return p != nil && p.state == replicating && p.match+promoteLag >= c.commit && p.match >= c.leading.termStart
+}
+
+// Transfer makes another voter the leader. Proposals are refused meanwhile. It
+// is given up when it takes longer than the election timeout.
+func (c *Core) Transfer(to DiskIdentity) error {
+	if c.role != Leader {
+		return ErrNoQuorum
+	}
+	if _, ok := c.Configuration().Voter(to); !ok || to == c.config.Self {
+		return ErrChangeInvalid
+	}
+	c.leading.transfer, c.leading.transferTicks = to, 0
+	c.completeTransfer(to, c.leading.progress[to])
+	return nil
+}
+
+// BestSuccessor returns the voter with the longest log that answered last, and
+// false when there is none.
+func (c *Core) BestSuccessor() (DiskIdentity, bool) {
+	var best DiskIdentity
+	for _, disk := range c.others() {
+		p := c.leading.progress[disk]
+		_, isVoter := c.Configuration().Voter(disk)
+		isHeard := c.now-p.heard <= uint64(2*c.config.HeartbeatTicks)
+		if isVoter && isHeard && (best == "" || p.match > c.leading.progress[best].match) {
+			best = disk
+		}
+	}
+	return best, best != ""
+}
+
+// completeTransfer tells the successor to start an election once it has the
+// whole log.
+func (c *Core) completeTransfer(disk DiskIdentity, p *progress) {
+	if c.role != Leader || c.leading.transfer != disk || p.match < c.log.lastIndex() {
+		return
+	}
+	c.send(Message{Kind: TimeoutNow, To: disk, Term: c.hard.Term})
+}
+
+func (c *Core) tickTransfer() {
+	if c.leading.transfer == "" {
+		return
+	}
+	c.leading.transferTicks++
+	if c.leading.transferTicks >= c.config.ElectionTicks {
+		c.leading.transfer = ""
+	}
+}
--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -2,65 +2,260 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jacinthplank/jacinthplank/coord/wal"
 )
 
-// Node is a running member.
+// Node is a running member. Its duties are one goroutine each: the core duty
+// decides, the disk duty writes and syncs, the machine duty applies.
 type Node struct {
-	options Options
-	mu      sync.Mutex
-	applied uint64
-	stopped bool
+	options  Options
+	self     Member
+	storage  *storage
+	core     *Core // the core duty's
+	founding *founding
+	replica  *replica
+	waiting  map[uint64]*proposal // the core duty's, by index
+	peers    map[DiskIdentity]Member
+	reads    map[uint64]*readRequest
+	lastRead uint64
+	ticks    int // since the last Hello
+
+	messages  chan Message
+	proposals chan *proposal
+	requests  chan *readRequest
+	calls     chan func()
+	toDisk    *mailbox[diskWork]
+	fromDisk  *mailbox[diskDone]
+	toMachine *mailbox[machineWork]
+
+	ctx      context.Context
+	cancel   context.CancelFunc
+	duties   sync.WaitGroup
+	stopOnce sync.Once
+	applied  atomic.Uint64
+
+	mu     sync.Mutex
+	status Status
 }
 
-// Start starts a member.
+// Start starts a member on its disk. It fails when acknowledged data on the
+// disk is lost or damaged: the error, a *wal.CorruptError, names file and
+// offset. Such a disk must be emptied, which makes it another member.
 func Start(o Options) (*Node, error) {
 	if err := o.check(); err != nil {
 		return nil, err
 	}
-	return &Node{options: o}, nil
+	o = o.withDefaults()
+	folder := o.Disk
+	if folder == nil {
+		opened, err := wal.OpenFolder(o.Folder)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		folder = opened
+	}
+	storage, saved, err := openStorage(folder, newDiskIdentity(), defaultTailLength)
+	if err != nil {
+		_ = folder.Close()
+		return nil, trace.Wrap(err, "quorum: the disk of %s can't vote", o.Name)
+	}
+	n := newNode(o, storage, saved)
+	if saved.Snapshot != nil {
+		if err := o.Machine.Restore(saved.Snapshot.Data); err != nil {
+			_ = storage.close()
+			return nil, trace.Wrap(err, "quorum: snapshot %d", saved.Snapshot.Index)
+		}
+	}
+	n.run()
+	return n, nil
+}
+
+func newNode(o Options, storage *storage, saved Saved) *Node {
+	n := &Node{
+		options:   o,
+		self:      Member{Name: o.Name, Address: o.Address, Disk: storage.identity},
+		storage:   storage,
+		waiting:   map[uint64]*proposal{},
+		peers:     map[DiskIdentity]Member{},
+		reads:     map[uint64]*readRequest{},
+		messages:  make(chan Message, messageQueue),
+		proposals: make(chan *proposal, proposalQueue),
+		requests:  make(chan *readRequest, proposalQueue),
+		calls:     make(chan func()),
+		toDisk:    newMailbox[diskWork](),
+		fromDisk:  newMailbox[diskDone](),
+		toMachine: newMailbox[machineWork](),
+	}
+	random := rand.New(rand.NewPCG(o.Seed, uint64(len(o.Name))))
+	n.core = NewCore(o.coreConfig(storage.identity, random), saved)
+	n.founding = newFounding(n.self, o.Members, storage.promise)
+	n.replica = newReplica(n, saved)
+	if saved.Snapshot != nil {
+		n.applied.Store(saved.Snapshot.Index)
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.updateStatus()
+	return n
+}
+
+func (n *Node) run() {
+	n.duties.Go(n.runCore)
+	n.duties.Go(n.runDisk)
+	n.duties.Go(n.replica.run)
 }
 
 // Propose appends a command and returns the machine's result once the command
-// is committed and applied here.
+// is committed and applied here. See IsNotRun for its errors.
 func (n *Node) Propose(ctx context.Context, cmd []byte) ([]byte, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.stopped {
-		return nil, ErrStopped
+	if len(cmd) > MaxCommandBytes {
+		return nil, ErrTooLarge
 	}
-	if ctx.Err() != nil {
-		return nil, ErrCanceled
+	p := &proposal{command: cmd, done: make(chan outcome, 1)}
+	select {
+	case n.proposals <- p:
+	default:
+		proposalsRefused.Inc()
+		return nil, ErrBusy
+	}
+	return n.await(ctx, p)
+}
+
+// await waits for the outcome of p.
+func (n *Node) await(ctx context.Context, p *proposal) ([]byte, error) {
+	select {
+	case o := <-p.done:
+		return o.result, o.err
+	case <-ctx.Done():
+		if p.abandon() {
+			return nil, fmt.Errorf("%w: %w", ErrCanceled, ctx.Err())
+		}
+		return nil, fmt.Errorf("%w: %w", ErrUnknown, ctx.Err())
+	case <-n.ctx.Done():
+		if p.abandon() {
+			return nil, ErrStopped
+		}
+		return p.outcomeAfterStop()
 	}
-	n.applied++
-	return n.options.Machine.Apply(n.applied, cmd), nil
 }
 
 // ReadIndex returns once the local machine holds everything that was committed
-// when it was called.
-func (n *Node) ReadIndex(context.Context) error { return nil }
+// when it was called. Only a leader that a majority has confirmed after the
+// call returns nil.
+func (n *Node) ReadIndex(ctx context.Context) error {
+	r := &readRequest{done: make(chan error, 1)}
+	select {
+	case n.requests <- r:
+	default:
+		return ErrBusy
+	}
+	select {
+	case err := <-r.done:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrCanceled, ctx.Err())
+	case <-n.ctx.Done():
+		return ErrStopped
+	}
+}
 
-// Step takes a message that the member named from has sent.
-func (n *Node) Step(from string, msg []byte) {}
+// ChangeMember changes the members and returns once the change is committed.
+// Changes go one at a time: see ErrChangePending and ErrNotCaughtUp, after
+// which the caller may try again.
+func (n *Node) ChangeMember(ctx context.Context, change Change) error {
+	p := &proposal{change: &change, done: make(chan outcome, 1)}
+	select {
+	case n.proposals <- p:
+	default:
+		return ErrBusy
+	}
+	_, err := n.await(ctx, p)
+	return err
+}
 
-// ChangeMember changes the members, one at a time.
-func (n *Node) ChangeMember(context.Context, Change) error { return ErrChangeInvalid }
+// Step takes a message that the member named from has sent. It never blocks: a
+// message that can't be read or finds the queue full is dropped and counted.
+func (n *Node) Step(from string, msg []byte) {
+	m, err := DecodeMessage(msg)
+	if err != nil {
+		messagesRefused.Inc()
+		n.options.Logger.Debug("message refused", "peer", from, "error", err)
+		return
+	}
+	select {
+	case n.messages <- m:
+	default:
+		messagesDropped.Inc()
+	}
+}
 
 // Status returns what the node knows.
 func (n *Node) Status() Status {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	self := Member{Name: n.options.Name, Address: n.options.Address}
-	return Status{
-		Name: self.Name, Leader: self.Name, LeaderAddress: self.Address,
-		IsLeader: true, HasQuorum: true, Term: 1,
-		Commit: n.applied, Applied: n.applied, Voters: []Member{self},
-	}
+	s := n.status
+	s.Applied = n.applied.Load()
+	return s
 }
 
-// Stop ends the node.
+// Stop ends the node. A leader hands its office over first when another voter
+// answers. It may be called more than once.
 func (n *Node) Stop() {
+	n.stopOnce.Do(func() {
+		n.handOver()
+		n.cancel()
+		n.duties.Wait()
+		if err := n.storage.close(); err != nil {
+			n.options.Logger.Warn("quorum: closing the disk failed", "error", err)
+		}
+	})
+}
+
+// handOver makes another voter the leader, within the election timeout.
+func (n *Node) handOver() {
+	if !n.Status().IsLeader {
+		return
+	}
+	limit := time.After(ElectionTimeout)
+	select {
+	case n.calls <- n.transferToBest:
+	case <-limit:
+		return
+	case <-n.ctx.Done():
+		return
+	}
+	poll := time.NewTicker(n.options.Tick)
+	defer poll.Stop()
+	for n.Status().IsLeader {
+		select {
+		case <-poll.C:
+		case <-limit:
+			return
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) transferToBest() {
+	if to, ok := n.core.BestSuccessor(); ok {
+		_ = n.core.Transfer(to)
+	}
+}
+
+// fail ends the node's part in the quorum because of its disk or machine.
+func (n *Node) fail(err error) {
+	n.options.Logger.Error("quorum: member stops", "error", err)
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.stopped = true
+	n.status.Err = err
+	n.status.IsLeader, n.status.HasQuorum = false, false
+	n.mu.Unlock()
+	n.cancel()
 }
--- /dev/null
+++ b/coord/quorum/node_test.go
@@ -0,0 +1,218 @@
+package quorum_test
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/coord/quorum"
+	"github.com/jacinthplank/jacinthplank/coord/wal"
+)
+
+// register is a machine that appends commands; the result is their count.
+type register struct {
+	mu       sync.Mutex
+	commands []string
+}
+
+func (r *register) Apply(_ uint64, cmd []byte) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.commands = append(r.commands, string(cmd))
+	return binary.AppendUvarint(nil, uint64(len(r.commands)))
+}
+
+func (r *register) Snapshot() ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []byte
+	for _, c := range r.commands {
+		out = binary.AppendUvarint(out, uint64(len(c)))
+		out = append(out, c...)
+	}
+	return out, nil
+}
+
+func (r *register) Restore(snapshot []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.commands = nil
+	for len(snapshot) > 0 {
+		size, n := binary.Uvarint(snapshot)
+		snapshot = snapshot[n:]
+		r.commands = append(r.commands, string(snapshot[:size]))
+		snapshot = snapshot[size:]
+	}
+	return nil
+}
+
+func (r *register) all() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.commands...)
+}
+
+// network delivers messages between the nodes of a test, but for the links
+// that are cut.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*quorum.Node
+	cut   map[[2]string]bool
+}
+
+type link struct {
+	network *network
+	from    string
+}
+
+func (l link) Send(to quorum.Member, msgs [][]byte) {
+	l.network.mu.Lock()
+	node := l.network.nodes[to.Name]
+	isCut := l.network.cut[[2]string{l.from, to.Name}]
+	l.network.mu.Unlock()
+	if node == nil || isCut {
+		return
+	}
+	for _, m := range msgs {
+		node.Step(l.from, m)
+	}
+}
+
+// isolate cuts every link of a member, or joins them again.
+func (n *network) isolate(name string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for other := range n.nodes {
+		n.cut[[2]string{name, other}] = cut
+		n.cut[[2]string{other, name}] = cut
+	}
+}
+
+// cluster is nodes in one process with disks in memory.
+type cluster struct {
+	g        *WithT
+	network  *network
+	members  []quorum.Member
+	disks    map[string]wal.Folder
+	machines map[string]*register
+	options  quorum.Options
+}
+
+func newCluster(g *WithT, size int, options quorum.Options) *cluster {
+	c := &cluster{
+		g:        g,
+		network:  &network{nodes: map[string]*quorum.Node{}, cut: map[[2]string]bool{}},
+		disks:    map[string]wal.Folder{},
+		machines: map[string]*register{},
+		options:  options,
+	}
+	for i := range size {
+		name := fmt.Sprintf("m%d", i)
+		c.members = append(c.members, quorum.Member{Name: name, Address: "addr-" + name})
+		c.disks[name] = wal.NewMemoryFolder()
+	}
+	for _, m := range c.members {
+		c.start(m.Name)
+	}
+	return c
+}
+
+func (c *cluster) start(name string) {
+	c.machines[name] = &register{}
+	o := c.options
+	o.Name, o.Address, o.Members = name, "addr-"+name, c.members
+	o.Disk, o.Machine, o.Transport = c.disks[name], c.machines[name], link{c.network, name}
+	o.Seed = c.options.Seed + uint64(len(c.machines)) + uint64(name[1])
+	node, err := quorum.Start(o)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.network.mu.Lock()
+	c.network.nodes[name] = node
+	c.network.mu.Unlock()
+}
+
+func (c *cluster) node(name string) *quorum.Node {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	return c.network.nodes[name]
+}
+
+// kill ends a node without handing over, by cutting it off first.
+func (c *cluster) kill(name string) {
+	c.network.isolate(name, true)
+	c.node(name).Stop()
+	c.network.mu.Lock()
+	delete(c.network.nodes, name)
+	c.network.mu.Unlock()
+	c.network.isolate(name, false)
+}
+
+func (c *cluster) stop() {
+	for _, m := range c.members {
+		if n := c.node(m.Name); n != nil {
+			n.Stop()
+		}
+	}
+}
+
+// leader waits for a leader that the given members agree on.
+func (c *cluster) leader(among ...string) string {
+	var name string
+	c.g.Eventually(func() bool {
+		name = ""
+		for _, n := range among {
+			s := c.node(n).Status()
+			if s.IsLeader {
+				name = n
+			}
+		}
+		return name != ""
+	}).WithTimeout(20 * time.Second).WithPolling(50 * time.Millisecond).Should(BeTrue())
+	return name
+}
+
+func (c *cluster) propose(name, cmd string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	_, err := c.node(name).Propose(ctx, []byte(cmd))
+	return err
+}
+
+func (c *cluster) eventually(actual any) AsyncAssertion {
+	return c.g.Eventually(actual).WithTimeout(30 * time.Second).WithPolling(50 * time.Millisecond)
+}
+
+func names(c *cluster) []string {
+	var out []string
+	for _, m := range c.members {
+		out = append(out, m.Name)
+	}
+	return out
+}
+
+func TestThreeNodesCommitAndSurviveTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(g, 3, quorum.Options{Seed: 1})
+		defer c.stop()
+		first := c.leader(names(c)...)
+		g.Expect(c.propose(first, "a")).To(Succeed())
+		c.kill(first)
+
+		var rest []string
+		for _, n := range names(c) {
+			if n != first {
+				rest = append(rest, n)
+			}
+		}
+		second := c.leader(rest...)
+		g.Expect(c.propose(second, "b")).To(Succeed())
+		c.start(first)
+		c.eventually(c.machines[first].all).Should(Equal([]string{"a", "b"}))
+	})
+}
--- /dev/null
+++ b/coord/quorum/replication.go
@@ -0,0 +1,272 @@
+package quorum
+
+import "slices"
+
+// leadership is what only a leader has.
+type leadership struct {
+	termStart uint64 // index of the first entry of its term
+	progress  map[DiskIdentity]*progress
+	round     uint64 // last heartbeat round that was begun
+	wantRound bool   // a read waits for a round that is not begun
+	heartbeat int    // ticks since the last heartbeat
+	reads     []pendingRead
+
+	transfer      DiskIdentity // member that is to lead next
+	transferTicks int          // ticks since the transfer was asked for
+}
+
+type progressState uint8
+
+const (
+	probing      progressState = iota // the matching index is being looked for
+	replicating                       // entries are sent ahead of the replies
+	snapshotting                      // a snapshot is on its way
+)
+
+// progress is what a leader knows of another member.
+type progress struct {
+	state  progressState
+	match  uint64 // synced there
+	next   uint64 // next entry to send
+	paused bool   // a probe was sent and not answered
+	heard  uint64 // tick at which it last answered
+	round  uint64 // last heartbeat round that it answered
+	since  uint64 // tick at which the snapshot was sent
+}
+
+// Propose appends commands to the leader's log and returns the index of the
+// first and their term.
+func (c *Core) Propose(commands ...[]byte) (first, term uint64, err error) {
+	if c.role != Leader || c.leading.transfer != "" {
+		return 0, 0, ErrNoQuorum
+	}
+	first = c.log.lastIndex() + 1
+	for _, command := range commands {
+		c.append(Entry{Index: c.log.lastIndex() + 1, Term: c.hard.Term, Kind: EntryCommand, Data: command})
+	}
+	return first, c.hard.Term, nil
+}
+
+// trackMembers starts and ends the progress of members that came and went.
+func (c *Core) trackMembers() {
+	configuration := c.Configuration()
+	for _, m := range configuration.Members() {
+		if c.leading.progress[m.Disk] == nil {
+			c.leading.progress[m.Disk] = &progress{next: c.log.lastIndex(), heard: c.now}
+		}
+	}
+	for disk := range c.leading.progress {
+		if _, ok := configuration.Member(disk); !ok {
+			delete(c.leading.progress, disk)
+		}
+	}
+}
+
+// others returns the disks that the leader replicates to, in a fixed order.
+func (c *Core) others() []DiskIdentity {
+	var disks []DiskIdentity
+	for disk := range c.leading.progress {
+		if disk != c.config.Self {
+			disks = append(disks, disk)
+		}
+	}
+	slices.Sort(disks)
+	return disks
+}
+
+func (c *Core) tickLeader() {
+	if !c.hearsQuorum() {
+		c.becomeFollower(c.hard.Term, "")
+		return
+	}
+	c.tickTransfer()
+	c.leading.heartbeat++
+	if c.leading.heartbeat >= c.config.HeartbeatTicks {
+		c.leading.heartbeat = 0
+		c.broadcastHeartbeat()
+	}
+}
+
+// hearsQuorum reports whether a majority of the voters answered within the
+// election timeout.
+func (c *Core) hearsQuorum() bool {
+	count := 0
+	for _, voter := range c.Configuration().Voters {
+		p := c.leading.progress[voter.Disk]
+		isHeard := p != nil && c.now-p.heard <= uint64(c.config.ElectionTicks)
+		if voter.Disk == c.config.Self || isHeard {
+			count++
+		}
+	}
+	return count >= c.Configuration().Quorum()
+}
+
+func (c *Core) broadcastHeartbeat() {
+	for _, disk := range c.others() {
+		p := c.leading.progress[disk]
+		p.paused = false
+		if p.state == snapshotting && c.now-p.since > uint64(c.config.ElectionTicks) {
+			p.state = probing
+		}
+		c.sendHeartbeat(disk, p)
+	}
+}
+
+// sendHeartbeat sends an Append without entries, which finds lost ones too.
+func (c *Core) sendHeartbeat(to DiskIdentity, p *progress) {
+	prev := p.next - 1
+	term, ok := c.log.term(prev)
+	if !ok || p.state == snapshotting {
+		prev, term = 0, 0
+	}
+	c.sendAppend(to, p, Message{Index: prev, LogTerm: term})
+}
+
+func (c *Core) sendAppend(to DiskIdentity, p *progress, m Message) {
+	m.Kind, m.To, m.Term = Append, to, c.hard.Term
+	m.Commit, m.Round = c.commit, c.leading.round
+	if p.state != replicating {
+		m.Sender = c.self()
+	}
+	c.send(m)
+}
+
+// sendEntries sends each member what it lacks, within its bounds.
+func (c *Core) sendEntries() {
+	for _, disk := range c.others() {
+		c.sendEntriesTo(disk, c.leading.progress[disk])
+	}
+}
+
+func (c *Core) sendEntriesTo(to DiskIdentity, p *progress) {
+	for p.next <= c.log.lastIndex() && p.mayReceive(c.config.MaxInFlight) {
+		prev := p.next - 1
+		term, ok := c.log.term(prev)
+		if !ok {
+			c.sendSnapshot(to, p)
+			return
+		}
+		entries := c.log.slice(p.next, c.log.lastIndex(), c.config.MaxBytes)
+		c.sendAppend(to, p, Message{Index: prev, LogTerm: term, Entries: entries})
+		if p.state == probing {
+			p.paused = true
+			return
+		}
+		p.next += uint64(len(entries))
+	}
+}
+
+func (p *progress) mayReceive(maxInFlight int) bool {
+	switch p.state {
+	case probing:
+		return !p.paused
+	case replicating:
+		return p.next-p.match <= uint64(maxInFlight)
+	default:
+		return false
+	}
+}
+
+func (c *Core) sendSnapshot(to DiskIdentity, p *progress) {
+	if c.snapshot == nil {
+		return
+	}
+	p.state, p.since = snapshotting, c.now
+	c.send(Message{
+		Kind: InstallSnapshot, To: to, Term: c.hard.Term,
+		Round: c.leading.round, Snapshot: c.snapshot, Sender: c.self(),
+	})
+}
+
+// stepAppendReply takes what a member says of its log.
+func (c *Core) stepAppendReply(m Message) {
+	if c.role != Leader {
+		return
+	}
+	p := c.leading.progress[m.From]
+	if p == nil {
+		return
+	}
+	p.heard = c.now
+	p.round = max(p.round, m.Round)
+	if m.Reject {
+		c.stepRejection(p, m)
+	} else {
+		c.stepMatch(m.From, p, m)
+	}
+	c.confirmReads()
+}
+
+func (c *Core) stepMatch(from DiskIdentity, p *progress, m Message) {
+	if m.Match > c.log.lastIndex() {
+		logsDiverged.Inc()
+		return
+	}
+	p.match = max(p.match, m.Match)
+	p.next = max(p.next, p.match+1)
+	isFound := m.Match+1 >= p.next || m.Index == p.next-1
+	switch {
+	case p.state == snapshotting && p.match >= c.log.baseIndex:
+		p.state, p.next, p.paused = probing, p.match+1, false
+	case p.state == probing && isFound:
+		p.state, p.paused = replicating, false
+	}
+	c.advanceCommit()
+	c.completeTransfer(from, p)
+}
+
+// stepRejection moves back to where the logs may match.
+func (c *Core) stepRejection(p *progress, m Message) {
+	isOld := m.Index < p.match || p.state == snapshotting || m.Index >= p.next
+	if isOld {
+		return
+	}
+	if m.Match < p.match {
+		logsDiverged.Inc()
+	}
+	hint := min(m.Match, c.log.lastIndex())
+	for hint > p.match {
+		term, ok := c.log.term(hint)
+		if !ok || term <= m.LogTerm {
+			break
+		}
+		hint--
+	}
+	p.state, p.paused = probing, false
+	p.next = max(p.match, hint) + 1
+}
+
+// advanceCommit commits what a majority of the voters has synced, once it
+// reaches the leader's own term.
+func (c *Core) advanceCommit() {
+	voters := c.Configuration().Voters
+	matches := make([]uint64, 0, len(voters))
+	for _, voter := range voters {
+		switch p := c.leading.progress[voter.Disk]; {
+		case voter.Disk == c.config.Self:
+			matches = append(matches, c.synced)
+		case p != nil:
+			matches = append(matches, p.match)
+		default:
+			matches = append(matches, 0)
+		}
+	}
+	slices.Sort(matches)
+	index := matches[len(matches)-c.Configuration().Quorum()]
+	if index <= c.commit || !c.log.matches(index, c.hard.Term) {
+		return
+	}
+	c.commit = index
+	c.acceptEarlyReads()
+	c.leaveWhenRemoved()
+}
+
+// leaveWhenRemoved gives the office up once this leader's own removal is
+// committed.
+func (c *Core) leaveWhenRemoved() {
+	last := c.members[len(c.members)-1]
+	if last.index <= c.commit && !c.isVoter() {
+		c.broadcastHeartbeat()
+		c.becomeFollower(c.hard.Term, "")
+	}
+}
