--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,3 @@
+// Package examples holds two worked examples: the answers of two teams and the
+// files that package plan makes from them.
+package examples
--- a/fleet/check.go
+++ b/fleet/check.go
@@ -145,7 +145,7 @@
 	for i, name := range names {
 		key := tomlcheck.Element(list, i) + field
 		if !validName(name) {
-			r.Add(key, fmt.Sprintf("found %q", name), "a name without spaces, up to 100 characters")
+			r.Add(key, fmt.Sprintf("found %q", name), "a name without spaces, quotes or brackets, up to 100 characters")
 			continue
 		}
 		if at, taken := first[name]; taken {
@@ -160,7 +160,7 @@
 const maxName = 100
 
 func validName(name string) bool {
-	return name != "" && len(name) <= maxName && !strings.ContainsAny(name, " \t\r\n\"'")
+	return name != "" && len(name) <= maxName && !strings.ContainsAny(name, " \t\r\n\"'[]")
 }
 
 func checkKnown(r *tomlcheck.Report, key, name, what string, valid []string) {
--- /dev/null
+++ b/plan/configuration.go
@@ -0,0 +1,96 @@
+// Package plan makes the whole configuration from a team's answers: the fleet's
+// configuration and the settings of each daemon. It also tells in plain words
+// what a change of the answers means.
+package plan
+
+import (
+	"github.com/jacinthplank/jacinthplank/fleet"
+	"github.com/jacinthplank/jacinthplank/questionnaire"
+)
+
+// shares is the weight of an account by its size.
+var shares = map[questionnaire.Size]int{
+	questionnaire.SizeSmall:  1,
+	questionnaire.SizeMedium: 2,
+	questionnaire.SizeLarge:  4,
+}
+
+// Configuration returns the configuration of the fleet that the answers ask
+// for.
+func Configuration(a *questionnaire.Answers) *fleet.Configuration {
+	c := &fleet.Configuration{Name: a.Name, Limits: fleet.DefaultLimits()}
+	c.Limits.ShortDeadline = a.Times.Short
+	c.Limits.LongDeadline = a.Times.Long
+	c.Limits.OnceRetention = a.Times.Remember
+	for _, d := range a.FailureDomains {
+		c.FailureDomains = append(c.FailureDomains, failureDomain(a, d))
+	}
+	for _, m := range a.Models {
+		c.Models = append(c.Models, model(a, m))
+	}
+	for _, account := range a.Accounts {
+		c.Accounts = append(c.Accounts, clientAccount(account))
+	}
+	for _, s := range a.Services {
+		c.Services = append(c.Services, service(s))
+	}
+	for _, k := range a.EndpointKinds {
+		c.EndpointKinds = append(c.EndpointKinds, fleet.EndpointKind{Name: k.Name, ChecksFencing: k.ChecksOrders})
+	}
+	return c
+}
+
+func failureDomain(a *questionnaire.Answers, d questionnaire.FailureDomain) fleet.FailureDomain {
+	distance := map[string]int{}
+	for _, trip := range a.RoundTrips {
+		micros := int(trip.Time.D().Microseconds())
+		switch d.Name {
+		case trip.Between[0]:
+			distance[trip.Between[1]] = micros
+		case trip.Between[1]:
+			distance[trip.Between[0]] = micros
+		}
+	}
+	return fleet.FailureDomain{Name: d.Name, Region: d.Region, Distance: distance}
+}
+
+func model(a *questionnaire.Answers, m questionnaire.Model) fleet.Model {
+	endpoints := 0
+	for _, g := range a.Instances {
+		if g.Task == questionnaire.TaskEndpoint && g.Model == m.Name {
+			endpoints += len(g.Addresses)
+		}
+	}
+	return fleet.Model{
+		Name:       m.Name,
+		EngineName: m.EngineName,
+		Adapters:   m.Adapters,
+		Endpoints:  max(endpoints, 1),
+		MaxPrompt:  m.MaxPrompt,
+	}
+}
+
+func clientAccount(a questionnaire.Account) fleet.Account {
+	return fleet.Account{
+		Name:            a.Name,
+		KeyDigests:      a.KeyDigests,
+		Models:          a.Models,
+		Share:           shares[a.Size],
+		ShortTokens:     a.ShortTokens,
+		LongTokens:      a.LongTokens,
+		DefaultDeadline: a.Short,
+		LongDeadline:    a.Long,
+	}
+}
+
+func service(s questionnaire.Service) fleet.Service {
+	made := fleet.Service{Name: s.Name}
+	for _, call := range s.NonIdempotent {
+		method, path, err := questionnaire.SplitCall(call)
+		if err != nil {
+			continue // checked answers have none
+		}
+		made.Once = append(made.Once, fleet.OnceRoute{Method: method, Path: path})
+	}
+	return made
+}
--- /dev/null
+++ b/plan/plan_test.go
@@ -0,0 +1,88 @@
+package plan_test
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/fleet"
+	"github.com/jacinthplank/jacinthplank/internal/golden"
+	"github.com/jacinthplank/jacinthplank/plan"
+	"github.com/jacinthplank/jacinthplank/questionnaire"
+)
+
+func example(t *testing.T) *questionnaire.Answers {
+	t.Helper()
+	answers, err := questionnaire.Load(filepath.Join("..", "examples", "cantabrica", "answers.toml"))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return answers
+}
+
+const digest = "aa00000000000000000000000000000000000000000000000000000000000000"
+
+func revised(t *testing.T) *questionnaire.Answers {
+	a := example(t)
+	a.Name = "cantabrica-norte"
+	a.Times = questionnaire.Times{Short: fleet.Duration(25 * time.Second), Long: fleet.Duration(10 * time.Hour), Remember: fleet.Duration(800 * time.Hour)}
+	a.FailureDomains[0].Region = "costa"
+	a.FailureDomains = append(a.FailureDomains, questionnaire.FailureDomain{Name: "el-astillero", Region: "norte"})
+	a.RoundTrips[0].Time = fleet.Duration(time.Millisecond)
+	a.EndpointKinds[1].ChecksOrders = true
+	a.Models[0].EngineName = "summaries-v2"
+	a.Models[0].MaxPrompt = 500_000
+	a.Models[0].Adapters = []string{"councils", "builders"}
+	a.Models = append(a.Models, questionnaire.Model{Name: "letters", MaxPrompt: 1000})
+	a.Services[0].NonIdempotent = []string{"POST /certificates", "POST /seals"}
+	a.Accounts[0].Size = questionnaire.SizeLarge
+	a.Accounts[0].Short = fleet.Duration(12 * time.Second)
+	a.Accounts[0].Long = fleet.Duration(3 * time.Hour)
+	a.Accounts[0].Models = []string{"site-summaries"}
+	a.Accounts[0].KeyDigests = []string{digest}
+	a.Accounts[1].ShortTokens = 4000
+	a.Accounts[1].LongTokens = 90_000
+	a.Accounts[2].Name = "concejo-nuevo"
+	a.Instances[1].Addresses = append(a.Instances[1].Addresses, "10.40.1.99")
+	a.Instances[2].URL = "http://127.0.0.1:9100"
+	a.Instances = a.Instances[:len(a.Instances)-1]
+	return a
+}
+
+func sentences(before, after *questionnaire.Answers) []string {
+	return append(
+		plan.Meaning(plan.Configuration(before), plan.Configuration(after)),
+		plan.DaemonsMeaning(plan.Daemons(before), plan.Daemons(after))...)
+}
+
+func TestMeaningOfARevision(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(sentences(example(t), example(t))).To(BeEmpty())
+
+	there := sentences(example(t), revised(t))
+	back := sentences(revised(t), example(t))
+	golden.Expect(t, "revision.txt", strings.Join(there, "\n")+"\n")
+	golden.Expect(t, "revision-back.txt", strings.Join(back, "\n")+"\n")
+	for _, s := range append(there, back...) {
+		g.Expect(s).NotTo(ContainSubstring("->"), "a change without words of its own")
+	}
+}
+
+func TestMeaningOfTheFirstConfiguration(t *testing.T) {
+	golden.Expect(t, "first.txt", strings.Join(plan.Meaning(nil, plan.Configuration(example(t))), "\n")+"\n")
+}
+
+func TestMembersAreOddAndInDifferentFailureDomains(t *testing.T) {
+	g := NewWithT(t)
+	a := example(t)
+	a.Instances[0].Addresses = append(a.Instances[0].Addresses, "10.40.1.11")
+	members := map[string]bool{}
+	for _, d := range plan.Daemons(a) {
+		if len(d.Control.Members) > 0 {
+			members[d.Instance.FailureDomain] = true
+			g.Expect(d.Control.Members).To(HaveLen(3))
+		}
+	}
+	g.Expect(members).To(HaveLen(3))
+}
--- a/tomlcheck/fault.go
+++ b/tomlcheck/fault.go
@@ -129,7 +129,7 @@
 
 func expectedNames(valid []string) string {
 	if len(valid) == 0 {
-		return "nothing here"
+		return "a name that is listed; none is listed yet"
 	}
 	if len(valid) > maxListed {
 		return fmt.Sprintf("one of %s and %d more", strings.Join(valid[:maxListed], ", "), len(valid)-maxListed)
