Golden files of whole sessions over real daemons

Cause: the path has to be proved as callers see it, errors included. Found by it: the router passed the callers' name of a model on to engines that know it by another; it now passes the engines' own name on.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -179,3 +179,6 @@
 
 // version of the configuration in force here.
 func (d *Daemon) version() fleet.Version { return d.config.version() }
+
+// EndpointCount is the number of endpoints that this daemon knows.
+func (d *Daemon) EndpointCount() int { return len(d.directory.All()) }
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -122,7 +122,9 @@
 	a := &attempt{choice: choice, cancel: cancel, sent: time.Now()}
 
 	member.AddPending(fresh, long)
-	stream, err := f.router.port(member).Submit(ctx, f.request)
+	request := f.request
+	request.Model, _ = f.router.engineModel(request.Model)
+	stream, err := f.router.port(member).Submit(ctx, request)
 	member.AddPending(-fresh, long)
 	if err != nil {
 		cancel()
--- /dev/null
+++ b/sessions/fleet_test.go
@@ -0,0 +1,138 @@
+package sessions_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/daemon"
+	"github.com/jacinthplank/jacinthplank/engine/emulator"
+	"github.com/jacinthplank/jacinthplank/fleet"
+	"github.com/jacinthplank/jacinthplank/settings"
+)
+
+// member is one running daemon of a session.
+type member struct {
+	daemon *daemon.Daemon
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// stop shuts the daemon down gracefully and waits for it.
+func (m *member) stop() {
+	m.cancel()
+	<-m.done
+}
+
+// testFleet is the daemons, engines and plain service of one session.
+type testFleet struct {
+	t       *testing.T
+	g       *WithT
+	members map[string]*member
+	entry   string // address for callers
+	service *countingService
+	ids     atomic.Int64
+}
+
+// countingService is a plain service that counts what it ran.
+type countingService struct {
+	server *httptest.Server
+	mu     sync.Mutex
+	runs   int
+}
+
+func newCountingService(t *testing.T) *countingService {
+	s := &countingService{}
+	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+func (s *countingService) serve(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.runs++
+	runs := s.runs
+	s.mu.Unlock()
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(w, `{"run":%d,"method":%q,"path":%q,"body":%q}`+"\n", runs, r.Method, r.URL.RequestURI(), body)
+}
+
+// newTestFleet starts the daemons of a session and waits until the entry knows
+// every endpoint.
+func newTestFleet(t *testing.T, s session) *testFleet {
+	f := &testFleet{t: t, g: NewWithT(t), members: map[string]*member{}, service: newCountingService(t)}
+	configuration, err := fleet.Parse("configuration", []byte(s.Configuration))
+	f.g.Expect(err).NotTo(HaveOccurred())
+	var seeds []string
+	for i, text := range s.Daemons {
+		d := f.start(text, configuration, seeds)
+		if i == 0 {
+			seeds = []string{d.Address()}
+			f.entry = d.CallerAddress()
+		}
+	}
+	f.await(s)
+	return f
+}
+
+func (f *testFleet) start(text string, c *fleet.Configuration, seeds []string) *daemon.Daemon {
+	s, err := settings.Parse("settings", []byte(text))
+	f.g.Expect(err).NotTo(HaveOccurred())
+	s.Instance.Seeds = seeds
+	if s.Endpoint.Service != "" {
+		s.Endpoint.URL = f.service.server.URL
+	}
+	o := daemon.Options{
+		Log:           slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Configuration: c,
+		NewID:         func() string { return fmt.Sprintf("req-%d", f.ids.Add(1)) },
+	}
+	if s.Endpoint.Engine != "" {
+		e := emulator.New(emulator.Config{Name: s.Instance.Name, Seed: 1, Models: engineNames(c), ChecksFencing: true})
+		f.t.Cleanup(e.Close)
+		o.Engine = e
+	}
+	d, err := daemon.New(s, o)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{daemon: d, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(m.done)
+		_ = d.Run(ctx)
+	}()
+	f.members[s.Instance.Name] = m
+	f.t.Cleanup(m.stop)
+	return d
+}
+
+// await waits until the entry is ready and knows the session's endpoints.
+func (f *testFleet) await(s session) {
+	f.g.Eventually(func() int {
+		response, err := http.Get("http://" + f.entry + "/readyz")
+		if err != nil {
+			return 0
+		}
+		defer response.Body.Close()
+		return response.StatusCode
+	}, 10*time.Second, 20*time.Millisecond).Should(Equal(http.StatusOK))
+	entry := f.members[s.entryName()].daemon
+	f.g.Eventually(entry.EndpointCount, 10*time.Second, 20*time.Millisecond).Should(Equal(len(s.Daemons) - 1))
+}
+
+func engineNames(c *fleet.Configuration) []string {
+	var names []string
+	for _, m := range c.Models {
+		names = append(names, m.EngineName)
+	}
+	return names
+}
--- a/submit/submit.go
+++ b/submit/submit.go
@@ -57,7 +57,7 @@
 	ID        string // made at entry, told to the caller
 	Attempt   uint32 // from 1, made by the router
 	Account   string
-	Model     string // name in the fleet's configuration
+	Model     string // callers' name at the entry, the engines' own beyond the router
 	Adapter   string
 	Prompt    engine.Prompt
 	MaxTokens int
