daemon: transport and distribution in place of their stand-ins

Cause: the thin path had its own plain connections and a configuration from a file only. Change: connections by transport (mutual TLS where settings name files), the configuration in force by distribution, the time line's clock on every call.

--- a/daemon/config.go
+++ b/daemon/config.go
@@ -2,51 +2,87 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"path/filepath"
 
 	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
 
+	"github.com/jacinthplank/jacinthplank/coord/membership"
+	"github.com/jacinthplank/jacinthplank/distribution"
 	"github.com/jacinthplank/jacinthplank/fleet"
 	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
-	"github.com/jacinthplank/jacinthplank/supervise"
 )
 
-// configuration is what is in force on this daemon.
-type configuration struct {
-	inForce atomic.Pointer[fleet.Configuration]
-}
+// cacheName is the file in the data folder that keeps the configuration in
+// force over a restart.
+const cacheName = "configuration.json"
 
+// provisionConfiguration makes the store of the configuration in force and the
+// duty that keeps it up to date.
 func (d *Daemon) provisionConfiguration() error {
-	if d.options.Configuration != nil {
-		d.config.inForce.Store(d.options.Configuration)
-		return nil
-	}
-	path := d.settings.Instance.Configuration
-	if path == "" {
-		return nil
-	}
-	c, err := fleet.Load(path)
-	if err != nil {
+	d.store = distribution.NewStore()
+	if err := d.seedConfiguration(); err != nil {
 		return trace.Wrap(err)
 	}
-	d.config.inForce.Store(c)
+	d.distribution = distribution.NewGossip(distribution.Options{
+		Store:     d.store,
+		Address:   d.address,
+		Peers:     d.peerAddresses,
+		Ask:       d.askConfiguration,
+		CacheFile: d.cacheFile(),
+		Log:       d.log,
+		Events:    d.recorder,
+	})
 	return nil
 }
 
-func (c *configuration) current() *fleet.Configuration { return c.inForce.Load() }
+// seedConfiguration puts the configuration to start with in force, if any.
+func (d *Daemon) seedConfiguration() error {
+	c := d.options.Configuration
+	if path := d.settings.Instance.Configuration; c == nil && path != "" {
+		loaded, err := fleet.Load(path)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		c = loaded
+	}
+	if c == nil {
+		return nil
+	}
+	return trace.Wrap(d.store.Seed(c))
+}
 
-func (c *configuration) version() fleet.Version {
-	if now := c.current(); now != nil {
-		return now.Version
+func (d *Daemon) cacheFile() string {
+	folder := d.settings.Control.DataFolder
+	if folder == "" {
+		return ""
 	}
-	return fleet.Version{}
+	return filepath.Join(folder, cacheName)
 }
 
-func (c *configuration) newer(string, fleet.Version) {}
+// inForce returns the configuration in force, nil before any.
+func (d *Daemon) inForce() *fleet.Configuration {
+	if d.store.Digest() == "" {
+		return nil
+	}
+	return d.store.Current()
+}
 
-func (c *configuration) duties() []supervise.Duty { return nil }
+// peerAddresses returns the addresses of the other daemons.
+func (d *Daemon) peerAddresses() []string {
+	var out []string
+	for _, r := range d.gossip.Members() {
+		if r.Name != d.settings.Instance.Name && r.State < membership.Dead {
+			out = append(out, r.Address)
+		}
+	}
+	return out
+}
 
-func (c *configuration) answer(context.Context, *connect.Request[pb.ConfigurationRequest]) (*connect.Response[pb.ConfigurationResponse], error) {
-	return connect.NewResponse(&pb.ConfigurationResponse{Version: versionToProto(c.version())}), nil
+func (d *Daemon) askConfiguration(ctx context.Context, address string, q *pb.ConfigurationRequest) (*pb.ConfigurationResponse, error) {
+	reply, err := d.network.peer(address).Configuration(ctx, connect.NewRequest(q))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return reply.Msg, nil
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthplank/jacinthplank/coord/membership"
 	"github.com/jacinthplank/jacinthplank/directory"
+	"github.com/jacinthplank/jacinthplank/distribution"
 	"github.com/jacinthplank/jacinthplank/engine"
 	"github.com/jacinthplank/jacinthplank/fleet"
 	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
@@ -26,9 +27,6 @@
 // keeps: members leave the directory when the members agree that they are gone.
 const membershipLease = 365 * 24 * time.Hour
 
-// timelineEvents is how many events a daemon keeps.
-const timelineEvents = 65_536
-
 // Options are what a Daemon is made of besides its settings.
 type Options struct {
 	Log *slog.Logger
@@ -59,11 +57,12 @@
 	directory *directory.Directory
 	recorder  *timeline.Log
 	gossip    *gossip.Service
-	config    configuration
+	store     *distribution.Store
 
-	entry    *entryDuty
-	endpoint *endpointDuty
-	control  *controlDuty
+	distribution *distribution.Gossip
+	entry        *entryDuty
+	endpoint     *endpointDuty
+	control      *controlDuty
 
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -76,11 +75,15 @@
 		settings: s,
 		options:  o,
 		log:      o.Log.With("instance", s.Instance.Name),
-		network:  newNetwork(),
 		start:    uint64(time.Now().UnixMicro()),
 	}
 	d.directory = directory.New(membershipLease)
-	d.recorder = timeline.NewLog(s.Instance.Name, timelineEvents, time.Now)
+	d.recorder = timeline.NewLog(s.Instance.Name, timeline.DefaultCapacity, time.Now)
+	network, err := newNetwork(s.TLS, d.recorder, d.log)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	d.network = network
 	if err := d.listen(); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -105,7 +108,7 @@
 func (d *Daemon) listen() error {
 	d.listener = d.options.Listener
 	if d.listener == nil {
-		l, err := net.Listen("tcp", d.settings.Instance.Listen)
+		l, err := d.network.Listen(d.settings.Instance.Listen)
 		if err != nil {
 			return trace.Wrap(err, "listen for other processes on %s", d.settings.Instance.Listen)
 		}
@@ -124,7 +127,7 @@
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	tree := supervise.New(d.settings.Instance.Name, d.log)
-	server := newServer(d.handler())
+	server := d.network.Server(d.handler())
 	tree.Add(&listenerDuty{"peers", server, d.listener})
 	for _, duty := range d.duties() {
 		tree.Add(duty)
@@ -151,11 +154,10 @@
 	if d.control != nil {
 		duties = append(duties, d.control.duties()...)
 	}
-	duties = append(duties, d.config.duties()...)
 	if d.endpoint != nil {
 		duties = append(duties, d.endpoint.duties()...)
 	}
-	duties = append(duties, d.gossip)
+	duties = append(duties, d.gossip, d.distribution)
 	if d.entry != nil {
 		duties = append(duties, d.entry.duties()...)
 	}
@@ -178,7 +180,7 @@
 }
 
 // version of the configuration in force here.
-func (d *Daemon) version() fleet.Version { return d.config.version() }
+func (d *Daemon) version() fleet.Version { return d.store.Version() }
 
 // EndpointCount is the number of endpoints that this daemon knows.
 func (d *Daemon) EndpointCount() int { return len(d.directory.All()) }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -29,20 +29,20 @@
 	router := entry.NewRouter(entry.Options{
 		Directory:     d.directory,
 		Dial:          d.dialEndpoint,
-		Configuration: d.config.current,
+		Configuration: d.store.Current,
 		Recorder:      d.recorder,
 		FailureDomain: d.settings.Instance.FailureDomain,
 	})
 	server := api.New(api.Options{
 		Submitter:     router,
 		Caller:        d.newCaller(),
-		Configuration: d.config.current,
+		Configuration: d.inForce,
 		Recorder:      d.recorder,
 		Log:           d.log,
 		NewID:         d.options.NewID,
 	})
 	d.entry = &entryDuty{api: server, listener: l}
-	d.entry.server = newServer(d.callerRoutes(server.Handler()))
+	d.entry.server = newCallerServer(d.callerRoutes(server.Handler()))
 	facts.CallerAddress = l.Addr().String()
 	return nil
 }
--- a/daemon/health.go
+++ b/daemon/health.go
@@ -28,7 +28,7 @@
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 	case !d.ready.Load():
 		http.Error(w, "starting", http.StatusServiceUnavailable)
-	case d.entry != nil && d.config.current() == nil:
+	case d.entry != nil && d.inForce() == nil:
 		http.Error(w, "no configuration in force", http.StatusServiceUnavailable)
 	default:
 		_, _ = io.WriteString(w, "ready\n")
--- a/daemon/network.go
+++ b/daemon/network.go
@@ -1,41 +1,45 @@
 package daemon
 
 import (
-	"net"
+	"log/slog"
 	"net/http"
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1/jacinthplankv1connect"
+	"github.com/jacinthplank/jacinthplank/settings"
+	"github.com/jacinthplank/jacinthplank/timeline"
+	"github.com/jacinthplank/jacinthplank/transport"
 	"github.com/jacinthplank/jacinthplank/wire"
 )
 
-// Times of connections between processes.
+// Times of callers' connections.
 const (
-	dialTimeout       = time.Second
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
+	callerHeaderTimeout = 10 * time.Second
+	callerIdleTimeout   = 2 * time.Minute
 )
 
-// network makes the connections of a daemon to others and keeps the clients.
+// network keeps the clients of other processes.
 type network struct {
-	http *http.Client
-	base string // scheme of the other processes, with "://"
+	*transport.Transport
+	clock connect.ClientOption // carries the time line's clock
 
 	mu    sync.Mutex
 	peers map[string]jacinthplankv1connect.PeerServiceClient
 }
 
-func newNetwork() *network {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{Protocols: protocols, DialContext: dialer.DialContext}
-	return &network{
-		http:  &http.Client{Transport: transport},
-		base:  "http://",
-		peers: map[string]jacinthplankv1connect.PeerServiceClient{},
+func newNetwork(t settings.TLS, events *timeline.Log, log *slog.Logger) (*network, error) {
+	made, err := transport.New(t, log)
+	if err != nil {
+		return nil, err
 	}
+	return &network{
+		Transport: made,
+		clock:     connect.WithInterceptors(events.Interceptor()),
+		peers:     map[string]jacinthplankv1connect.PeerServiceClient{},
+	}, nil
 }
 
 // peer returns the client of the peer service at an address.
@@ -44,7 +48,7 @@
 	defer n.mu.Unlock()
 	client, ok := n.peers[address]
 	if !ok {
-		client = jacinthplankv1connect.NewPeerServiceClient(n.http, n.base+address)
+		client = jacinthplankv1connect.NewPeerServiceClient(n.Client(), n.URL(address), n.clock)
 		n.peers[address] = client
 	}
 	return client
@@ -52,18 +56,18 @@
 
 // endpoint returns the client of an endpoint process.
 func (n *network) endpoint(name, address string) *wire.Client {
-	return wire.NewClient(name, n.base+address, n.http)
+	return wire.NewClient(name, n.URL(address), n.Client(), n.clock)
 }
 
-// newServer returns a server for the other processes.
-func newServer(h http.Handler) *http.Server {
+// newCallerServer returns a server for callers.
+func newCallerServer(h http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           h,
 		Protocols:         protocols,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
+		ReadHeaderTimeout: callerHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
 	}
 }
--- a/daemon/peerservice.go
+++ b/daemon/peerservice.go
@@ -25,7 +25,7 @@
 
 // Configuration implements the service.
 func (p *peerService) Configuration(ctx context.Context, r *connect.Request[pb.ConfigurationRequest]) (*connect.Response[pb.ConfigurationResponse], error) {
-	return p.daemon.config.answer(ctx, r)
+	return p.daemon.distribution.Configuration(ctx, r)
 }
 
 // Events implements the service.
--- a/daemon/provision.go
+++ b/daemon/provision.go
@@ -4,9 +4,9 @@
 	"context"
 	"net/http"
 
+	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
 
-	"github.com/jacinthplank/jacinthplank/fleet"
 	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
 	"github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1/jacinthplankv1connect"
 	"github.com/jacinthplank/jacinthplank/gossip"
@@ -43,7 +43,7 @@
 		Version:   d.version,
 		Backlog:   d.backlog,
 		OnChange:  d.memberChanged,
-		OnVersion: d.newerVersion,
+		OnVersion: d.distribution.Heard,
 		OnBacklog: d.peerBacklog,
 	})
 	return nil
@@ -52,9 +52,10 @@
 // handler returns the routes for the other processes.
 func (d *Daemon) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(jacinthplankv1connect.NewPeerServiceHandler(&peerService{d}))
+	clock := connect.WithInterceptors(d.recorder.Interceptor())
+	mux.Handle(jacinthplankv1connect.NewPeerServiceHandler(&peerService{d}, clock))
 	if d.endpoint != nil {
-		mux.Handle(d.endpoint.server.Handler())
+		mux.Handle(d.endpoint.server.Handler(clock))
 	}
 	if d.control != nil {
 		d.control.register(mux)
@@ -71,11 +72,6 @@
 	return d.endpoint.backlog()
 }
 
-// newerVersion hears that a peer has a newer configuration.
-func (d *Daemon) newerVersion(address string, v fleet.Version) {
-	d.config.newer(address, v)
-}
-
 // drain makes the daemon leave: its membership tells so, its endpoint refuses
 // new work.
 func (d *Daemon) drain(ctx context.Context) {
--- a/wire/client.go
+++ b/wire/client.go
@@ -28,8 +28,8 @@
 }
 
 // NewClient returns a client for the endpoint called name at the base URL.
-func NewClient(name, url string, http connect.HTTPClient) *Client {
-	rpc := jacinthplankv1connect.NewEndpointServiceClient(http, url, connect.WithGRPC())
+func NewClient(name, url string, http connect.HTTPClient, options ...connect.ClientOption) *Client {
+	rpc := jacinthplankv1connect.NewEndpointServiceClient(http, url, append(options, connect.WithGRPC())...)
 	return &Client{name: name, rpc: rpc}
 }
 
--- a/wire/server.go
+++ b/wire/server.go
@@ -33,8 +33,9 @@
 }
 
 // Handler returns the path and handler of the service.
-func (s *Server) Handler() (string, http.Handler) {
-	return jacinthplankv1connect.NewEndpointServiceHandler(s, connect.WithReadMaxBytes(maxMessage))
+func (s *Server) Handler(options ...connect.HandlerOption) (string, http.Handler) {
+	options = append(options, connect.WithReadMaxBytes(maxMessage))
+	return jacinthplankv1connect.NewEndpointServiceHandler(s, options...)
 }
 
 // Submit implements the service.
