endpoint: the duty beside one engine

Agent implements submit.Endpoint: queue and ledger decide in one step, long prefill goes in chunks that extend the cached prefix, caller gone or deadline passed or engine stalled ends in a typed error and in a cancel that is repeated until the engine confirms; reconciliation finds the rest. Orders are fenced for engines that ignore the number, and refused until Learn. Groups: Reserve, segment prefill, exported handle, Release. Drain gives back what is queued.

Port: a segment under the same key and First with a later Last extends it.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -26,6 +26,15 @@
 	Long        int // long attempts on the engine at one time
 	Queued      int // attempts waiting
 	ShortBlocks int // memory blocks that long attempts leave free for the others
+
+	// LongStretch is how many times slower answers are generated beside a long
+	// prefill; at least 1.
+	LongStretch float64
+}
+
+func (l Limits) withDefaults() Limits {
+	l.LongStretch = max(l.LongStretch, 1)
+	return l
 }
 
 // Request is one attempt as admission sees it.
@@ -84,7 +93,7 @@
 
 // New returns an empty queue.
 func New(l Limits) *Queue {
-	return &Queue{limits: l, running: make(map[engine.Key]*run), stretch: 1}
+	return &Queue{limits: l.withDefaults(), running: make(map[engine.Key]*run), stretch: 1}
 }
 
 // Offer queues r, or refuses it when it could not finish in time, when the queue
@@ -132,7 +141,12 @@
 	if r.Long {
 		prefill = q.paced(prefill)
 	}
-	return prefill + time.Duration(float64(r.Estimate.Decode)*q.stretch)
+	stretch := q.stretch
+	if q.longs > 0 && !r.Long {
+		stretch = max(stretch, q.limits.LongStretch)
+	}
+	stretched := time.Duration(float64(r.Estimate.Decode) * stretch)
+	return prefill + max(stretched, q.paced(r.Estimate.Decode))
 }
 
 // place returns where r belongs in its list.
@@ -180,13 +194,16 @@
 // blocks left. The head of each list waits for memory rather than be overtaken.
 func (q *Queue) Next(now time.Time, free func() int, take func(Request) bool) []Request {
 	var started []Request
-	for len(q.short) > 0 && len(q.running)-q.longs < q.limits.Running && take(q.short[0]) {
+	for len(q.short) > 0 && len(q.running)-q.longs < q.limits.Running && !q.disturbs(q.short[0], now) && take(q.short[0]) {
 		started = append(started, q.short[0])
 		q.begin(q.short[0], now)
 		q.short = slices.Delete(q.short, 0, 1)
 	}
 	for len(q.long) > 0 && q.longs < q.limits.Long {
-		if free()-q.long[0].Estimate.Blocks < q.limits.ShortBlocks && len(q.running) > 0 || !take(q.long[0]) {
+		if free()-q.long[0].Estimate.Blocks < q.limits.ShortBlocks && len(q.running) > 0 {
+			break
+		}
+		if q.disturbs(q.long[0], now) || !take(q.long[0]) {
 			break
 		}
 		started = append(started, q.long[0])
@@ -196,11 +213,34 @@
 	return started
 }
 
+// disturbs reports whether the start of r would make a running attempt late.
+func (q *Queue) disturbs(r Request, now time.Time) bool {
+	for _, other := range q.running {
+		if other.ends.After(other.Deadline) {
+			continue // late already
+		}
+		delay := r.Estimate.Prefill
+		if r.Long {
+			left := other.ends.Sub(now)
+			delay = min(delay, time.Duration(float64(left)*(q.limits.LongStretch-1)))
+		}
+		if other.ends.Add(delay).After(other.Deadline) {
+			return true
+		}
+	}
+	return false
+}
+
 // Begin notes that r started without queueing, as a member of a group does whose
 // memory was reserved before.
 func (q *Queue) Begin(r Request, now time.Time) { q.begin(r, now) }
 
 func (q *Queue) begin(r Request, now time.Time) {
+	if !r.Long {
+		for _, other := range q.running {
+			other.ends = other.ends.Add(r.Estimate.Prefill)
+		}
+	}
 	q.running[r.Key] = &run{Request: r, prefill: r.Estimate.Prefill, ends: now.Add(q.service(r))}
 	if r.Long {
 		q.longs++
@@ -304,11 +344,9 @@
 // stretchWeight is the weight of a new answer against those before.
 const stretchWeight = 0.05
 
-// ShortPrefill reports whether attempts that are not long wait or prefill.
+// ShortPrefill reports whether running attempts that are not long prefill. Those
+// that wait for a slot or memory gain nothing from a pause of long ones.
 func (q *Queue) ShortPrefill() bool {
-	if len(q.short) > 0 {
-		return true
-	}
 	for _, r := range q.running {
 		if !r.Long && r.prefill > 0 {
 			return true
--- /dev/null
+++ b/endpoint/attempt.go
@@ -0,0 +1,363 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/jacinthplank/jacinthplank/admission"
+	"github.com/jacinthplank/jacinthplank/engine"
+	"github.com/jacinthplank/jacinthplank/outcome"
+	"github.com/jacinthplank/jacinthplank/submit"
+	"github.com/jacinthplank/jacinthplank/timeline"
+)
+
+// frameBuffer is the number of frames that wait for a slow caller.
+const frameBuffer = 256
+
+// Causes for which an attempt's context ends.
+var (
+	errDeadline  = errors.New("deadline passed")
+	errAbandoned = errors.New("caller went away")
+	errStalled   = errors.New("engine made no progress")
+)
+
+// attempt is one attempt from admission to its end. It is the caller's Answer.
+type attempt struct {
+	agent   *Agent
+	request submit.Request
+	entry   admission.Request
+	cached  int // leading tokens believed to be cached
+	started time.Time
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	decideOnce sync.Once
+	decided    chan struct{} // closed when the engine has it or it is refused
+	refusal    *outcome.Error
+
+	frames chan submit.Frame
+	done   chan struct{} // closed after err was set
+	err    error
+
+	accepted bool // the engine took a call for it
+	unknown  bool // a call's outcome is unknown
+	offset   int  // tokens passed on
+	first    bool // the first frame was sent
+	held     bool // memory stays after the end, for the rest of a group
+}
+
+var _ submit.Answer = (*attempt)(nil)
+
+func (a *Agent) newAttempt(r submit.Request, now time.Time) *attempt {
+	cached := a.cache.leading(r.Prompt.Blocks) * engine.BlockTokens
+	estimate := a.rates.Estimate(r.Prompt.Tokens, cached, r.MaxTokens, r.Offset)
+	deadline := now.Add(r.Remaining)
+	t := &attempt{
+		agent:   a,
+		request: r,
+		cached:  min(cached, r.Prompt.Tokens),
+		entry: admission.Request{
+			Key:      r.Key(),
+			Class:    r.Class(),
+			Long:     estimate.Prefill > longChunks*a.cfg.ChunkTime,
+			Estimate: estimate,
+			Arrived:  now,
+			Deadline: deadline,
+		},
+		decided: make(chan struct{}),
+		frames:  make(chan submit.Frame, frameBuffer),
+		done:    make(chan struct{}),
+		offset:  r.Offset,
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	limited, stop := context.WithDeadlineCause(ctx, deadline, errDeadline)
+	t.ctx = limited
+	t.cancel = func(cause error) {
+		cancel(cause)
+		stop()
+	}
+	return t
+}
+
+// longChunks is the number of chunks from which on a prefill is sent in chunks.
+const longChunks = 4
+
+// Next implements submit.Answer.
+func (t *attempt) Next(ctx context.Context) (submit.Frame, error) {
+	select {
+	case f := <-t.frames:
+		return f, nil
+	default:
+	}
+	select {
+	case f := <-t.frames:
+		return f, nil
+	case <-t.done:
+	case <-ctx.Done():
+		return submit.Frame{}, outcome.Fail(outcome.CodeCanceled, outcome.Unknown, stepEngine, context.Cause(ctx))
+	}
+	select {
+	case f := <-t.frames:
+		return f, nil
+	default:
+		return submit.Frame{}, t.err
+	}
+}
+
+// Close implements submit.Answer. A queued attempt never starts; for a running
+// one the engine is told to cancel until it confirms.
+func (t *attempt) Close() error {
+	a := t.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.attempts[t.entry.Key] == t && a.queue.Leave(t.entry.Key) {
+		delete(a.attempts, t.entry.Key)
+		a.record(timeline.KindCanceled, t, "", "queued")
+		t.refuse(outcome.Refuse(outcome.CodeCanceled, stepAdmit, "the caller went away"))
+		a.announce()
+		a.noteDrained()
+	}
+	t.cancel(errAbandoned)
+	return nil
+}
+
+func (t *attempt) refuse(err *outcome.Error) {
+	t.decide(err)
+	t.cancel(err)
+}
+
+func (t *attempt) decide(err *outcome.Error) {
+	t.decideOnce.Do(func() {
+		t.refusal = err
+		close(t.decided)
+	})
+}
+
+// run takes a started attempt to its end.
+func (a *Agent) run(t *attempt) {
+	err := a.execute(t)
+	a.end(t, err, time.Now())
+}
+
+// execute returns nil after the engine's explicit finish was passed on.
+func (a *Agent) execute(t *attempt) error {
+	w := a.workOf(t)
+	if t.entry.Long {
+		if err := a.prefill(t, w); err != nil {
+			return err
+		}
+	}
+	left := a.rates.Prefill(t.cached, w.Prompt.Tokens)
+	return a.generate(t, w, func(ctx context.Context, chunk engine.Chunk) error {
+		return a.pass(ctx, t, chunk)
+	}, left)
+}
+
+// workOf returns the whole work of an attempt.
+func (a *Agent) workOf(t *attempt) engine.Work {
+	r := t.request
+	w := engine.Work{
+		Key:       t.entry.Key,
+		Model:     a.cfg.EngineName(r.Model),
+		Adapter:   r.Adapter,
+		Prompt:    r.Prompt,
+		MaxTokens: r.MaxTokens,
+		Generated: r.Generated,
+		Offset:    r.Offset,
+		Priority:  engine.Priority(r.Class()),
+	}
+	if r.Group != nil {
+		addSegment(&w, r)
+	}
+	return w
+}
+
+// generate gives one piece of work to the engine and hands its chunks to each,
+// until the engine's explicit finish. The engine may take prefill and the stall
+// limit until the first chunk.
+func (a *Agent) generate(t *attempt, w engine.Work, each func(context.Context, engine.Chunk) error, prefill time.Duration) error {
+	ctx, stop := context.WithCancelCause(t.ctx)
+	defer stop(nil)
+	watch := time.AfterFunc(a.cfg.Stall, func() { stop(errStalled) })
+	defer watch.Stop()
+	w.Remaining = time.Until(t.entry.Deadline)
+	stream, err := a.cfg.Engine.Generate(ctx, w)
+	if err != nil {
+		return a.callFailed(ctx, t, err)
+	}
+	t.accepted = true
+	t.decide(nil)
+	defer func() { _ = stream.Close() }()
+	watch.Reset(a.cfg.Stall + stallPrefill*prefill)
+	for {
+		chunk, err := stream.Next(ctx)
+		if err != nil {
+			return streamFailed(ctx, err)
+		}
+		watch.Reset(a.cfg.Stall)
+		if err := each(ctx, chunk); err != nil {
+			return err
+		}
+		if chunk.Finish != engine.FinishNone {
+			return nil
+		}
+	}
+}
+
+// stallPrefill is how many times its estimate a prefill may take before the
+// engine counts as stalled.
+const stallPrefill = 4
+
+func (a *Agent) callFailed(ctx context.Context, t *attempt, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	if outcome.StateOf(err) != outcome.NotRun {
+		t.unknown = true
+	}
+	return err
+}
+
+// streamFailed names why a stream ended without a finish.
+func streamFailed(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	if errors.Is(err, io.EOF) {
+		return outcome.Fail(outcome.CodeTruncated, outcome.Ran, stepEngine, io.ErrUnexpectedEOF)
+	}
+	return err
+}
+
+// pass turns a chunk of the answer into a frame.
+func (a *Agent) pass(ctx context.Context, t *attempt, c engine.Chunk) error {
+	if c.Finish == engine.FinishCanceled {
+		return outcome.Fail(outcome.CodeEngineFailed, outcome.Ran, stepEngine, errors.New("the engine cancelled the attempt"))
+	}
+	f := submit.Frame{
+		Request: t.request.ID,
+		Attempt: t.request.Attempt,
+		Offset:  t.offset,
+		Tokens:  c.Tokens,
+		Text:    c.Text,
+		Finish:  c.Finish,
+		Usage:   c.Usage,
+	}
+	t.offset += c.Tokens
+	if c.Finish != engine.FinishNone && t.request.Group != nil {
+		handle, err := a.export(ctx, t)
+		if err != nil {
+			return err
+		}
+		f.Handle = handle
+	}
+	if !t.first {
+		t.first = true
+		a.firstToken(t)
+		f.Backlog = new(a.Backlog())
+	}
+	if c.Finish != engine.FinishNone {
+		f.Backlog = new(a.Backlog())
+	}
+	select {
+	case t.frames <- f:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// firstToken notes that the prefill is over.
+func (a *Agent) firstToken(t *attempt) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	a.queue.Progress(t.entry.Key, 0, now)
+	a.cache.add(t.request.Prompt.Blocks)
+	a.record(timeline.KindFirstToken, t, "", "")
+	if !t.entry.Long {
+		a.announce()
+	}
+	countFirstToken(t.request.Class(), now.Sub(t.entry.Arrived))
+	t.entry.Estimate.Prefill = now.Sub(t.started) // as measured, for what is learnt at the end
+}
+
+// end frees what an attempt held and tells its caller.
+func (a *Agent) end(t *attempt, err error, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	failure := a.failureOf(t, err)
+	a.queue.Done(t.entry.Key)
+	delete(a.attempts, t.entry.Key)
+	a.settle(t, failure, now)
+	if failure == nil {
+		a.queue.Learn(now.Sub(t.started)-t.entry.Estimate.Prefill, t.entry.Estimate.Decode)
+		a.record(timeline.KindFinished, t, "", "")
+		t.err = io.EOF
+	} else {
+		a.recordFailure(t, failure)
+		t.err = failure
+	}
+	t.decide(failure)
+	close(t.done)
+	t.cancel(nil)
+	a.pump(now)
+	a.announce()
+	a.noteDrained()
+}
+
+// settle frees the lease of an attempt that ended, or has the engine told.
+func (a *Agent) settle(t *attempt, failure *outcome.Error, now time.Time) {
+	k := t.entry.Key
+	switch {
+	case failure == nil && t.held:
+		// The rest of the group reads the memory until Release or the deadline.
+	case failure == nil && t.request.Group == nil:
+		a.ledger.Confirm(k, now)
+	case !t.accepted && !t.unknown:
+		a.ledger.Confirm(k, now) // the engine never had it
+	default:
+		a.ledger.Release(k, now)
+		wake(a.tidy)
+	}
+}
+
+// failureOf types the end of an attempt, nil for a complete answer.
+func (a *Agent) failureOf(t *attempt, err error) *outcome.Error {
+	if err == nil {
+		return nil
+	}
+	state := outcome.Unknown
+	if t.accepted {
+		state = outcome.Ran
+	}
+	var failure *outcome.Error
+	switch {
+	case errors.Is(err, errDeadline):
+		failure = outcome.Fail(outcome.CodeDeadlinePassed, state, stepEngine, err)
+	case errors.Is(err, errAbandoned):
+		failure = outcome.Fail(outcome.CodeCanceled, state, stepEngine, err)
+	case errors.Is(err, errStalled):
+		failure = outcome.Fail(outcome.CodeEngineStalled, state, stepEngine, err)
+	default:
+		failure = outcome.From(err)
+		if t.accepted && failure.State == outcome.NotRun {
+			failure.State = outcome.Ran // a later chunk was refused: earlier ones ran
+		}
+	}
+	failure.Peer = a.cfg.Name
+	return failure
+}
+
+func (a *Agent) recordFailure(t *attempt, failure *outcome.Error) {
+	kind := timeline.KindFailed
+	if failure.Code == outcome.CodeCanceled {
+		kind = timeline.KindCanceled
+	}
+	a.record(kind, t, string(failure.Code), failure.State.String())
+	countFailure(failure)
+}
--- a/engine/emulator/attempt.go
+++ b/engine/emulator/attempt.go
@@ -50,6 +50,14 @@
 	return a
 }
 
+// extendedBy reports whether w goes on with the ended segment of a.
+func (a *attempt) extendedBy(w engine.Work) bool {
+	if !a.ended || a.work.Segment == nil || w.Segment == nil {
+		return false
+	}
+	return a.work.Segment.First == w.Segment.First && a.work.Segment.Last <= w.Segment.Last
+}
+
 // memoryTokens returns the tokens that the attempt may come to hold.
 func (a *attempt) memoryTokens() int {
 	return a.target + max(a.work.MaxTokens-a.work.Offset, 0)
--- a/engine/emulator/emulator.go
+++ b/engine/emulator/emulator.go
@@ -129,6 +129,9 @@
 		return nil, outcome.Refuse(outcome.CodePromptTooLong, stepEngine, "%d tokens do not fit in memory", a.memoryTokens())
 	}
 	e.seen[w.Key]++
+	if held := e.attempts[w.Key]; held != nil {
+		e.adopt(a, held)
+	}
 	e.attempts[w.Key] = a
 	place, _ := slices.BinarySearchFunc(e.queue, a, compareAttempts)
 	e.queue = slices.Insert(e.queue, place, a)
@@ -136,6 +139,13 @@
 	return a.stream, nil
 }
 
+// adopt gives a the memory of the ended segment that it extends.
+func (e *Engine) adopt(a, held *attempt) {
+	e.queue = slices.DeleteFunc(e.queue, func(other *attempt) bool { return other == held })
+	a.own = held.own
+	a.done = held.target
+}
+
 func compareAttempts(a, b *attempt) int {
 	return cmp.Or(cmp.Compare(a.work.Priority, b.work.Priority), cmp.Compare(a.order, b.order))
 }
@@ -147,7 +157,7 @@
 	if w.Adapter != "" && !slices.Contains(e.adapters, w.Adapter) {
 		return outcome.Refuse(outcome.CodeModelNotFound, stepEngine, "no adapter %q", w.Adapter)
 	}
-	if e.attempts[w.Key] != nil {
+	if held := e.attempts[w.Key]; held != nil && !held.extendedBy(w) {
 		return outcome.Refuse(outcome.CodeConflict, stepEngine, "attempt %v is held", w.Key)
 	}
 	return nil
--- a/engine/emulator/step.go
+++ b/engine/emulator/step.go
@@ -123,7 +123,7 @@
 	for _, b := range a.blocks[:hits] {
 		e.cache.pin(b)
 	}
-	need := e.cfg.blocksFor(a.memoryTokens()) - hits*e.cfg.prefixCost()
+	need := max(e.cfg.blocksFor(a.memoryTokens())-hits*e.cfg.prefixCost()-a.own, 0)
 	if !e.allocate(need) {
 		for _, b := range a.blocks[:hits] {
 			e.cache.unpin(b)
@@ -131,10 +131,10 @@
 		return
 	}
 	a.running = true
-	a.own = need
+	a.own += need
 	a.pins = slices.Clone(a.blocks[:hits])
 	a.cached = hits * engine.BlockTokens
-	a.done = a.cached
+	a.done = max(a.cached, a.done)
 	if a.done == a.target && a.work.MaxTokens > 0 {
 		a.done-- // the last token is computed again for the first token of the answer
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -45,7 +45,9 @@
 	Context   []string      // handles of the segments before this one
 }
 
-// Segment is the part of a prompt that one member of a group holds.
+// Segment is the part of a prompt that one member of a group holds. Its memory
+// stays under the attempt's key until Cancel. Work with the same key, the same
+// First and a later Last extends a segment whose prefill has ended.
 type Segment struct {
 	Index int // place of this member, from 0
 	Count int // members
