--- a/coord/budget/budget.go
+++ b/coord/budget/budget.go
@@ -72,9 +72,11 @@
 	Leases   map[string]Lease `json:"leases,omitempty"`
 }
 
-// Table is all budgets by name. Its field is exported for snapshots only.
+// Table is all budgets and streams by name. Its fields are exported for
+// snapshots only.
 type Table struct {
 	Budgets map[string]*Budget `json:"budgets,omitempty"`
+	Streams map[string]*Stream `json:"streams,omitempty"`
 }
 
 // Lease decides on a request at time now.
--- a/coord/once/once.go
+++ b/coord/once/once.go
@@ -49,6 +49,7 @@
 	Body      []byte            `json:"body,omitempty"`
 	Digest    string            `json:"digest,omitempty"`    // SHA-256 of the whole body
 	Truncated bool              `json:"truncated,omitempty"` // the body was too large to keep
+	Failure   string            `json:"failure,omitempty"`   // why there is no answer, in the words of the claimer
 }
 
 // Claim asks for the right to make one call.
@@ -151,5 +152,5 @@
 	if r == nil || o == nil {
 		return r == o
 	}
-	return r.Status == o.Status && r.Digest == o.Digest && bytes.Equal(r.Body, o.Body)
+	return r.Status == o.Status && r.Failure == o.Failure && r.Digest == o.Digest && bytes.Equal(r.Body, o.Body)
 }
--- a/coord/state/command.go
+++ b/coord/state/command.go
@@ -29,6 +29,7 @@
 	Record *once.Outcome    `json:"record,omitempty"`
 	Fence  *NextFence       `json:"fence,omitempty"`
 	Lease  *Lease           `json:"lease,omitempty"`
+	Draw   *Draw            `json:"draw,omitempty"`
 }
 
 // NextFence asks for the next fencing number of a target.
@@ -41,6 +42,11 @@
 	Requests []budget.Request `json:"requests"`
 }
 
+// Draw asks for several draws at once.
+type Draw struct {
+	Draws []budget.Draw `json:"draws"`
+}
+
 // Result is the machine's answer to a Command: the pointer that matches it is
 // set, or Error when the command could not be read.
 type Result struct {
@@ -50,6 +56,7 @@
 	Record *once.Answer     `json:"record,omitempty"`
 	Fence  uint64           `json:"fence,omitempty"`
 	Lease  []budget.Grant   `json:"lease,omitempty"`
+	Draw   []budget.Grant   `json:"draw,omitempty"`
 }
 
 // DecodeCommand reads and checks a command.
@@ -83,6 +90,8 @@
 		return checkOutcome(c.Record)
 	case c.Fence != nil:
 		return checkNames("target", c.Fence.Target)
+	case c.Draw != nil:
+		return checkDraws(c.Draw.Draws)
 	default:
 		return checkLeases(c.Lease.Requests)
 	}
@@ -90,7 +99,7 @@
 
 func (c Command) count() int {
 	n := 0
-	for _, set := range []bool{c.Accept != nil, c.Claim != nil, c.Record != nil, c.Fence != nil, c.Lease != nil} {
+	for _, set := range []bool{c.Accept != nil, c.Claim != nil, c.Record != nil, c.Fence != nil, c.Lease != nil, c.Draw != nil} {
 		if set {
 			n++
 		}
@@ -126,6 +135,18 @@
 	return nil
 }
 
+func checkDraws(draws []budget.Draw) error {
+	if len(draws) > MaxLeases {
+		return fmt.Errorf("%w: %d draws, at most %d", ErrCommand, len(draws), MaxLeases)
+	}
+	for _, d := range draws {
+		if err := checkNames("stream", d.Stream); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // checkNames takes pairs of what a name is and the name.
 func checkNames(pairs ...string) error {
 	for i := 0; i+1 < len(pairs); i += 2 {
--- a/coord/state/machine.go
+++ b/coord/state/machine.go
@@ -85,6 +85,8 @@
 		return Result{Record: &a}
 	case c.Fence != nil:
 		return Result{Fence: m.fences.Next(c.Fence.Target)}
+	case c.Draw != nil:
+		return Result{Draw: m.draw(c.Draw.Draws)}
 	default:
 		return Result{Lease: m.lease(c.Lease.Requests)}
 	}
@@ -107,6 +109,14 @@
 	return grants
 }
 
+func (m *Machine) draw(draws []budget.Draw) []budget.Grant {
+	grants := make([]budget.Grant, 0, len(draws))
+	for _, d := range draws {
+		grants = append(grants, m.budgets.Draw(m.now, d))
+	}
+	return grants
+}
+
 func (m *Machine) wake() {
 	select {
 	case m.accepted <- struct{}{}:
--- a/coord/state/state_test.go
+++ b/coord/state/state_test.go
@@ -193,6 +193,22 @@
 	g.Expect(f.lease(1, token("c", 1))).To(BeEquivalentTo(1))
 }
 
+func TestDrawsNeverExceedTheRateAndTheBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFixture()
+		const rate = 100
+		drawn, seconds := int64(0), int64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "draws") {
+			seconds += rapid.Int64Range(0, 10).Draw(t, "pause")
+			d := budget.Draw{Stream: "s", Want: rapid.Int64Range(0, 500).Draw(t, "want"), Rate: rate, Time: time.Second}
+			drawn += f.apply(seconds, state.Command{Draw: &state.Draw{Draws: []budget.Draw{d}}}).Draw[0].Amount
+		}
+		if most := rate*seconds + rate*int64(budget.Burst.Seconds()); drawn > most {
+			t.Fatalf("%d drawn in %d s, at most %d", drawn, seconds, most)
+		}
+	})
+}
+
 // TestPromises runs random commands, with snapshots between them, against the
 // promises of the state.
 func TestPromises(t *testing.T) {
@@ -333,6 +349,7 @@
 	f.Add([]byte(`{"now":1,"accept":{"id":"i","document":{"a":[{"name":"x"}]}}}`))
 	f.Add([]byte(`{"now":1,"record":{"key":{"key":"k"},"request":"r","state":"released"}}`))
 	f.Add([]byte(`{"now":1,"lease":{"requests":[{"budget":"b","want":9223372036854775807,"limit":9223372036854775807,"time":-5}]}}`))
+	f.Add([]byte(`{"now":1,"draw":{"draws":[{"stream":"s","want":9223372036854775807,"rate":9223372036854775807}]}}`))
 	f.Add([]byte(`{"now":1,"fence":{"target":"t"}}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		m := newMachine()
--- a/gen/jacinthplank/v1/jacinthplankv1connect/control.connect.go
+++ b/gen/jacinthplank/v1/jacinthplankv1connect/control.connect.go
@@ -42,6 +42,8 @@
 	// ControlServiceChangeMemberProcedure is the fully-qualified name of the ControlService's
 	// ChangeMember RPC.
 	ControlServiceChangeMemberProcedure = "/jacinthplank.v1.ControlService/ChangeMember"
+	// ControlServiceIdentifyProcedure is the fully-qualified name of the ControlService's Identify RPC.
+	ControlServiceIdentifyProcedure = "/jacinthplank.v1.ControlService/Identify"
 	// QuorumServiceSendProcedure is the fully-qualified name of the QuorumService's Send RPC.
 	QuorumServiceSendProcedure = "/jacinthplank.v1.QuorumService/Send"
 )
@@ -55,6 +57,8 @@
 	Query(context.Context, *connect.Request[v1.QueryRequest]) (*connect.Response[v1.QueryResponse], error)
 	// ChangeMember replaces, adds or removes one member of the quorum.
 	ChangeMember(context.Context, *connect.Request[v1.ChangeMemberRequest]) (*connect.Response[v1.ChangeMemberResponse], error)
+	// Identify tells who the receiver is and which disk it holds.
+	Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error)
 }
 
 // NewControlServiceClient constructs a client for the jacinthplank.v1.ControlService service. By
@@ -86,6 +90,12 @@
 			connect.WithSchema(controlServiceMethods.ByName("ChangeMember")),
 			connect.WithClientOptions(opts...),
 		),
+		identify: connect.NewClient[v1.IdentifyRequest, v1.IdentifyResponse](
+			httpClient,
+			baseURL+ControlServiceIdentifyProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("Identify")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -94,6 +104,7 @@
 	propose      *connect.Client[v1.ProposeRequest, v1.ProposeResponse]
 	query        *connect.Client[v1.QueryRequest, v1.QueryResponse]
 	changeMember *connect.Client[v1.ChangeMemberRequest, v1.ChangeMemberResponse]
+	identify     *connect.Client[v1.IdentifyRequest, v1.IdentifyResponse]
 }
 
 // Propose calls jacinthplank.v1.ControlService.Propose.
@@ -111,6 +122,11 @@
 	return c.changeMember.CallUnary(ctx, req)
 }
 
+// Identify calls jacinthplank.v1.ControlService.Identify.
+func (c *controlServiceClient) Identify(ctx context.Context, req *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error) {
+	return c.identify.CallUnary(ctx, req)
+}
+
 // ControlServiceHandler is an implementation of the jacinthplank.v1.ControlService service.
 type ControlServiceHandler interface {
 	// Propose puts one command into the log and returns its result. Commands and
@@ -120,6 +136,8 @@
 	Query(context.Context, *connect.Request[v1.QueryRequest]) (*connect.Response[v1.QueryResponse], error)
 	// ChangeMember replaces, adds or removes one member of the quorum.
 	ChangeMember(context.Context, *connect.Request[v1.ChangeMemberRequest]) (*connect.Response[v1.ChangeMemberResponse], error)
+	// Identify tells who the receiver is and which disk it holds.
+	Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error)
 }
 
 // NewControlServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -147,6 +165,12 @@
 		connect.WithSchema(controlServiceMethods.ByName("ChangeMember")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlServiceIdentifyHandler := connect.NewUnaryHandler(
+		ControlServiceIdentifyProcedure,
+		svc.Identify,
+		connect.WithSchema(controlServiceMethods.ByName("Identify")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/jacinthplank.v1.ControlService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ControlServiceProposeProcedure:
@@ -155,6 +179,8 @@
 			controlServiceQueryHandler.ServeHTTP(w, r)
 		case ControlServiceChangeMemberProcedure:
 			controlServiceChangeMemberHandler.ServeHTTP(w, r)
+		case ControlServiceIdentifyProcedure:
+			controlServiceIdentifyHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -176,6 +202,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jacinthplank.v1.ControlService.ChangeMember is not implemented"))
 }
 
+func (UnimplementedControlServiceHandler) Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jacinthplank.v1.ControlService.Identify is not implemented"))
+}
+
 // QuorumServiceClient is a client for the jacinthplank.v1.QuorumService service.
 type QuorumServiceClient interface {
 	Send(context.Context, *connect.Request[v1.SendRequest]) (*connect.Response[v1.SendResponse], error)
