--- a/coord/state/query.go
+++ b/coord/state/query.go
@@ -70,3 +70,10 @@
 	}
 	return text
 }
+
+// Version returns the version of the accepted configuration.
+func (m *Machine) Version() revision.Version {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.register.Version
+}
