operator, cmd/jacinthplank: commands for operators

init, plan, check, accept, status, explain, timeline, drain, keys and member, with documented exit codes. accept is a compare-and-set whose identifier is synced to a file beside the answers before it is sent, so that running it again after a lost answer gets the first answer; a conflict shows what the answers would change in the revision that stands, and nothing is done. accept then names the daemons that do not have the revision in force. A new identifier on each run was ruled out: with it, TestALostAnswerIsGotByRunningAgain fails (seen once with the reuse off).

--- /dev/null
+++ b/operator/fleetclient.go
@@ -0,0 +1,187 @@
+package operator
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/gravitational/trace"
+
+	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
+	"github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1/jacinthplankv1connect"
+	"github.com/jacinthplank/jacinthplank/settings"
+	"github.com/jacinthplank/jacinthplank/transport"
+)
+
+// maxCalls is how many daemons are asked at one time.
+const maxCalls = 64
+
+// fleetClient reaches the daemons of a fleet.
+type fleetClient struct {
+	transport *transport.Transport
+	timeout   time.Duration
+	seeds     []string
+	expected  []member // daemons in the generated files
+}
+
+// member is a daemon and how it is reached.
+type member struct {
+	name          string
+	address       string
+	failureDomain string
+	duties        []string
+}
+
+// report is a daemon's answer to a question, or why there is none.
+type report struct {
+	member
+	status *pb.StatusResponse
+	err    error
+}
+
+// dial makes a client from the options.
+func (o *fleetOptions) dial() (*fleetClient, error) {
+	tls := settings.TLS{Certificate: o.Certificate, Key: o.Key, Authority: o.Authority}
+	if given := o.Certificate + o.Key + o.Authority; given != "" && !tls.Secure() {
+		return nil, exitWith(ExitBadInput, "give all three of --certificate, --key and --authority, or none")
+	}
+	connections, err := transport.New(tls, nil)
+	if err != nil {
+		return nil, exitWith(ExitBadInput, "%s", trace.UserMessage(err))
+	}
+	f := &fleetClient{transport: connections, timeout: o.Timeout, seeds: o.Daemons}
+	if len(f.seeds) > 0 {
+		return f, nil
+	}
+	made, err := readGenerated(o.Generated)
+	if err != nil {
+		return nil, err
+	}
+	for _, d := range made.daemons {
+		f.expect(d)
+	}
+	if len(f.seeds) == 0 {
+		return nil, exitWith(ExitBadInput, "name some daemons with --daemons, or the folder of generated files with --generated")
+	}
+	return f, nil
+}
+
+// expect takes a daemon from the generated files. Entries are asked first.
+func (f *fleetClient) expect(d *settings.Daemon) {
+	m := member{name: d.Instance.Name, address: d.Instance.Listen, failureDomain: d.Instance.FailureDomain}
+	if d.Instance.Advertise != "" {
+		m.address = d.Instance.Advertise
+	}
+	for _, duty := range d.Instance.Duties {
+		m.duties = append(m.duties, string(duty))
+	}
+	f.expected = append(f.expected, m)
+	if d.Has(settings.DutyEntry) {
+		f.seeds = append(f.seeds, m.address)
+	}
+}
+
+func (f *fleetClient) peer(address string) jacinthplankv1connect.PeerServiceClient {
+	return jacinthplankv1connect.NewPeerServiceClient(f.transport.Client(), f.transport.URL(address))
+}
+
+func (f *fleetClient) control(address string) jacinthplankv1connect.ControlServiceClient {
+	return jacinthplankv1connect.NewControlServiceClient(f.transport.Client(), f.transport.URL(address))
+}
+
+// daemons returns the daemons that the seeds know, and those expected from the
+// generated files, by name. No seed that answers is an error.
+func (f *fleetClient) daemons(ctx context.Context) ([]member, error) {
+	var seeds []member
+	for _, address := range f.seeds {
+		seeds = append(seeds, member{name: address, address: address})
+	}
+	known := map[string]member{}
+	for _, m := range f.expected {
+		known[m.name] = m
+	}
+	answered := false
+	var last error
+	for _, r := range f.ask(ctx, seeds) {
+		if r.err != nil {
+			last = r.err
+			continue
+		}
+		answered = true
+		for _, d := range append(r.status.GetDaemons(), r.status.GetDaemon()) {
+			if d.GetName() != "" {
+				known[d.GetName()] = memberOf(d)
+			}
+		}
+	}
+	if !answered {
+		return nil, exitWith(ExitUnreachable, "no daemon could be reached at %v: %w", f.seeds, last)
+	}
+	members := make([]member, 0, len(known))
+	for _, m := range known {
+		members = append(members, m)
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].name < members[j].name })
+	return members, nil
+}
+
+// statuses asks every daemon for its status.
+func (f *fleetClient) statuses(ctx context.Context) ([]report, error) {
+	members, err := f.daemons(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return f.ask(ctx, members), nil
+}
+
+// find returns the daemon of the given name.
+func (f *fleetClient) find(ctx context.Context, name string) (member, error) {
+	members, err := f.daemons(ctx)
+	if err != nil {
+		return member{}, err
+	}
+	for _, m := range members {
+		if m.name == name {
+			return m, nil
+		}
+	}
+	return member{}, exitWith(ExitNotFound, "no daemon is called %q%s", name, suggestion(name, members))
+}
+
+// ask asks each member for its status, many at one time, and returns the answers
+// in the members' order.
+func (f *fleetClient) ask(ctx context.Context, members []member) []report {
+	reports := make([]report, len(members))
+	each(members, func(i int, m member) {
+		ctx, cancel := context.WithTimeout(ctx, f.timeout)
+		defer cancel()
+		reports[i] = report{member: m}
+		answer, err := f.peer(m.address).Status(ctx, connect.NewRequest(&pb.StatusRequest{}))
+		if err != nil {
+			reports[i].err = err
+			return
+		}
+		reports[i].status = answer.Msg
+	})
+	return reports
+}
+
+// each calls do for every member, maxCalls at one time, and waits for all.
+func each(members []member, do func(int, member)) {
+	slots := make(chan struct{}, maxCalls)
+	var calls sync.WaitGroup
+	for i, m := range members {
+		slots <- struct{}{}
+		calls.Go(func() {
+			defer func() { <-slots }()
+			do(i, m)
+		})
+	}
+	calls.Wait()
+}
+
+func memberOf(d *pb.Daemon) member {
+	return member{name: d.GetName(), address: d.GetAddress(), failureDomain: d.GetFailureDomain(), duties: d.GetDuties()}
+}
--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,142 @@
+package operator_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/internal/golden"
+	"github.com/jacinthplank/jacinthplank/operator"
+	"github.com/jacinthplank/jacinthplank/outcome"
+	"github.com/jacinthplank/jacinthplank/timeline"
+)
+
+const initLine = "init answers.toml --name harbour --failure-domains north,south --models drafts --accounts council" +
+	" --entries 10.0.0.1,10.0.0.2 --endpoints 10.0.0.9"
+
+// replace edits the answers.
+func (f *fakeFleet) replace(name, old, fresh string) {
+	g := NewWithT(f.t)
+	text, err := os.ReadFile(f.path(name))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(text)).To(ContainSubstring(old))
+	g.Expect(os.WriteFile(f.path(name), []byte(strings.Replace(string(text), old, fresh, 1)), 0o600)).To(Succeed())
+}
+
+// The golden file holds a whole session of a first week.
+func TestASession(t *testing.T) {
+	f := newFakeFleet(t)
+	f.daemons[2].running = 2
+	f.daemons[0].log.Record(timeline.Event{Kind: timeline.KindReceived, Request: "r-1", Account: "council", Tokens: 900, Step: "entry"})
+	f.daemons[0].log.Record(timeline.Event{Kind: timeline.KindRefused, Request: "r-1", Outcome: "overloaded", State: outcome.NotRun, Step: "entry"})
+
+	var session strings.Builder
+	do := func(line string) {
+		code, text := f.run(line)
+		fmt.Fprintf(&session, "$ jacinthplank %s\n%s[exit %d]\n\n", line, text, code)
+	}
+	do("plan answers.toml")
+	do(initLine)
+	do(initLine)
+	do("check answers.toml")
+	do("plan answers.toml --output ./generated")
+	do("accept answers.toml")
+	do("accept answers.toml")
+	f.replace("answers.toml", `size = "small"`, `size = "large"`)
+	do("plan answers.toml --output ./generated")
+	do("accept answers.toml")
+	f.replace("answers.toml", `size = "large"`, `size = "larg"`)
+	do("accept answers.toml")
+	do("status")
+	do("explain r-1")
+	do("explain r-2")
+	do("timeline --from 2026-03-02T00:00:00Z --request r-1")
+	do("drain engine-north-1")
+	do("drain engine-nort-1")
+	do("member add entry-west-1 somewhere")
+	do("keys instance entry-north-1 --address 10.0.0.1 --folder ./keys")
+	do("keys authority --folder ./keys")
+	do("keys instance entry-north-1 --address 10.0.0.1 --folder ./keys")
+	do("statsu")
+	golden.Expect(t, "session.txt", session.String())
+}
+
+// The answer to an accept is lost. The same command run again gets the first
+// answer, though another change was accepted by then.
+func TestALostAnswerIsGotByRunningAgain(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeFleet(t)
+	f.run(initLine)
+	f.set(func() { f.loseNext = true })
+	code, text := f.run("accept answers.toml")
+	g.Expect(code).To(Equal(operator.ExitUnreachable), text)
+	g.Expect(text).To(ContainSubstring("Run the same command again"))
+
+	f.set(func() { f.noQuorum = false })
+	f.run("init other.toml --name quay --failure-domains north --models drafts --accounts council --entries 10.0.0.1")
+	code, text = f.run("accept other.toml --base 1.1")
+	g.Expect(code).To(Equal(operator.ExitOK), text)
+
+	code, text = f.run("accept answers.toml")
+	g.Expect(code).To(Equal(operator.ExitOK), text)
+	g.Expect(text).To(ContainSubstring("Accepted as revision 1.1"))
+	g.Expect(f.version().String()).To(Equal("1.2"))
+}
+
+func TestOfTwoOperatorsTheSecondGetsAConflict(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeFleet(t)
+	f.run(initLine)
+	f.run("init other.toml --name harbour --failure-domains north,south --models drafts --accounts council,lender --entries 10.0.0.1")
+	code, text := f.run("accept answers.toml --author amina")
+	g.Expect(code).To(Equal(operator.ExitOK), text)
+
+	code, text = f.run("accept other.toml --author bruno")
+	g.Expect(code).To(Equal(operator.ExitConflict), text)
+	golden.Expect(t, "conflict.txt", text)
+	g.Expect(f.version().String()).To(Equal("1.1"))
+
+	code, text = f.run("accept other.toml --base 1.1")
+	g.Expect(code).To(Equal(operator.ExitOK), text)
+	g.Expect(f.version().String()).To(Equal("1.2"))
+}
+
+func TestAcceptNamesTheDaemonsThatAreBehind(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeFleet(t)
+	f.run(initLine)
+	f.set(func() { f.daemons[1].stuck = true })
+	_ = f.daemons[2].server.Close()
+
+	code, text := f.run("accept answers.toml --wait 10ms")
+	g.Expect(code).To(Equal(operator.ExitNotYet), text)
+	g.Expect(text).To(ContainSubstring("not in force on 2 of 3 daemons:\n  engine-north-1 (north): cannot be reached\n  entry-south-1 (south): has 0.0"))
+}
+
+func TestNothingIsAcceptedWithoutAQuorum(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeFleet(t)
+	f.run(initLine)
+	f.set(func() { f.noQuorum = true })
+
+	code, _ := f.run("accept answers.toml")
+	g.Expect(code).To(Equal(operator.ExitUnreachable))
+	code, text := f.run("status")
+	g.Expect(code).To(Equal(operator.ExitOK))
+	g.Expect(text).To(ContainSubstring("Control quorum: LOST"))
+}
+
+func TestNoDaemonReached(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeFleet(t)
+	for _, d := range f.daemons {
+		_ = d.server.Close()
+	}
+	for _, line := range []string{"status", "explain r-1", "drain engine-north-1", "timeline"} {
+		code, text := f.run(line)
+		g.Expect(code).To(Equal(operator.ExitUnreachable), line+text)
+	}
+}
--- /dev/null
+++ b/operator/prepare.go
@@ -0,0 +1,181 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jacinthplank/jacinthplank/fleet"
+	"github.com/jacinthplank/jacinthplank/plan"
+	"github.com/jacinthplank/jacinthplank/questionnaire"
+	"github.com/jacinthplank/jacinthplank/settings"
+	"github.com/jacinthplank/jacinthplank/tomlcheck"
+)
+
+func (c *initCommand) run(_ context.Context, t Terminal) error {
+	if _, err := os.Stat(c.Answers); err == nil && !c.Force {
+		return exitWith(ExitBadInput, "%s is there already; --force replaces it", c.Answers)
+	}
+	answers, err := c.answers(t)
+	if errors.Is(err, questionnaire.ErrEnded) {
+		return exitWith(ExitBadInput, "%w; nothing was written", err)
+	}
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(c.Answers, []byte(answers.Text()), 0o644); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	fmt.Fprintf(t.Out, "\nYour answers are in %s. Look them over, edit what you like, then run `jacinthplank plan %s`.\n", c.Answers, c.Answers)
+	return nil
+}
+
+func (c *initCommand) answers(t Terminal) (*questionnaire.Answers, error) {
+	if c.Name != "" {
+		return questionnaire.Fill(questionnaire.Outline{
+			Name:           c.Name,
+			FailureDomains: c.FailureDomains,
+			Models:         c.Models,
+			Services:       c.Services,
+			Accounts:       c.Accounts,
+			Entries:        c.Entries,
+			Endpoints:      c.Endpoints,
+			Disk:           c.Disk,
+		})
+	}
+	if c.Replies == "" {
+		return questionnaire.Ask(t.In, t.Out)
+	}
+	replies, err := os.Open(c.Replies)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	defer replies.Close()
+	return questionnaire.Ask(replies, t.Out)
+}
+
+func (c *planCommand) run(_ context.Context, t Terminal) error {
+	answers, err := loadAnswers(c.Answers)
+	if err != nil {
+		return err
+	}
+	files, err := plan.Files(answers)
+	if err != nil {
+		return err
+	}
+	before, err := readGenerated(c.Output)
+	if err != nil {
+		return err
+	}
+	var sentences []string
+	if before.configuration == nil {
+		sentences = plan.Meaning(nil, plan.Configuration(answers))
+	} else {
+		sentences = plan.Meaning(before.configuration, plan.Configuration(answers))
+		sentences = append(sentences, plan.DaemonsMeaning(before.daemons, plan.Daemons(answers))...)
+	}
+	if len(sentences) == 0 {
+		sentences = []string{"Nothing changes."}
+	}
+	for _, s := range sentences {
+		fmt.Fprintln(t.Out, s)
+	}
+	if c.Dry {
+		return nil
+	}
+	if err := plan.Write(c.Output, files); err != nil {
+		return err
+	}
+	fmt.Fprintf(t.Out, "\n%d files are in %s. `jacinthplank accept %s` puts the fleet's part in force.\n", len(files), c.Output, c.Answers)
+	return nil
+}
+
+// generated is what an earlier plan wrote.
+type generated struct {
+	configuration *fleet.Configuration // nil when there is none
+	daemons       []*settings.Daemon
+}
+
+func readGenerated(folder string) (generated, error) {
+	var g generated
+	c, err := fleet.Load(filepath.Join(folder, plan.ConfigurationFile))
+	if trace.IsNotFound(err) {
+		return g, nil
+	}
+	if err != nil {
+		return g, err
+	}
+	g.configuration = c
+	paths, err := filepath.Glob(filepath.Join(folder, plan.DaemonsFolder, "*.toml"))
+	if err != nil {
+		return g, trace.Wrap(err)
+	}
+	for _, path := range paths {
+		d, err := settings.Load(path)
+		if err != nil {
+			return g, err
+		}
+		g.daemons = append(g.daemons, d)
+	}
+	return g, nil
+}
+
+func loadAnswers(path string) (*questionnaire.Answers, error) {
+	answers, err := questionnaire.Load(path)
+	if trace.IsNotFound(err) {
+		return nil, exitWith(ExitBadInput, "there is no answers file %s; `jacinthplank init` makes one", path)
+	}
+	return answers, err
+}
+
+func (c *checkCommand) run(_ context.Context, t Terminal) error {
+	var faults tomlcheck.Faults
+	for _, path := range c.Files {
+		err := checkFile(path)
+		var found tomlcheck.Faults
+		switch {
+		case errors.As(err, &found):
+			faults = append(faults, found...)
+		case err != nil:
+			faults = append(faults, tomlcheck.Fault{File: path, Problem: trace.UserMessage(err), Expected: "a file that can be read"})
+		default:
+			fmt.Fprintf(t.Out, "%s: good\n", path)
+		}
+	}
+	if len(faults) > 0 {
+		return faults
+	}
+	return nil
+}
+
+// checkFile checks a file as what its sections make of it: settings have an
+// [instance], answers have [times], other files are configurations.
+func checkFile(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	switch {
+	case hasSection(data, "[instance]"):
+		_, err = settings.Parse(path, data)
+	case hasSection(data, "[times]"):
+		_, err = questionnaire.Parse(path, data)
+	default:
+		_, err = fleet.Parse(path, data)
+	}
+	return err
+}
+
+func hasSection(data []byte, header string) bool {
+	for _, line := range strings.Split(string(data), "\n") {
+		if strings.TrimSpace(line) == header {
+			return true
+		}
+	}
+	return false
+}
--- a/plan/first.go
+++ b/plan/first.go
@@ -14,7 +14,7 @@
 		fmt.Sprintf("Failure domains: %s.", strings.Join(c.FailureDomainNames(), ", ")),
 	}
 	for _, m := range c.Models {
-		said = append(said, fmt.Sprintf("Callers may name the model %s, with prompts up to %d tokens; %d endpoints should serve it.", m.Name, m.MaxPrompt, m.Endpoints))
+		said = append(said, fmt.Sprintf("Callers may name the model %s, with prompts up to %d tokens; it should be served by %s.", m.Name, m.MaxPrompt, endpoints(m.Endpoints)))
 	}
 	for _, s := range c.Services {
 		said = append(said, fmt.Sprintf("Callers may call the service %s; %s.", s.Name, onceCalls(s)))
@@ -36,3 +36,10 @@
 	}
 	return "at most once each: " + strings.Join(calls, ", ")
 }
+
+func endpoints(n int) string {
+	if n == 1 {
+		return "1 endpoint"
+	}
+	return fmt.Sprintf("%d endpoints", n)
+}
--- a/plan/sentences.go
+++ b/plan/sentences.go
@@ -54,7 +54,7 @@
 	case c.field == "max_prompt":
 		m.say("Prompts to the model %s may now have %s tokens; before, %s. Longer ones are refused with prompt_too_long.", c.element, plain(c.New), plain(c.Old))
 	case c.field == "endpoints":
-		m.say("The model %s should now be served by %s endpoints; before, %s.", c.element, plain(c.New), plain(c.Old))
+		m.say("The model %s should now be served by %s endpoints; before, by %s.", c.element, plain(c.New), plain(c.Old))
 	case c.field == "adapters" && c.New != "":
 		m.say("Callers may now use the adapter %s of the model %s.", c.item, c.element)
 	case c.field == "adapters":
