--- a/operator/accept.go
+++ b/operator/accept.go
@@ -92,7 +92,13 @@
 		if a.command.Base != "" {
 			base = a.command.Base
 		}
-		a.record = record{Identifier: newIdentifier(), Author: a.command.Author, Base: base, Digest: a.digest}
+		a.record = record{
+			Identifier: newIdentifier(),
+			Author:     a.command.Author,
+			Epoch:      a.command.Epoch,
+			Base:       base,
+			Digest:     a.digest,
+		}
 	}
 	base, err := parseRevision(a.record.Base)
 	if err != nil {
@@ -101,7 +107,13 @@
 	if err := a.record.write(a.command.Answers); err != nil {
 		return revision.Change{}, err
 	}
-	return revision.Change{ID: a.record.Identifier, Base: base, Author: a.record.Author, Document: a.document}, nil
+	return revision.Change{
+		ID:       a.record.Identifier,
+		Base:     base,
+		Epoch:    a.record.Epoch,
+		Author:   a.record.Author,
+		Document: a.document,
+	}, nil
 }
 
 func (a *acceptance) judge(ctx context.Context, answer *revision.Answer) error {
--- a/operator/arguments.go
+++ b/operator/arguments.go
@@ -77,6 +77,7 @@
 type acceptCommand struct {
 	Answers string        `arg:"positional" default:"answers.toml" help:"answers file"`
 	Base    string        `arg:"--base" help:"revision that the answers are known to follow, EPOCH.REVISION; after a conflict"`
+	Epoch   uint64        `arg:"--epoch" help:"raise the epoch; only after a control quorum was founded anew"`
 	Author  string        `arg:"--author,env:USER" help:"name told to others"`
 	Wait    time.Duration `arg:"--wait" default:"30s" help:"how long to wait until it is in force everywhere"`
 	fleetOptions
--- a/operator/control.go
+++ b/operator/control.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"slices"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
@@ -21,6 +22,10 @@
 // maxHops bounds how often a call follows the name of another leader.
 const maxHops = 4
 
+// memberTimeout is longer than the leader takes to catch a new member up, or to
+// give up on it.
+const memberTimeout = 75 * time.Second
+
 // reply is what every answer of ControlService has.
 type reply interface {
 	GetFailure() *pb.Failure
@@ -28,9 +33,9 @@
 }
 
 // lead makes a call to the leader of the control quorum: each member is tried,
-// and the address of the leader that it names is followed. A call that may have
-// been carried out is made again only when resend is true.
-func (f *fleetClient) lead(ctx context.Context, resend bool, call func(context.Context, string) (reply, error)) (reply, error) {
+// and the address of the leader that it names is followed. The call must be
+// idempotent, because one that got no answer is made again.
+func (f *fleetClient) lead(ctx context.Context, call func(context.Context, string) (reply, error)) (reply, error) {
 	members, err := f.daemons(ctx)
 	if err != nil {
 		return nil, err
@@ -45,9 +50,6 @@
 			return answer, nil
 		}
 		last = err
-		if outcome.StateOf(err) != outcome.NotRun && !resend {
-			return nil, err
-		}
 		if !worthTrying(err) {
 			return nil, err
 		}
@@ -103,7 +105,7 @@
 	case outcome.CodeTransport, outcome.CodeNoQuorum, outcome.CodeShuttingDown, outcome.CodeLeaving:
 		return true
 	default:
-		return false
+		return outcome.StateOf(err) == outcome.Unknown
 	}
 }
 
@@ -114,7 +116,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	answer, err := f.lead(ctx, true, func(ctx context.Context, address string) (reply, error) {
+	answer, err := f.lead(ctx, func(ctx context.Context, address string) (reply, error) {
 		response, err := f.control(address).Propose(ctx, connect.NewRequest(&pb.ProposeRequest{Command: command}))
 		if err != nil {
 			return nil, err
@@ -140,7 +142,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	answer, err := f.lead(ctx, true, func(ctx context.Context, address string) (reply, error) {
+	answer, err := f.lead(ctx, func(ctx context.Context, address string) (reply, error) {
 		response, err := f.control(address).Query(ctx, connect.NewRequest(&pb.QueryRequest{Query: query}))
 		if err != nil {
 			return nil, err
@@ -160,9 +162,12 @@
 	return result.Configuration, nil
 }
 
-// changeMember asks for one change of the quorum's members.
+// changeMember asks for one change of the quorum's members, and returns when it
+// is made. Steps that were taken before are not taken again.
 func (f *fleetClient) changeMember(ctx context.Context, change *pb.ChangeMemberRequest) error {
-	_, err := f.lead(ctx, false, func(ctx context.Context, address string) (reply, error) {
+	patient := *f
+	patient.timeout = max(f.timeout, memberTimeout)
+	_, err := patient.lead(ctx, func(ctx context.Context, address string) (reply, error) {
 		response, err := f.control(address).ChangeMember(ctx, connect.NewRequest(change))
 		if err != nil {
 			return nil, err
--- a/operator/exit.go
+++ b/operator/exit.go
@@ -61,7 +61,7 @@
 
 func exitCodeOf(failure *outcome.Error) int {
 	switch failure.Code {
-	case outcome.CodeNoQuorum, outcome.CodeTransport:
+	case outcome.CodeNoQuorum, outcome.CodeTransport, outcome.CodeOutcomeUnknown:
 		return ExitUnreachable
 	case outcome.CodeConflict:
 		return ExitConflict
--- a/operator/member.go
+++ b/operator/member.go
@@ -43,10 +43,10 @@
 	}
 	if err := client.changeMember(ctx, change); err != nil {
 		if outcome.StateOf(err) == outcome.Unknown {
-			fmt.Fprintln(t.Err, "Whether the change was made is not known. Look at `jacinthplank status` before you try again.")
+			fmt.Fprintln(t.Err, "Whether the change was made is not known. Run the same command again: steps that were taken are not taken twice.")
 		}
 		return err
 	}
-	fmt.Fprintln(t.Out, "Begun. A new member is caught up first and votes after that; `jacinthplank status` shows it among the voters then.")
+	fmt.Fprintln(t.Out, "Done. `jacinthplank status` shows the voters of the control quorum.")
 	return nil
 }
--- a/operator/record.go
+++ b/operator/record.go
@@ -24,6 +24,7 @@
 type record struct {
 	Identifier string `toml:"identifier"` // of the change sent last
 	Author     string `toml:"author"`
+	Epoch      uint64 `toml:"epoch"`
 	Base       string `toml:"base"`     // revision that the change follows
 	Digest     string `toml:"digest"`   // SHA-256 of the configuration sent
 	Revision   string `toml:"revision"` // revision it was accepted as; empty when not known
