--- a/endpoint/agent.go
+++ b/endpoint/agent.go
@@ -211,7 +211,7 @@
 // queue and the commitment are one step.
 func (a *Agent) pump(now time.Time) {
 	take := func(r admission.Request) bool {
-		err := a.ledger.Reserve(r.Key, r.Estimate.Blocks, r.Deadline)
+		err := a.ledger.Reserve(r.Key, r.Estimate.Blocks, r.Deadline.Add(leaseGrace))
 		if err != nil && outcome.From(err).Code == outcome.CodeConflict {
 			a.refuseQueued(r.Key, &outcome.Error{Code: outcome.CodeConflict, State: outcome.Unknown, Step: stepAdmit, Message: "the attempt was here before", Cause: err})
 		}
@@ -222,6 +222,10 @@
 	}
 }
 
+// leaseGrace is how much longer than its attempt a lease lasts: the attempt ends
+// itself at its deadline, the lease is what remains should it not.
+const leaseGrace = time.Second
+
 // refuseQueued ends a queued attempt with err.
 func (a *Agent) refuseQueued(k engine.Key, err *outcome.Error) {
 	t := a.attempts[k]
--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -236,6 +236,9 @@
 // pass turns a chunk of the answer into a frame.
 func (a *Agent) pass(ctx context.Context, t *attempt, c engine.Chunk) error {
 	if c.Finish == engine.FinishCanceled {
+		if cause := context.Cause(ctx); cause != nil {
+			return cause
+		}
 		return outcome.Fail(outcome.CodeEngineFailed, outcome.Ran, stepEngine, errors.New("the engine cancelled the attempt"))
 	}
 	f := submit.Frame{
--- a/endpoint/group.go
+++ b/endpoint/group.go
@@ -14,7 +14,7 @@
 // Reserve implements submit.Reserver.
 func (a *Agent) Reserve(_ context.Context, k engine.Key, tokens int, remaining time.Duration) error {
 	a.mu.Lock()
-	err := a.reserve(k, tokens, time.Now().Add(remaining))
+	err := a.reserve(k, tokens, time.Now().Add(remaining+leaseGrace))
 	a.mu.Unlock()
 	if err == nil {
 		wake(a.expiry)
