Events carry what explain tells: tokens, time left, state and the queue ahead

api records the judged length and the time left with received, and the state with failures; endpoint and services record the state of a failure in its field in place of the detail text; admitted tells what waits and runs before it. explain counts the attempts of plain services, which have no numbers, and takes only events of the entry's own steps for what the caller was told.

--- a/api/completion.go
+++ b/api/completion.go
@@ -136,7 +136,15 @@
 
 // serve submits the request and writes its answer in the asked form.
 func (x *exchange) serve(request submit.Request, o options, f form) error {
-	x.record(timeline.KindReceived, "", request.Class().String()+" prompt for "+request.Model)
+	x.server.options.Recorder.Record(timeline.Event{
+		Kind:      timeline.KindReceived,
+		Request:   x.id,
+		Account:   x.account.Name,
+		Step:      "entry.api",
+		Detail:    request.Class().String() + " prompt for " + request.Model,
+		Tokens:    request.Prompt.Tokens,
+		Remaining: request.Remaining,
+	})
 	ctx, cancel := x.context(request.Remaining)
 	defer cancel()
 	answer, err := x.server.options.Submitter.Submit(ctx, request)
--- a/api/errors.go
+++ b/api/errors.go
@@ -126,7 +126,16 @@
 	if e.State == outcome.NotRun {
 		kind = timeline.KindRefused
 	}
-	x.record(kind, string(e.Code), e.Message)
+	x.server.options.Recorder.Record(timeline.Event{
+		Kind:    kind,
+		Request: x.id,
+		Account: x.account.Name,
+		Step:    "entry.api",
+		Peer:    e.Peer,
+		Outcome: string(e.Code),
+		Detail:  e.Message,
+		State:   e.State,
+	})
 }
 
 func statusOf(code outcome.Code) int {
--- a/endpoint/agent.go
+++ b/endpoint/agent.go
@@ -182,7 +182,7 @@
 		return nil, err
 	}
 	a.attempts[t.entry.Key] = t
-	a.record(timeline.KindAdmitted, t, "", "")
+	a.record(timeline.KindAdmitted, t, "", a.ahead())
 	a.pump(now)
 	a.announce()
 	wake(a.expiry)
--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -361,6 +361,9 @@
 	if failure.Code == outcome.CodeCanceled {
 		kind = timeline.KindCanceled
 	}
-	a.record(kind, t, string(failure.Code), failure.State.String())
+	a.cfg.Recorder.Record(timeline.Event{
+		Kind: kind, Request: t.request.ID, Attempt: t.request.Attempt, Account: t.request.Account,
+		Endpoint: a.cfg.Name, Step: failure.Step, Outcome: string(failure.Code), Detail: failure.Message, State: failure.State,
+	})
 	countFailure(failure)
 }
--- a/explain/attempt.go
+++ b/explain/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/jacinthplank/jacinthplank/outcome"
 	"github.com/jacinthplank/jacinthplank/timeline"
@@ -41,7 +42,7 @@
 		if a.pauses > 1 {
 			times = fmt.Sprintf("%d times", a.pauses)
 		}
-		t.say("  It gave way to shorter requests %s, for %s in all.", times, span(a.paused))
+		t.say("  It gave way to shorter requests %s%s.", times, inAll(a.paused))
 	}
 	if a.token != nil {
 		t.say("  The first token of the answer came%s.", t.after(a.token))
@@ -67,6 +68,14 @@
 	}
 }
 
+// inAll tells how long pauses took, when their ends are on record.
+func inAll(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return ", for " + span(d) + " in all"
+}
+
 func stateSentence(s outcome.State) string {
 	switch s {
 	case outcome.NotRun:
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -34,6 +34,13 @@
 	return at("entry-1", 0, timeline.Event{Kind: timeline.KindReceived, Account: "council", Tokens: tokens, Remaining: remaining})
 }
 
+// apiEnd is the end of a request as the HTTP interface of the entry tells it.
+func apiEnd(ms int, e timeline.Event) timeline.Event {
+	e = at("entry-1", ms, e)
+	e.Step = "entry.api"
+	return e
+}
+
 func placed(ms int, attempt uint32, endpoint string) timeline.Event {
 	return at("entry-1", ms, timeline.Event{Kind: timeline.KindPlaced, Attempt: attempt, Endpoint: endpoint})
 }
@@ -73,7 +80,9 @@
 		at("draft-04", 11, timeline.Event{Kind: timeline.KindAdmitted, Attempt: 2}),
 		at("draft-04", 12, timeline.Event{Kind: timeline.KindStarted, Attempt: 2}),
 		at("draft-04", 400, timeline.Event{Kind: timeline.KindFailed, Attempt: 2, Outcome: "engine_failed", State: outcome.Ran, Detail: "engine answered 500"}),
-		at("entry-1", 401, timeline.Event{Kind: timeline.KindFailed, Attempt: 2, Outcome: "engine_failed", State: outcome.Ran}),
+		at("entry-1", 401, timeline.Event{Kind: timeline.KindFailed, Attempt: 2, Outcome: "engine_failed"}),
+		apiEnd(402, timeline.Event{Kind: timeline.KindFailed, Outcome: "engine_failed", State: outcome.Ran}),
+		at("draft-04", 403, timeline.Event{Kind: timeline.KindCanceled, Attempt: 2, Outcome: "canceled"}),
 	)
 }
 
@@ -81,9 +90,8 @@
 	return line(
 		at("entry-1", 0, timeline.Event{Kind: timeline.KindReceived, Account: "council", Remaining: 30 * time.Second}),
 		at("entry-1", 3, timeline.Event{Kind: timeline.KindClaimed}),
-		placed(4, 1, "registry-2"),
-		at("registry-2", 5, timeline.Event{Kind: timeline.KindStarted, Attempt: 1}),
-		at("entry-1", 5_004, timeline.Event{Kind: timeline.KindFailed, Attempt: 1, Outcome: "transport"}),
+		placed(4, 0, "registry-2"),
+		at("entry-1", 5_004, timeline.Event{Kind: timeline.KindFailed, Endpoint: "registry-2", Outcome: "transport"}),
 		at("entry-1", 5_009, timeline.Event{Kind: timeline.KindRecorded, Outcome: "unknown"}),
 		at("entry-1", 5_010, timeline.Event{Kind: timeline.KindFailed, Outcome: "outcome_unknown", Detail: "registry-2 did not answer"}),
 	)
--- a/explain/story.go
+++ b/explain/story.go
@@ -3,6 +3,7 @@
 package explain
 
 import (
+	"strings"
 	"time"
 
 	"github.com/jacinthplank/jacinthplank/outcome"
@@ -68,18 +69,31 @@
 		s.retried(e)
 	case timeline.KindFinished, timeline.KindRefused, timeline.KindFailed, timeline.KindCanceled:
 		s.ended(e)
+	case timeline.KindPlaced:
+		s.placed(e)
 	default:
 		s.attempt(e.Attempt).add(e)
 	}
 }
 
+// placed takes the start of an attempt. Calls of plain services have no numbers
+// of attempts: theirs are counted here.
+func (s *story) placed(e *timeline.Event) {
+	number := e.Attempt
+	if number == 0 {
+		number = uint32(len(s.attempts)) + 1
+	}
+	s.attempt(number).add(e)
+}
+
 // ended takes the end of the request, told by its entry, or of an attempt, told
 // by an endpoint.
 func (s *story) ended(e *timeline.Event) {
-	if e.Daemon == s.entry {
+	fromEntry := strings.HasPrefix(e.Step, stepEntry)
+	if e.Daemon == s.entry && (fromEntry || e.Attempt == 0) {
 		s.final = e
 	}
-	if e.Attempt == 0 || (e.Step == stepEntry && e.Kind != timeline.KindFinished) {
+	if e.Attempt == 0 || (fromEntry && e.Kind != timeline.KindFinished) {
 		return
 	}
 	if a := s.attempt(e.Attempt); a.end == nil {
@@ -87,7 +101,8 @@
 	}
 }
 
-// stepEntry is the step of events that the entry records for the whole request.
+// stepEntry begins the steps of events that the entry records for the whole
+// request.
 const stepEntry = "entry"
 
 func (s *story) retried(e *timeline.Event) {
--- a/services/services.go
+++ b/services/services.go
@@ -139,6 +139,7 @@
 		event.Outcome = string(e.Code)
 		event.Detail = e.Message
 		event.Peer = e.Peer
+		event.State = e.State
 	}
 	r.options.Recorder.Record(event)
 }
