--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -104,6 +104,23 @@
 	)
 }
 
+func refusedAtOnce() timeline.Line {
+	return line(apiEnd(0, timeline.Event{
+		Kind: timeline.KindRefused, Account: "council", Outcome: "model_not_found", State: outcome.NotRun, Detail: "no model is called draftx",
+	}))
+}
+
+// The entry gives its stream up after the whole answer was told.
+func givenUpAfterwards() timeline.Line {
+	return line(
+		received(7, time.Minute),
+		placed(1, 1, "draft-03"),
+		at("draft-03", 2, timeline.Event{Kind: timeline.KindFirstToken, Attempt: 1}),
+		apiEnd(30, timeline.Event{Kind: timeline.KindFinished, Outcome: "length"}),
+		at("entry-1", 31, timeline.Event{Kind: timeline.KindCanceled, Attempt: 1, Outcome: "canceled"}),
+	)
+}
+
 func partlyKnown() timeline.Line {
 	return timeline.Merge([]timeline.Part{
 		{Daemon: "entry-1", Events: []timeline.Event{received(1200, time.Minute), placed(1, 1, "draft-03")}, Since: noon.Add(-time.Hour)},
@@ -129,6 +146,8 @@
 		"retried":        retriedRequest(),
 		"once":           onceCall(),
 		"refused":        refusedRequest(),
+		"at-once":        refusedAtOnce(),
+		"given-up-after": givenUpAfterwards(),
 		"partly-known":   partlyKnown(),
 		"beginning-gone": beginningGone(),
 		"nothing":        line(),
--- a/explain/sentences.go
+++ b/explain/sentences.go
@@ -84,6 +84,11 @@
 
 func (t *teller) arrival() {
 	s := t.story
+	if s.refusedAtOnce() {
+		t.say("Request %s came from client account %s to %s at %s and was refused at once.",
+			s.request, orUnknown(s.account), s.entry, s.first.Format(timeLayout))
+		return
+	}
 	if s.received == nil {
 		t.say("When request %s came is not on record any more. The first event left is from %s.", s.request, s.first.Format(timeLayout))
 		return
--- a/explain/story.go
+++ b/explain/story.go
@@ -90,7 +90,10 @@
 // by an endpoint.
 func (s *story) ended(e *timeline.Event) {
 	fromEntry := strings.HasPrefix(e.Step, stepEntry)
-	if e.Daemon == s.entry && (fromEntry || e.Attempt == 0) {
+	if s.entry == "" && fromEntry {
+		s.entry = e.Daemon
+	}
+	if e.Daemon == s.entry && (fromEntry || e.Attempt == 0) && !s.answered() {
 		s.final = e
 	}
 	if e.Attempt == 0 || (fromEntry && e.Kind != timeline.KindFinished) {
@@ -101,6 +104,17 @@
 	}
 }
 
+// answered reports whether the caller got the whole answer. What is given up
+// after that does not matter to it.
+func (s *story) answered() bool {
+	return s.final != nil && s.final.Kind == timeline.KindFinished
+}
+
+// refusedAtOnce reports whether the entry refused it before it was taken in.
+func (s *story) refusedAtOnce() bool {
+	return s.received == nil && s.final != nil && s.final.Kind == timeline.KindRefused && len(s.attempts) == 0
+}
+
 // stepEntry begins the steps of events that the entry records for the whole
 // request.
 const stepEntry = "entry"
