processes: a fleet of real processes, killed and frozen

Cause: the promises are to be proved with real processes. Change: harness (launch, kill, freeze, relay that cuts), first four tests; the endpoint process waits for an engine that starts after it.

--- a/daemon/endpoint.go
+++ b/daemon/endpoint.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -15,8 +17,17 @@
 	"github.com/jacinthplank/jacinthplank/wire"
 )
 
-// describeTimeout bounds the first question to the engine.
-const describeTimeout = 10 * time.Second
+// Times of the first question to the engine, which may start after this process.
+const (
+	describeTimeout = time.Minute
+	describePause   = 200 * time.Millisecond
+)
+
+// Bounds of the connections to the engine.
+const (
+	engineDialTimeout     = time.Second
+	engineIdleConnections = 256
+)
 
 // agent stands beside an engine.
 type agent interface {
@@ -55,11 +66,9 @@
 func (d *Daemon) provisionEngine(facts *pb.MemberFacts) error {
 	e := d.options.Engine
 	if e == nil {
-		e = openaiengine.New(d.settings.Endpoint.Engine, nil)
+		e = openaiengine.New(d.settings.Endpoint.Engine, engineClient())
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), describeTimeout)
-	defer cancel()
-	description, err := e.Describe(ctx)
+	description, err := awaitDescription(e)
 	if err != nil {
 		return trace.Wrap(err, "describe the engine at %s", d.settings.Endpoint.Engine)
 	}
@@ -71,6 +80,31 @@
 	return nil
 }
 
+// awaitDescription asks the engine what it is until it answers.
+func awaitDescription(e engine.Engine) (engine.Description, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), describeTimeout)
+	defer cancel()
+	for {
+		description, err := e.Describe(ctx)
+		if err == nil {
+			return description, nil
+		}
+		sleep(ctx, describePause)
+		if ctx.Err() != nil {
+			return engine.Description{}, err
+		}
+	}
+}
+
+func engineClient() *http.Client {
+	dialer := &net.Dialer{Timeout: engineDialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConns:        engineIdleConnections,
+		MaxIdleConnsPerHost: engineIdleConnections,
+	}}
+}
+
 // describe puts what an engine is into the facts of its member.
 func describe(f *pb.MemberFacts, d engine.Description) {
 	f.Models = d.Models
--- /dev/null
+++ b/processes/serving_test.go
@@ -0,0 +1,65 @@
+package processes_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestSeparateProcessesServeARequest(t *testing.T) {
+	f := newFleet(t)
+	f.entry("entry-1")
+	f.endpoint("endpoint-1")
+	f.awaitServing(0)
+	status, body := f.complete(0, "Dear committee,", 5, "10s")
+	f.g.Expect(status).To(Equal(http.StatusOK), body)
+	f.g.Expect(body).To(ContainSubstring(`"completion_tokens":5`))
+}
+
+func TestAFrozenEngineEndsInAnHonestFailureInTime(t *testing.T) {
+	f := newFleet(t)
+	f.entry("entry-1")
+	f.endpoint("endpoint-1")
+	f.awaitServing(0)
+	f.engines["endpoint-1"].freeze()
+	start := time.Now()
+	status, body := f.complete(0, "Dear committee,", 5, "3s")
+	f.g.Expect(time.Since(start)).To(BeNumerically("<", 3*time.Second+500*time.Millisecond))
+	f.g.Expect(status).To(BeNumerically(">=", 500), body)
+	f.g.Expect(body).To(ContainSubstring(`"not_run":false`))
+}
+
+func TestAKilledEndpointProcessIsReplacedByAnother(t *testing.T) {
+	f := newFleet(t)
+	f.entry("entry-1")
+	f.endpoint("endpoint-1")
+	f.endpoint("endpoint-2")
+	f.awaitServing(0)
+	time.Sleep(1500 * time.Millisecond) // both are announced
+	f.daemons["endpoint-1"].kill()
+	for i := range 10 {
+		status, body := f.complete(0, fmt.Sprintf("Letter %d", i), 3, "10s")
+		f.g.Expect(status).To(Equal(http.StatusOK), body)
+	}
+}
+
+func TestAKilledEntryLeavesNoWorkBehind(t *testing.T) {
+	f := newFleet(t)
+	f.entry("entry-1")
+	f.endpoint("endpoint-1")
+	f.awaitServing(0)
+	go f.complete(0, "A long letter", 4000, "60s")
+	f.g.Eventually(func() string { return f.held("endpoint-1") }, 5*time.Second, 20*time.Millisecond).ShouldNot(Equal("null"))
+	f.daemons["entry-1"].kill()
+	f.g.Eventually(func() string { return f.held("endpoint-1") }, 15*time.Second, 50*time.Millisecond).Should(Equal("null"))
+}
+
+// held is what the engine of an endpoint lists as held by attempts.
+func (f *fleet) held(endpoint string) string {
+	_, text := get("http://" + f.engine[endpoint] + "/engine/holdings")
+	return strings.TrimSpace(text)
+}
