daemon: the endpoint's agent, the quorum and once-calls in the whole path

Cause: the thin path passed requests on directly and refused calls that are not idempotent. Change: endpoint.Agent beside each engine; control duty, client, fencing duty; once-records behind plain services; backlogs on refusals over the wire; a session with a quorum. Found by it: none in the parts; the wire dropped the backlog of refusals.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -1,19 +1,90 @@
 package daemon
 
 import (
-	"net/http"
+	"context"
+	"slices"
+	"time"
 
-	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
-	"github.com/jacinthplank/jacinthplank/supervise"
+	"github.com/gravitational/trace"
+
+	"github.com/jacinthplank/jacinthplank/control"
+	"github.com/jacinthplank/jacinthplank/gossip"
+	"github.com/jacinthplank/jacinthplank/settings"
 )
 
-// controlDuty holds the quorum log.
-type controlDuty struct{}
+// fencePause is the time between tries to learn the fencing number.
+const fencePause = 500 * time.Millisecond
+
+// provisionControl starts this daemon's member of the quorum.
+func (d *Daemon) provisionControl() error {
+	member, err := control.Start(control.Options{
+		Name:    d.settings.Instance.Name,
+		Address: d.address,
+		Members: d.settings.Control.Members,
+		Folder:  d.settings.Control.DataFolder,
+		HTTP:    d.network.Client(),
+		URL:     d.network.URL,
+		Store:   d.store,
+		Gossip:  d.distribution,
+		Events:  d.recorder,
+		Log:     d.log,
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.control = member
+	return nil
+}
+
+// provisionControlClient makes the client by which the duties reach the quorum.
+func (d *Daemon) provisionControlClient() {
+	d.quorum = control.NewClient(control.ClientOptions{
+		Members: d.controlAddresses,
+		HTTP:    d.network.Client(),
+		URL:     d.network.URL,
+	})
+}
 
-func (d *Daemon) provisionControl() error { return nil }
+// controlAddresses returns the addresses of the control instances: those that
+// are members of the fleet now, and those that the settings name.
+func (d *Daemon) controlAddresses() []string {
+	var out []string
+	for _, r := range d.gossip.Members() {
+		duties := gossip.Facts(r).GetDuties()
+		if !r.State.Gone() && slices.Contains(duties, string(settings.DutyControl)) {
+			out = append(out, r.Address)
+		}
+	}
+	for _, m := range d.settings.Control.Members {
+		if !slices.Contains(out, m.Address) {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
 
-func (c *controlDuty) duties() []supervise.Duty { return nil }
+// fencing is the duty that learns, after a start, the highest fencing number
+// that was given for the endpoint here. Until then its agent passes no order on.
+type fencing struct {
+	daemon *Daemon
+}
 
-func (c *controlDuty) register(*http.ServeMux) {}
+// Name implements supervise.Duty.
+func (f fencing) Name() string { return "fencing" }
 
-func (c *controlDuty) status() *pb.QuorumStatus { return nil }
+// Serve implements supervise.Duty.
+func (f fencing) Serve(ctx context.Context) error {
+	for {
+		fence, err := f.daemon.quorum.HighestFence(ctx, f.daemon.settings.Instance.Name)
+		if err == nil {
+			f.daemon.endpoint.agent.Learn(fence)
+			break
+		}
+		sleep(ctx, fencePause)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/jacinthplank/jacinthplank/control"
 	"github.com/jacinthplank/jacinthplank/coord/membership"
 	"github.com/jacinthplank/jacinthplank/directory"
 	"github.com/jacinthplank/jacinthplank/distribution"
@@ -62,7 +63,8 @@
 	distribution *distribution.Gossip
 	entry        *entryDuty
 	endpoint     *endpointDuty
-	control      *controlDuty
+	control      *control.Member // nil without the duty
+	quorum       *control.Client
 
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -152,12 +154,12 @@
 func (d *Daemon) duties() []supervise.Duty {
 	duties := []supervise.Duty{}
 	if d.control != nil {
-		duties = append(duties, d.control.duties()...)
+		duties = append(duties, d.control.Duties()...)
 	}
 	if d.endpoint != nil {
 		duties = append(duties, d.endpoint.duties()...)
 	}
-	duties = append(duties, d.gossip, d.distribution)
+	duties = append(duties, d.gossip, d.distribution, d.quorum)
 	if d.entry != nil {
 		duties = append(duties, d.entry.duties()...)
 	}
@@ -166,9 +168,6 @@
 
 // self is the daemon's own record of membership.
 func (d *Daemon) self(facts *pb.MemberFacts) membership.Record {
-	for _, duty := range d.settings.Instance.Duties {
-		facts.Duties = append(facts.Duties, string(duty))
-	}
 	return membership.Record{
 		Name:          d.settings.Instance.Name,
 		Address:       d.address,
--- a/daemon/endpoint.go
+++ b/daemon/endpoint.go
@@ -6,8 +6,9 @@
 	"net/http"
 	"time"
 
-	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/jacinthplank/jacinthplank/endpoint"
 	"github.com/jacinthplank/jacinthplank/engine"
 	"github.com/jacinthplank/jacinthplank/engine/openaiengine"
 	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
@@ -17,83 +18,55 @@
 	"github.com/jacinthplank/jacinthplank/wire"
 )
 
-// Times of the first question to the engine, which may start after this process.
-const (
-	describeTimeout = time.Minute
-	describePause   = 200 * time.Millisecond
-)
-
 // Bounds of the connections to the engine.
 const (
 	engineDialTimeout     = time.Second
 	engineIdleConnections = 256
 )
 
-// agent stands beside an engine.
-type agent interface {
-	submit.Endpoint
-	wire.Orderer
-	supervise.Duty
-	Backlog() submit.Backlog
-	InProgress() int
-	Drain()
-}
+// factsInterval is the time between two looks at what the engine is.
+const factsInterval = 100 * time.Millisecond
 
 // endpointDuty is the duty beside an engine or a plain service.
 type endpointDuty struct {
+	daemon  *Daemon
 	server  *wire.Server
-	agent   agent                 // nil beside a plain service
+	agent   *endpoint.Agent       // nil beside a plain service
 	service *plainservice.Service // nil beside an engine
 }
 
-func (d *Daemon) provisionEndpoint(facts *pb.MemberFacts) error {
-	d.endpoint = &endpointDuty{server: &wire.Server{Name: d.settings.Instance.Name}}
+func (d *Daemon) provisionEndpoint(facts *pb.MemberFacts) {
+	d.endpoint = &endpointDuty{daemon: d, server: &wire.Server{Name: d.settings.Instance.Name}}
 	facts.Kind = d.settings.Endpoint.Kind
 	if d.settings.Endpoint.Service != "" {
-		return d.provisionService(facts)
+		d.provisionService(facts)
+		return
 	}
-	return d.provisionEngine(facts)
+	d.provisionEngine()
 }
 
-func (d *Daemon) provisionService(facts *pb.MemberFacts) error {
+func (d *Daemon) provisionService(facts *pb.MemberFacts) {
 	facts.Service = d.settings.Endpoint.Service
 	s := plainservice.New(d.settings.Instance.Name, d.settings.Endpoint.URL)
 	d.endpoint.service = s
 	d.endpoint.server.Caller = s
-	return nil
 }
 
-func (d *Daemon) provisionEngine(facts *pb.MemberFacts) error {
+func (d *Daemon) provisionEngine() {
 	e := d.options.Engine
 	if e == nil {
 		e = openaiengine.New(d.settings.Endpoint.Engine, engineClient())
 	}
-	description, err := awaitDescription(e)
-	if err != nil {
-		return trace.Wrap(err, "describe the engine at %s", d.settings.Endpoint.Engine)
-	}
-	describe(facts, description)
-	agent := &direct{name: d.settings.Instance.Name, engine: e}
+	agent := endpoint.New(endpoint.Config{
+		Name:     d.settings.Instance.Name,
+		Engine:   e,
+		Recorder: d.recorder,
+		Log:      d.log,
+		Stall:    d.settings.Endpoint.Stall.D(),
+	})
 	d.endpoint.agent = agent
 	d.endpoint.server.Endpoint = agent
 	d.endpoint.server.Orderer = agent
-	return nil
-}
-
-// awaitDescription asks the engine what it is until it answers.
-func awaitDescription(e engine.Engine) (engine.Description, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), describeTimeout)
-	defer cancel()
-	for {
-		description, err := e.Describe(ctx)
-		if err == nil {
-			return description, nil
-		}
-		sleep(ctx, describePause)
-		if ctx.Err() != nil {
-			return engine.Description{}, err
-		}
-	}
 }
 
 func engineClient() *http.Client {
@@ -105,24 +78,11 @@
 	}}
 }
 
-// describe puts what an engine is into the facts of its member.
-func describe(f *pb.MemberFacts, d engine.Description) {
-	f.Models = d.Models
-	f.Adapters = d.Adapters
-	f.MemoryBlocks = int64(d.MemoryBlocks)
-	f.MemoryTokens = int64(d.MemoryTokens)
-	f.MaxPrompt = int64(d.MaxPrompt)
-	f.ExportsKv = d.ExportsKV
-	f.PrefillPerSecond = d.PrefillPerSec
-	f.DecodePerSecond = d.DecodePerSec
-	f.AttentionScale = int64(d.AttentionScale)
-}
-
 func (e *endpointDuty) duties() []supervise.Duty {
-	if e.agent != nil {
-		return []supervise.Duty{e.agent}
+	if e.agent == nil {
+		return nil
 	}
-	return nil
+	return []supervise.Duty{e.agent, fencing{e.daemon}, announcing{e.daemon}}
 }
 
 func (e *endpointDuty) backlog() *submit.Backlog {
@@ -136,7 +96,7 @@
 // running is the number of requests in progress here.
 func (e *endpointDuty) running() int {
 	if e.agent != nil {
-		return e.agent.InProgress()
+		return e.agent.Backlog().Running
 	}
 	return e.service.Running()
 }
@@ -148,3 +108,55 @@
 	}
 	e.service.Drain()
 }
+
+// drained reports whether nothing is left after drain.
+func (e *endpointDuty) drained() bool {
+	if e.agent == nil {
+		return e.service.Running() == 0
+	}
+	select {
+	case <-e.agent.Drain():
+		return true
+	default:
+		return false
+	}
+}
+
+// announcing is the duty that tells the members what the engine is, from the
+// time when it first answers and after every change.
+type announcing struct {
+	daemon *Daemon
+}
+
+// Name implements supervise.Duty.
+func (a announcing) Name() string { return "announcing" }
+
+// Serve implements supervise.Duty.
+func (a announcing) Serve(ctx context.Context) error {
+	told := &pb.MemberFacts{}
+	for ctx.Err() == nil {
+		if description, ready := a.daemon.endpoint.agent.Description(); ready {
+			facts := a.daemon.ownFacts()
+			describe(facts, description)
+			if !proto.Equal(facts, told) {
+				a.daemon.gossip.SetFacts(facts)
+				told = facts
+			}
+		}
+		sleep(ctx, factsInterval)
+	}
+	return ctx.Err()
+}
+
+// describe puts what an engine is into the facts of its member.
+func describe(f *pb.MemberFacts, d engine.Description) {
+	f.Models = d.Models
+	f.Adapters = d.Adapters
+	f.MemoryBlocks = int64(d.MemoryBlocks)
+	f.MemoryTokens = int64(d.MemoryTokens)
+	f.MaxPrompt = int64(d.MaxPrompt)
+	f.ExportsKv = d.ExportsKV
+	f.PrefillPerSecond = d.PrefillPerSec
+	f.DecodePerSecond = d.DecodePerSec
+	f.AttentionScale = int64(d.AttentionScale)
+}
--- a/daemon/peerservice.go
+++ b/daemon/peerservice.go
@@ -60,7 +60,7 @@
 		status.Endpoints = append(status.Endpoints, endpointToProto(m))
 	}
 	if d.control != nil {
-		status.Quorum = d.control.status()
+		status.Quorum = d.control.Status()
 	}
 	return connect.NewResponse(status), nil
 }
--- a/daemon/provision.go
+++ b/daemon/provision.go
@@ -17,19 +17,18 @@
 // provision makes the parts of the duties, in an order in which each finds what
 // it needs.
 func (d *Daemon) provision() error {
-	facts := &pb.MemberFacts{}
+	facts := d.ownFacts()
 	if err := d.provisionConfiguration(); err != nil {
 		return trace.Wrap(err)
 	}
+	d.provisionControlClient()
 	if d.settings.Has(settings.DutyControl) {
 		if err := d.provisionControl(); err != nil {
 			return trace.Wrap(err)
 		}
 	}
 	if d.settings.Has(settings.DutyEndpoint) {
-		if err := d.provisionEndpoint(facts); err != nil {
-			return trace.Wrap(err)
-		}
+		d.provisionEndpoint(facts)
 	}
 	if d.settings.Has(settings.DutyEntry) {
 		if err := d.provisionEntry(facts); err != nil {
@@ -49,6 +48,15 @@
 	return nil
 }
 
+// ownFacts returns what this member tells of itself before an engine is known.
+func (d *Daemon) ownFacts() *pb.MemberFacts {
+	facts := &pb.MemberFacts{Kind: d.settings.Endpoint.Kind, Service: d.settings.Endpoint.Service}
+	for _, duty := range d.settings.Instance.Duties {
+		facts.Duties = append(facts.Duties, string(duty))
+	}
+	return facts
+}
+
 // handler returns the routes for the other processes.
 func (d *Daemon) handler() http.Handler {
 	mux := http.NewServeMux()
@@ -58,7 +66,7 @@
 		mux.Handle(d.endpoint.server.Handler(clock))
 	}
 	if d.control != nil {
-		d.control.register(mux)
+		d.control.Register(mux)
 	}
 	d.registerHealth(mux)
 	return mux
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -33,6 +33,9 @@
 	}
 	d.leave(ctx)
 	_ = server.Shutdown(ctx)
+	if d.control != nil {
+		d.control.Stop()
+	}
 	d.log.Info("stopped")
 }
 
@@ -44,7 +47,7 @@
 }
 
 func (d *Daemon) awaitEndpoint(ctx context.Context) {
-	for d.endpoint.running() > 0 && ctx.Err() == nil {
+	for !d.endpoint.drained() && ctx.Err() == nil {
 		sleep(ctx, drainPoll)
 	}
 	sleep(ctx, streamsLinger)
--- a/sessions/fleet_test.go
+++ b/sessions/fleet_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -86,6 +87,7 @@
 }
 
 func (f *testFleet) start(text string, c *fleet.Configuration, seeds []string) *daemon.Daemon {
+	text = strings.ReplaceAll(text, "DATA", f.t.TempDir())
 	s, err := settings.Parse("settings", []byte(text))
 	f.g.Expect(err).NotTo(HaveOccurred())
 	s.Instance.Seeds = seeds
--- a/wire/client.go
+++ b/wire/client.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return c.transportError("endpoint.order", err)
 	}
-	return asError(FailureFromProto(response.Msg.GetFailure()))
+	return asError(response.Msg.GetFailure())
 }
 
 func (c *Client) reserve(ctx context.Context, request *pb.ReserveRequest) error {
@@ -97,7 +97,7 @@
 	if err != nil {
 		return c.transportError("endpoint.reserve", err)
 	}
-	return asError(FailureFromProto(response.Msg.GetFailure()))
+	return asError(response.Msg.GetFailure())
 }
 
 // transportError types an error of the connection. Only a failed dial proves
@@ -117,13 +117,23 @@
 	return e
 }
 
-func asError(e *outcome.Error) error {
-	if e == nil {
-		return nil
+// failure returns a failure of the endpoint process with the backlog that it
+// carries.
+func failure(f *pb.Failure) error {
+	e := FailureFromProto(f)
+	if b := BacklogFromProto(f.GetBacklog()); b != nil {
+		return &submit.Declined{Err: e, Backlog: *b}
 	}
 	return e
 }
 
+func asError(f *pb.Failure) error {
+	if f == nil {
+		return nil
+	}
+	return failure(f)
+}
+
 // answer reads the frames of one attempt.
 type answer struct {
 	client *Client
@@ -140,7 +150,7 @@
 		return a.broken()
 	}
 	if f := a.stream.Msg().GetFailure(); f != nil {
-		return FailureFromProto(f)
+		return failure(f)
 	}
 	if !a.stream.Msg().GetFrame().GetAdmitted() {
 		return a.client.transportError("endpoint.submit", errors.New("first message is no admission"))
@@ -158,7 +168,7 @@
 	}
 	if f := a.stream.Msg().GetFailure(); f != nil {
 		a.done = true
-		return submit.Frame{}, FailureFromProto(f)
+		return submit.Frame{}, failure(f)
 	}
 	frame := FrameFromProto(a.stream.Msg().GetFrame())
 	a.done = frame.Finish != engine.FinishNone
--- a/wire/server.go
+++ b/wire/server.go
@@ -133,6 +133,7 @@
 	if f.GetPeer() == "" {
 		f.Peer = s.Name
 	}
+	f.Backlog = BacklogToProto(submit.BacklogOf(err))
 	return f
 }
 
