endpoint: long means a second of prefill, whatever the chunk is

Change: LongTime, 1 s, apart from ChunkTime.

The emulator's step now takes the slower of decode and prefill instead of their sum, as both read the weights once.

--- a/endpoint/agent.go
+++ b/endpoint/agent.go
@@ -42,6 +42,7 @@
 	ShortMemory float64 // share of memory that long attempts leave free
 
 	Prefill   PrefillPolicy
+	LongTime  time.Duration // prefill time from which on an attempt is long
 	ChunkTime time.Duration // engine time of one chunk of a long prefill
 	MaxPause  time.Duration // longest gap between two chunks
 	Stall     time.Duration // time without progress after which an attempt is given up
@@ -68,6 +69,7 @@
 	defaultLong           = 1
 	defaultQueued         = 512
 	defaultShortMemory    = 0.1
+	defaultLongTime       = time.Second
 	defaultChunkTime      = 50 * time.Millisecond
 	defaultMaxPause       = time.Second
 	defaultStall          = 20 * time.Second
@@ -82,6 +84,7 @@
 	setDefault(&c.Long, defaultLong)
 	setDefault(&c.Queued, defaultQueued)
 	setDefault(&c.ShortMemory, defaultShortMemory)
+	setDefault(&c.LongTime, defaultLongTime)
 	setDefault(&c.ChunkTime, defaultChunkTime)
 	setDefault(&c.MaxPause, defaultMaxPause)
 	setDefault(&c.Stall, defaultStall)
--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -63,7 +63,7 @@
 		entry: admission.Request{
 			Key:      r.Key(),
 			Class:    r.Class(),
-			Long:     estimate.Prefill > longChunks*a.cfg.ChunkTime,
+			Long:     estimate.Prefill > a.cfg.LongTime,
 			Estimate: estimate,
 			Arrived:  now,
 			Deadline: deadline,
@@ -83,9 +83,6 @@
 	return t
 }
 
-// longChunks is the number of chunks from which on a prefill is sent in chunks.
-const longChunks = 4
-
 // Next implements submit.Answer.
 func (t *attempt) Next(ctx context.Context) (submit.Frame, error) {
 	select {
--- /dev/null
+++ b/endpoint/longprefill_test.go
@@ -0,0 +1,174 @@
+package endpoint_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/endpoint"
+	"github.com/jacinthplank/jacinthplank/engine/emulator"
+	"github.com/jacinthplank/jacinthplank/submit"
+	"github.com/jacinthplank/jacinthplank/work"
+)
+
+var (
+	horizon    = flag.Duration("horizon", 4*time.Minute, "virtual time of each run of the long prefill experiment")
+	seeds      = flag.Int("seeds", 1, "runs of each variant of the long prefill experiment")
+	shortLoad  = flag.Float64("short-load", 0.3, "prefill of short requests, share of the engine's time")
+	longLoad   = flag.Float64("long-load", 0.5, "prefill of long requests, share of the engine's time")
+	stepTokens = flag.Int("step-tokens", 8192, "token budget of one step of the engine")
+)
+
+// experiment is one engine with an attention term, at rates known to the test.
+var experiment = struct {
+	engine emulator.Config
+	rates  work.Rates
+}{
+	engine: emulator.Config{AttentionScale: 131_072, PrefillPerSec: 20_000, DecodePerSec: 60},
+	rates:  work.Rates{AttentionScale: 131_072, PrefillPerSec: 20_000, DecodePerSec: 60},
+}
+
+// result is what one run of one variant gave.
+type result struct {
+	short, long []float64 // time to first token over the bare prefill time
+	failed      int
+}
+
+// arrivals returns requests with lengths from shortest to longest tokens, evenly
+// spread over the logarithm, that ask for a share of the engine's time.
+func arrivals(random *rand.Rand, name string, shortest, longest int, share float64) map[time.Duration]submit.Request {
+	all := make(map[time.Duration]submit.Request)
+	if share == 0 {
+		return all
+	}
+	ratio := math.Log(float64(longest) / float64(shortest))
+	var at time.Duration
+	for i := 0; ; i++ {
+		tokens := int(float64(shortest) * math.Exp(random.Float64()*ratio))
+		at += time.Duration(random.ExpFloat64() * float64(meanPrefill(shortest, longest)) / share)
+		if at > *horizon {
+			return all
+		}
+		all[at] = request(fmt.Sprint(name, i), tokens, 30, 20*time.Minute)
+	}
+}
+
+// meanPrefill returns the mean prefill time of lengths evenly spread over the
+// logarithm.
+func meanPrefill(shortest, longest int) time.Duration {
+	const points = 1000
+	var sum time.Duration
+	for i := range points {
+		at := (float64(i) + 0.5) / points
+		tokens := int(float64(shortest) * math.Pow(float64(longest)/float64(shortest), at))
+		sum += experiment.rates.Prefill(0, tokens)
+	}
+	return sum / points
+}
+
+// runVariant plays one workload to one agent.
+func runVariant(t *testing.T, seed uint64, longs bool, config endpoint.Config) result {
+	var r result
+	synctest.Test(t, func(t *testing.T) {
+		engineConfig := experiment.engine
+		engineConfig.StepTokens = *stepTokens
+		b := newBench(t, engineConfig, config)
+		random := rand.New(rand.NewPCG(seed, 7))
+		all := arrivals(random, "short", 1000, 8000, *shortLoad)
+		if longs {
+			for at, q := range arrivals(random, "long", 64_000, 350_000, *longLoad) {
+				all[at] = q
+			}
+		}
+		var mu sync.Mutex
+		var done sync.WaitGroup
+		for at, q := range all {
+			done.Go(func() {
+				time.Sleep(at)
+				ratio, ok := timeToFirst(t, b.agent, q)
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case !ok:
+					r.failed++
+				case q.Prompt.Tokens > submit.MediumTokens:
+					r.long = append(r.long, ratio)
+				default:
+					r.short = append(r.short, ratio)
+				}
+			})
+		}
+		done.Wait()
+		b.close()
+	})
+	return r
+}
+
+func timeToFirst(t *testing.T, agent *endpoint.Agent, q submit.Request) (float64, bool) {
+	began := time.Now()
+	answer, err := agent.Submit(t.Context(), q)
+	if err != nil {
+		return 0, false
+	}
+	if _, err = answer.Next(t.Context()); err != nil {
+		return 0, false
+	}
+	first := time.Since(began)
+	_, _, err = read(answer)
+	return first.Seconds() / experiment.rates.Prefill(0, q.Prompt.Tokens).Seconds(), err == nil
+}
+
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+// TestLongPrefillPolicies prints the experiment of docs/design/long-prefill.md
+// and checks its conclusion: chunks with gaps keep short requests quicker than
+// the engine's priorities alone.
+func TestLongPrefillPolicies(t *testing.T) {
+	g := NewWithT(t)
+	variants := []struct {
+		name   string
+		longs  bool
+		config endpoint.Config
+	}{
+		{"short requests alone", false, endpoint.Config{}},
+		{"whole, priority only, unbounded", true, endpoint.Config{Prefill: endpoint.PrefillWhole, Long: 16}},
+		{"whole, one long at a time", true, endpoint.Config{Prefill: endpoint.PrefillWhole}},
+		{"cancel and resume", true, endpoint.Config{Prefill: endpoint.PrefillResume}},
+		{"chunks of 200 ms", true, endpoint.Config{ChunkTime: 200 * time.Millisecond}},
+		{"chunks of 50 ms, unbounded", true, endpoint.Config{Long: 16}},
+		{"chunks of 50 ms", true, endpoint.Config{}},
+		{"chunks of 25 ms", true, endpoint.Config{ChunkTime: 25 * time.Millisecond}},
+		{"chunks of 10 ms", true, endpoint.Config{ChunkTime: 10 * time.Millisecond}},
+	}
+	p95 := make(map[string]float64)
+	t.Logf("%-34s %23s   %23s", "", "short p50 / p95 / p99", "long p50 / p95 / p99")
+	for _, v := range variants {
+		var all result
+		for seed := range *seeds {
+			r := runVariant(t, uint64(seed+1), v.longs, v.config)
+			all.short = append(all.short, r.short...)
+			all.long = append(all.long, r.long...)
+			all.failed += r.failed
+		}
+		p95[v.name] = quantile(all.short, 0.95)
+		t.Logf("%-34s %7.2f %7.2f %7.2f   %7.2f %7.2f %7.2f  (%d short, %d long, %d failed)", v.name,
+			quantile(all.short, 0.5), p95[v.name], quantile(all.short, 0.99),
+			quantile(all.long, 0.5), quantile(all.long, 0.95), quantile(all.long, 0.99),
+			len(all.short), len(all.long), all.failed)
+	}
+	g.Expect(p95["chunks of 50 ms"]).To(BeNumerically("<", p95["whole, one long at a time"]/1.5))
+}
--- a/engine/emulator/step.go
+++ b/engine/emulator/step.go
@@ -65,7 +65,9 @@
 }
 
 // plan starts waiting attempts that memory allows, then fills one step: a token
-// for each decoding attempt, the rest of the budget for prefill by priority.
+// for each decoding attempt, the rest of the budget for prefill by priority. The
+// step reads the weights once, so decoding beside prefill costs little more than
+// the slower of the two.
 func (e *Engine) plan() step {
 	var s step
 	budget := e.cfg.StepTokens
@@ -79,9 +81,7 @@
 			s.time += e.cfg.DecodeSlot + e.contextTime(a)
 		}
 	}
-	if len(s.decode) > 0 {
-		s.time += seconds(1 / e.cfg.DecodePerSec)
-	}
+	var prefill time.Duration
 	for _, a := range e.queue {
 		if !a.prefilling() || budget == 0 {
 			continue
@@ -89,8 +89,12 @@
 		part := prefillPart{a, min(budget, a.target-a.done)}
 		s.prefill = append(s.prefill, part)
 		budget -= part.tokens
-		s.time += e.prefillTime(a, part.tokens) + e.contextTime(a)
+		prefill += e.prefillTime(a, part.tokens) + e.contextTime(a)
+	}
+	if len(s.decode) > 0 {
+		prefill = max(prefill, seconds(1/e.cfg.DecodePerSec))
 	}
+	s.time += prefill
 	return s
 }
 
