admission: expected ends apart from the estimate used to admit

The estimate used to admit grows with the share of short work, so an attempt started at the limit counted as late already and was no longer protected from others starting. Change: the end of a running attempt is what it needs if nothing else starts; the estimate used to admit has a margin of a twentieth and 20 ms on top of the share.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -70,6 +70,9 @@
 	maxRetryAfter = 10 * time.Minute
 	maxShortShare = 0.9 // share of the engine's time that short work can take
 	maxStretch    = 8.0
+
+	minMargin  = 20 * time.Millisecond // of estimates, at least
+	marginPart = 20                    // and one part in marginPart of the estimate
 )
 
 // Queue is the admission of one endpoint. It is not safe for concurrent use.
@@ -108,7 +111,7 @@
 	}
 	q.share.decay(now)
 	remaining := r.Deadline.Sub(now)
-	if r.Estimate.Service() > remaining {
+	if r.Estimate.Service()+minMargin > remaining {
 		return outcome.Refuse(outcome.CodeDeadline, step, "%v of work do not fit into %v", r.Estimate.Service(), remaining)
 	}
 	r.order = r.Arrived.Add(ageing[r.Class])
@@ -131,13 +134,16 @@
 	return e
 }
 
-// service returns the time that r takes once it starts.
-func (q *Queue) service(r Request) time.Duration {
-	return q.remaining(r, r.Estimate.Prefill)
+// expected returns how long r will still run when prefill of it is left and
+// nothing else starts.
+func (q *Queue) expected(r Request, prefill time.Duration) time.Duration {
+	return prefill + time.Duration(float64(r.Estimate.Decode)*q.stretch)
 }
 
-// remaining returns the time that r takes when prefill of it is left.
-func (q *Queue) remaining(r Request, prefill time.Duration) time.Duration {
+// service returns the time that r takes once it starts, beside the short work of
+// late and with a margin.
+func (q *Queue) service(r Request) time.Duration {
+	prefill := r.Estimate.Prefill
 	if r.Long {
 		prefill = q.paced(prefill)
 	}
@@ -146,7 +152,8 @@
 		stretch = max(stretch, q.limits.LongStretch)
 	}
 	stretched := time.Duration(float64(r.Estimate.Decode) * stretch)
-	return prefill + max(stretched, q.paced(r.Estimate.Decode))
+	left := prefill + max(stretched, q.paced(r.Estimate.Decode))
+	return left + left/marginPart + minMargin
 }
 
 // place returns where r belongs in its list.
@@ -241,7 +248,7 @@
 			other.ends = other.ends.Add(r.Estimate.Prefill)
 		}
 	}
-	q.running[r.Key] = &run{Request: r, prefill: r.Estimate.Prefill, ends: now.Add(q.service(r))}
+	q.running[r.Key] = &run{Request: r, prefill: r.Estimate.Prefill, ends: now.Add(q.expected(r, r.Estimate.Prefill))}
 	if r.Long {
 		q.longs++
 	}
@@ -254,7 +261,7 @@
 		return
 	}
 	r.prefill = prefillLeft
-	r.ends = now.Add(q.remaining(r.Request, prefillLeft))
+	r.ends = now.Add(q.expected(r.Request, prefillLeft))
 }
 
 // Done removes a running attempt.
