--- a/operator/arguments.go
+++ b/operator/arguments.go
@@ -8,8 +8,10 @@
 // list is an option with several values, separated by commas.
 type list []string
 
-// UnmarshalText implements encoding.TextUnmarshaler.
+// UnmarshalText implements encoding.TextUnmarshaler. A later value replaces an
+// earlier one, so that an option replaces its environment variable.
 func (l *list) UnmarshalText(text []byte) error {
+	*l = nil
 	for _, item := range strings.Split(string(text), ",") {
 		if item = strings.TrimSpace(item); item != "" {
 			*l = append(*l, item)
@@ -42,7 +44,7 @@
 
 // fleetOptions says how the daemons are reached.
 type fleetOptions struct {
-	Daemons     []string      `arg:"--daemons,env:JACINTHPLANK_DAEMONS" help:"addresses of some daemons, IP:port with commas between; the rest is learned from them"`
+	Daemons     list          `arg:"--daemons,env:JACINTHPLANK_DAEMONS" help:"addresses of some daemons, IP:port with commas between; the rest is learned from them"`
 	Generated   string        `arg:"--generated" default:"generated" help:"folder of generated files, to take the addresses from when --daemons is not given"`
 	Certificate string        `arg:"--certificate,env:JACINTHPLANK_CERTIFICATE" help:"certificate of this operator"`
 	Key         string        `arg:"--key,env:JACINTHPLANK_KEY" help:"key of the certificate"`
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -129,6 +129,16 @@
 	g.Expect(text).To(ContainSubstring("Control quorum: LOST"))
 }
 
+func TestAnOptionReplacesItsEnvironmentVariable(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeFleet(t)
+	code, text := f.run("status --daemons 127.0.0.1:1")
+	g.Expect(code).To(Equal(operator.ExitUnreachable), text)
+	g.Expect(text).To(ContainSubstring("at [127.0.0.1:1]"))
+	code, _ = f.run("status --daemons")
+	g.Expect(code).To(Equal(operator.ExitBadInput))
+}
+
 func TestNoDaemonReached(t *testing.T) {
 	g := NewWithT(t)
 	f := newFakeFleet(t)
