load: open-loop load on the entries of a running fleet

jacinthplank load sends a seeded Poisson schedule, measures the time to the first token from the time a request was due, by class of prompt length, and counts whole answers, refusals that were not run and broken ones. A closed loop was ruled out: it spares a fleet that falls behind.

--- a/operator/arguments.go
+++ b/operator/arguments.go
@@ -31,6 +31,7 @@
 	Timeline *timelineCommand `arg:"subcommand:timeline" help:"show the events of all daemons in order"`
 	Drain    *drainCommand    `arg:"subcommand:drain" help:"make a daemon leave: no new work, what runs is finished"`
 	Keys     *keysCommand     `arg:"subcommand:keys" help:"make keys of client accounts and certificates of instances"`
+	Load     *loadCommand     `arg:"subcommand:load" help:"put open-loop load on the entries and report how it went"`
 	Member   *memberCommand   `arg:"subcommand:member" help:"change the members of the control quorum"`
 }
 
