--- a/directory/directory.go
+++ b/directory/directory.go
@@ -58,6 +58,7 @@
 	names    map[string]*Member
 	models   map[string][]*Member
 	services map[string][]*Member
+	byModel  map[string][]string
 }
 
 // New returns an empty directory whose members are dropped after lease without
@@ -196,6 +197,10 @@
 // it. The slice is shared: don't change it.
 func (d *Directory) Model(name string) []*Member { return d.current.Load().models[name] }
 
+// Models returns the names of the endpoints of each model. The map is shared:
+// don't change it.
+func (d *Directory) Models() map[string][]string { return d.current.Load().byModel }
+
 // Service returns the members in front of a plain service. The slice is
 // shared: don't change it.
 func (d *Directory) Service(name string) []*Member { return d.current.Load().services[name] }
@@ -206,6 +211,7 @@
 		names:    make(map[string]*Member, len(d.members)),
 		models:   map[string][]*Member{},
 		services: map[string][]*Member{},
+		byModel:  map[string][]string{},
 	}
 	for name, m := range d.members {
 		v.all = append(v.all, m)
@@ -218,6 +224,7 @@
 		}
 		for _, model := range m.Models {
 			v.models[model] = append(v.models[model], m)
+			v.byModel[model] = append(v.byModel[model], m.Name)
 		}
 	}
 	d.current.Store(v)
--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -77,8 +77,8 @@
 	seen     atomic.Int64 // unix nanoseconds of the last sign of life
 	leaving  atomic.Bool
 	report   atomic.Pointer[Report]
-	short    atomic.Int64 // prefill tokens of short requests on their way
-	long     atomic.Int64 // prefill tokens of long requests on their way
+	short    atomic.Int64 // prefill tokens of short requests sent since the report
+	long     atomic.Int64 // prefill tokens of long requests sent since the report
 }
 
 // Report is a backlog with the time at which it arrived.
@@ -107,6 +107,8 @@
 		m.live.leaving.Store(true)
 	}
 	m.live.report.Store(&Report{Backlog: b, At: now})
+	m.live.short.Store(0)
+	m.live.long.Store(0)
 }
 
 // Leaving reports whether the endpoint takes no new work. Once true, it stays
@@ -122,9 +124,9 @@
 // Seen returns the time of the last sign of life.
 func (m *Member) Seen() time.Time { return time.Unix(0, m.live.seen.Load()) }
 
-// AddPending counts prefill tokens on their way to the endpoint, which its
-// backlog can't hold yet. A negative number takes them off again.
-func (m *Member) AddPending(tokens int, long bool) {
+// AddSent counts prefill tokens that this daemon sent to the endpoint since its
+// newest backlog.
+func (m *Member) AddSent(tokens int, long bool) {
 	if long {
 		m.live.long.Add(int64(tokens))
 		return
@@ -132,7 +134,8 @@
 	m.live.short.Add(int64(tokens))
 }
 
-// Pending returns the prefill tokens on their way, of short and long requests.
-func (m *Member) Pending() (short, long int) {
+// Sent returns the prefill tokens of short and long requests that were sent
+// since the newest backlog.
+func (m *Member) Sent() (short, long int) {
 	return int(m.live.short.Load()), int(m.live.long.Load())
 }
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -37,16 +37,15 @@
 	avoid    []string
 	first    bool // a token reached the caller
 	unsure   bool // an attempt may have run
+	admitted bool // the limits let it pass
 	done     error
 }
 
-// attempt is one attempt at one endpoint.
-type attempt struct {
-	choice placement.Choice
-	answer submit.Answer
-	cancel context.CancelFunc
-	sent   time.Time
-}
+// final marks an error after which no other attempt is made.
+type final struct{ error }
+
+// Unwrap returns the error.
+func (f *final) Unwrap() error { return f.error }
 
 func newFlight(ctx context.Context, r *Router, req submit.Request) *flight {
 	f := &flight{
@@ -77,6 +76,10 @@
 // again waits before the next attempt. It returns the final error when there
 // is to be none.
 func (f *flight) again(cause error) error {
+	var last *final
+	if errors.As(cause, &last) {
+		return last.error
+	}
 	err := outcome.From(cause)
 	f.failed++
 	f.unsure = f.unsure || err.State != outcome.NotRun
@@ -103,31 +106,48 @@
 	f.request.Remaining = time.Until(f.deadline)
 	f.request.Generated = f.frames.Text()
 	f.request.Offset = f.frames.Offset()
+	if f.router.needsGroup(&f.request) {
+		return f.tryGroup()
+	}
 	choice, err := f.router.place(&f.request, f.avoid)
 	if err != nil {
 		return err
 	}
-	f.avoid = append(f.avoid, choice.Member.Name)
-	f.frames.Begin(f.request.Attempt)
-	f.event(timeline.KindPlaced, choice.Member.Name, "")
+	if err = f.admit(choice); err != nil {
+		return err
+	}
 	return f.submit(choice)
 }
 
+// admit asks, once per request, whether it may be sent at all.
+func (f *flight) admit(choice placement.Choice) error {
+	if f.admitted {
+		return nil
+	}
+	if err := f.router.admit(&f.request, choice); err != nil {
+		return &final{err}
+	}
+	f.admitted = true
+	return nil
+}
+
 // submit passes the attempt to the chosen endpoint.
 func (f *flight) submit(choice placement.Choice) error {
 	member := choice.Member
-	fresh := f.request.Prompt.Tokens - choice.Cached
-	long := f.request.Class() >= submit.ClassLong
-	ctx, cancel := context.WithCancel(f.ctx)
-	a := &attempt{choice: choice, cancel: cancel, sent: time.Now()}
-
-	member.AddPending(fresh, long)
-	request := f.request
-	request.Model, _ = f.router.engineModel(request.Model)
-	stream, err := f.router.port(member).Submit(ctx, request)
-	member.AddPending(-fresh, long)
+	f.avoid = append(f.avoid, member.Name)
+	if !f.router.breakers.Acquire(time.Now(), member.Name) {
+		return outcome.Refuse(outcome.CodeNoEndpoint, stepSubmit, "the endpoint is being probed")
+	}
+	f.frames.Begin(f.request.Attempt)
+	f.event(timeline.KindPlaced, member.Name, "")
+	a := newAttempt(f.ctx, choice)
+	member.AddSent(f.request.Prompt.Tokens-choice.Cached, f.request.Class() >= submit.ClassLong)
+	f.router.attempts.add(a)
+	stream, err := f.router.port(member).Submit(a.ctx, f.outgoing())
 	if err != nil {
-		cancel()
+		err = f.judge(a, err)
+		f.router.attempts.remove(a)
+		a.cancel(nil)
 		return err
 	}
 	a.answer = stream
@@ -135,6 +155,49 @@
 	return nil
 }
 
+// outgoing returns the request as endpoints get it: with the engines' own name
+// of the model.
+func (f *flight) outgoing() submit.Request {
+	req := f.request
+	req.Model, _ = f.router.engineModel(req.Model)
+	return req
+}
+
+// enter makes a the current attempt.
+func (f *flight) enter(a *attempt) {
+	f.current = a
+	f.router.attempts.add(a)
+}
+
+// judge tells the breaker of a failed attempt and returns its error.
+func (f *flight) judge(a *attempt, cause error) error {
+	if a.stalled() {
+		cause = f.silent(a)
+	}
+	err := outcome.From(cause)
+	if f.ctx.Err() != nil {
+		return cause
+	}
+	now := time.Now()
+	if backlog := submit.BacklogOf(cause); backlog != nil {
+		f.router.directory.Observe(now, *backlog)
+	}
+	if err.State == outcome.NotRun {
+		f.router.breakers.Refused(now, a.member.Name)
+		return cause
+	}
+	f.router.breakers.Failed(now, a.member.Name)
+	return cause
+}
+
+// silent is the failure of an attempt whose endpoint gave no sign of life.
+func (f *flight) silent(a *attempt) error {
+	return &outcome.Error{
+		Code: outcome.CodeEngineStalled, State: outcome.Unknown, Step: stepSubmit,
+		Peer: a.member.Name, Message: errStalled.Error(),
+	}
+}
+
 // Next implements submit.Answer.
 func (f *flight) Next(ctx context.Context) (submit.Frame, error) {
 	f.mu.Lock()
@@ -145,7 +208,7 @@
 	stop := context.AfterFunc(ctx, f.cancel)
 	defer stop()
 	for {
-		frame, err := f.current.answer.Next(f.ctx)
+		frame, err := f.current.answer.Next(f.current.ctx)
 		if err == nil {
 			var taken bool
 			if taken, err = f.take(frame); taken {
@@ -161,6 +224,7 @@
 		if err == nil {
 			continue
 		}
+		err = f.judge(f.current, err)
 		f.release()
 		if err = f.start(err); err != nil {
 			return submit.Frame{}, f.fail(err)
@@ -171,30 +235,58 @@
 // take checks one frame and learns from it. It returns false when the frame is
 // to be dropped.
 func (f *flight) take(frame submit.Frame) (bool, error) {
+	now := time.Now()
+	f.current.touch(now)
 	if frame.Backlog != nil {
-		f.router.directory.Observe(time.Now(), *frame.Backlog)
+		f.router.directory.Observe(now, *frame.Backlog)
 	}
 	taken, err := f.frames.Take(frame)
 	if err != nil || !taken {
 		return false, err
 	}
-	if !f.first && frame.Tokens > 0 {
-		f.first = true
-		f.event(timeline.KindFirstToken, f.current.choice.Member.Name, "")
+	if !f.current.started && frame.Tokens > 0 {
+		f.firstToken(now)
 	}
 	if f.frames.Complete() {
-		f.router.policy.Learn(time.Now(), f.current.choice.Member, f.request.Prompt.Blocks, frame.Usage.CachedTokens)
+		f.router.breakers.Succeeded(now, f.current.member.Name)
+		f.learn(now, frame)
 	}
 	return true, nil
 }
 
+// firstToken compares the time to the first token of an attempt with what was
+// expected of its endpoint.
+func (f *flight) firstToken(now time.Time) {
+	a := f.current
+	a.started = true
+	if a.group == nil {
+		f.router.breakers.Measured(now, a.member.Name, now.Sub(a.sent), a.choice.Cost+latencyFloor)
+	}
+	if !f.first {
+		f.first = true
+		f.event(timeline.KindFirstToken, a.member.Name, "")
+	}
+}
+
+// latencyFloor is added to the expected time to the first token before an
+// endpoint's latency is compared with its peers', so that short waits within
+// the engines' steps don't count.
+const latencyFloor = 100 * time.Millisecond
+
+// learn takes from a whole answer what was in the endpoint's prefix cache.
+func (f *flight) learn(now time.Time, last submit.Frame) {
+	if f.current.group == nil {
+		f.router.policy.Learn(now, f.current.member, f.request.Prompt.Blocks, last.Usage.CachedTokens)
+	}
+}
+
 // cut is the failure of a stream that ended without a finish.
 func (f *flight) cut() error {
 	return &outcome.Error{
 		Code:    outcome.CodeTruncated,
 		State:   outcome.Ran,
 		Step:    stepAnswer,
-		Peer:    f.current.choice.Member.Name,
+		Peer:    f.current.member.Name,
 		Message: "the answer ended without a finish",
 	}
 }
@@ -220,7 +312,7 @@
 // finish ends a complete answer.
 func (f *flight) finish() {
 	f.done = io.EOF
-	f.event(timeline.KindFinished, f.current.choice.Member.Name, "")
+	f.event(timeline.KindFinished, f.current.member.Name, "")
 	f.release()
 	f.cancel()
 }
@@ -256,7 +348,8 @@
 	if f.current == nil {
 		return
 	}
-	f.current.cancel()
+	f.router.attempts.remove(f.current)
+	f.current.cancel(nil)
 	f.current.answer.Close()
 	f.current = nil
 }
--- a/entry/router.go
+++ b/entry/router.go
@@ -11,8 +11,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jacinthplank/jacinthplank/breaker"
 	"github.com/jacinthplank/jacinthplank/directory"
 	"github.com/jacinthplank/jacinthplank/fleet"
+	"github.com/jacinthplank/jacinthplank/limits"
 	"github.com/jacinthplank/jacinthplank/outcome"
 	"github.com/jacinthplank/jacinthplank/placement"
 	"github.com/jacinthplank/jacinthplank/retry"
@@ -30,6 +32,7 @@
 	Recorder      timeline.Recorder
 	FailureDomain string
 	Policy        placement.Policy // nil for the placer of package placement
+	Limiter       *limits.Limiter  // nil for one without a leaser
 	Seed          uint64           // of jitter and random draws; 0 for a random one
 }
 
@@ -41,8 +44,11 @@
 	recorder      timeline.Recorder
 	domain        string
 	policy        placement.Policy
+	limiter       *limits.Limiter
+	breakers      *breaker.Set
 	retries       *retry.Budgets
 	distances     distances
+	attempts      attempts
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -69,22 +75,36 @@
 	if o.Policy == nil {
 		o.Policy = placement.NewPlacer()
 	}
+	if o.Limiter == nil {
+		o.Limiter = limits.New(nil)
+	}
 	if o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
-	return &Router{
+	r := &Router{
 		directory:     o.Directory,
 		dial:          o.Dial,
 		configuration: o.Configuration,
 		recorder:      o.Recorder,
 		domain:        o.FailureDomain,
 		policy:        o.Policy,
+		limiter:       o.Limiter,
+		breakers:      breaker.NewSet(),
 		retries:       retry.NewBudgets(),
 		random:        rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		endpoints:     map[string]dialed{},
 	}
+	r.breakers.OnChange = func(endpoint string, s breaker.State, reason string) {
+		r.recorder.Record(timeline.Event{
+			Kind: timeline.KindBreaker, Endpoint: endpoint, Step: "entry", Outcome: s.String(), Detail: reason,
+		})
+	}
+	return r
 }
 
+// Breaker returns the state of the breaker of an endpoint.
+func (r *Router) Breaker(endpoint string) breaker.State { return r.breakers.State(endpoint) }
+
 // Submit implements submit.Submitter. It returns once an endpoint admitted the
 // request. Remaining must be set: the answer ends by then, in one way or
 // another.
@@ -118,45 +138,64 @@
 
 // place chooses an endpoint for one attempt.
 func (r *Router) place(req *submit.Request, avoid []string) (placement.Choice, error) {
-	model, known := r.engineModel(req.Model)
-	if !known {
-		return placement.Choice{}, outcome.Refuse(outcome.CodeModelNotFound, stepPlace, "no model %q", req.Model)
+	members, err := r.members(req)
+	if err != nil {
+		return placement.Choice{}, err
 	}
-	members := r.directory.Model(model)
+	now := time.Now()
 	query := placement.Query{
-		Now:      time.Now(),
+		Now:      now,
 		Adapter:  req.Adapter,
 		Class:    req.Class(),
 		Tokens:   req.Prompt.Tokens,
+		Output:   req.MaxTokens,
 		Blocks:   req.Prompt.Blocks,
 		Key:      xxhash.Sum64String(req.Account),
 		Random:   r.draw(),
 		Domain:   r.domain,
 		Distance: r.distances.from(r.domain, r.configuration()),
 		Avoid:    avoid,
+		Blocked:  func(m *directory.Member) bool { return r.breakers.Blocked(now, m.Name) },
 	}
 	choice, ok := r.policy.Choose(&query, members)
 	if !ok {
-		return choice, r.noEndpoint(req, members)
+		return choice, noEndpoint(req, members)
 	}
 	return choice, nil
 }
 
-// noEndpoint tells why no endpoint can be chosen.
-func (r *Router) noEndpoint(req *submit.Request, members []*directory.Member) error {
-	longest := 0
-	for _, m := range members {
-		longest = max(longest, m.MaxPrompt)
+// members returns the endpoints of the request's model.
+func (r *Router) members(req *submit.Request) ([]*directory.Member, error) {
+	model, known := r.engineModel(req.Model)
+	if !known {
+		return nil, outcome.Refuse(outcome.CodeModelNotFound, stepPlace, "no model %q", req.Model)
 	}
-	if longest > 0 && req.Prompt.Tokens > longest {
+	return r.directory.Model(model), nil
+}
+
+// noEndpoint tells why no endpoint can be chosen.
+func noEndpoint(req *submit.Request, members []*directory.Member) error {
+	if longest := longestPrompt(members); longest > 0 && memoryTokens(req) > longest {
 		return outcome.Refuse(outcome.CodePromptTooLong, stepPlace,
-			"the prompt has %d tokens; the limit is %d", req.Prompt.Tokens, longest)
+			"prompt and answer have up to %d tokens; one endpoint holds %d", memoryTokens(req), longest)
 	}
 	err := outcome.Refuse(outcome.CodeNoEndpoint, stepPlace, "no endpoint takes work for model %q", req.Model)
 	err.RetryAfter = directory.DefaultLease
 	return err
 }
 
+// longestPrompt returns the most tokens that one of the members can hold.
+func longestPrompt(members []*directory.Member) int {
+	longest := 0
+	for _, m := range members {
+		longest = max(longest, m.MaxPrompt)
+	}
+	return longest
+}
+
+// memoryTokens returns the tokens for which the request needs memory.
+func memoryTokens(req *submit.Request) int { return req.Prompt.Tokens + req.MaxTokens }
+
 // port returns the port to a member.
 func (r *Router) port(m *directory.Member) submit.Endpoint {
 	r.mu.Lock()
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -31,17 +31,17 @@
 
 // ExpectedWait returns the time that a request that arrives at m now waits
 // before its prefill starts: the endpoint's own estimate, less what it worked
-// off since, plus what this daemon has on the way.
+// off since, plus what this daemon sent since.
 func ExpectedWait(now time.Time, m *directory.Member, long bool) time.Duration {
 	report := m.Report()
 	wait := report.Wait
-	short, huge := m.Pending()
-	pending := short
+	short, huge := m.Sent()
+	sent := short
 	if long {
 		wait = report.LongWait
-		pending += huge
+		sent += huge
 	}
 	age := max(now.Sub(report.At), 0)
 	left := max(wait-age, 0)
-	return left + PrefillTime(m, 0, pending)
+	return left + PrefillTime(m, 0, sent)
 }
--- a/placement/query.go
+++ b/placement/query.go
@@ -21,6 +21,7 @@
 	Adapter  string // adapter that the endpoint must have; empty for none
 	Class    submit.Class
 	Tokens   int            // prompt tokens
+	Output   int            // most tokens of the answer; they need memory too
 	Blocks   []engine.Block // prefix blocks of the prompt
 	Key      uint64         // stands for the prefix of a prompt without a full block
 	Random   uint64         // fresh random bits
@@ -35,7 +36,7 @@
 
 // usable reports whether m may get the request.
 func (q *Query) usable(m *directory.Member) bool {
-	if m.Leaving() || (m.MaxPrompt > 0 && q.Tokens > m.MaxPrompt) {
+	if m.Leaving() || (m.MaxPrompt > 0 && q.Tokens+q.Output > m.MaxPrompt) {
 		return false
 	}
 	if q.Adapter != "" && !contains(m.Adapters, q.Adapter) {
