entry, limits, daemon: leased limits and the router's duty in the daemon

Backlogs ride on refusals too; an announcement without one does not replace them.

An entry that can't reach control gives a quarter of an account's rate once its leases are used up, where it refused everything before.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -7,9 +7,11 @@
 	"github.com/gravitational/trace"
 
 	"github.com/jacinthplank/jacinthplank/api"
+	"github.com/jacinthplank/jacinthplank/control"
 	"github.com/jacinthplank/jacinthplank/directory"
 	"github.com/jacinthplank/jacinthplank/entry"
 	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
+	"github.com/jacinthplank/jacinthplank/limits"
 	"github.com/jacinthplank/jacinthplank/submit"
 	"github.com/jacinthplank/jacinthplank/supervise"
 )
@@ -17,6 +19,8 @@
 // entryDuty takes the requests of callers.
 type entryDuty struct {
 	api      *api.Server
+	router   *entry.Router
+	limiter  *limits.Limiter
 	server   *http.Server
 	listener net.Listener
 }
@@ -26,12 +30,14 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	limiter := limits.New(control.Budgets{Client: d.quorum, Configuration: d.store.Current})
 	router := entry.NewRouter(entry.Options{
 		Directory:     d.directory,
 		Dial:          d.dialEndpoint,
 		Configuration: d.store.Current,
 		Recorder:      d.recorder,
 		FailureDomain: d.settings.Instance.FailureDomain,
+		Limiter:       limiter,
 	})
 	server := api.New(api.Options{
 		Submitter:     router,
@@ -41,7 +47,7 @@
 		Log:           d.log,
 		NewID:         d.options.NewID,
 	})
-	d.entry = &entryDuty{api: server, listener: l}
+	d.entry = &entryDuty{api: server, router: router, limiter: limiter, listener: l}
 	d.entry.server = newCallerServer(d.callerRoutes(server.Handler()))
 	facts.CallerAddress = l.Addr().String()
 	return nil
@@ -73,5 +79,5 @@
 }
 
 func (e *entryDuty) duties() []supervise.Duty {
-	return []supervise.Duty{&listenerDuty{"callers", e.server, e.listener}}
+	return []supervise.Duty{e.limiter, e.router, &listenerDuty{"callers", e.server, e.listener}}
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -94,12 +94,12 @@
 	case old.same(&e):
 		old.live.sequence.Store(e.Sequence)
 		old.touch(now)
-		old.observe(now, e.Backlog)
+		old.announced(now, e.Backlog)
 	default:
 		next := old.changed(e)
 		next.live.sequence.Store(e.Sequence)
 		next.touch(now)
-		next.observe(now, e.Backlog)
+		next.announced(now, e.Backlog)
 		d.members[e.Name] = next
 		d.rebuild()
 	}
--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -111,6 +111,18 @@
 	m.live.long.Store(0)
 }
 
+// announced takes the backlog of an announcement. One that tells nothing but
+// the name does not replace what answers told.
+func (m *Member) announced(now time.Time, b submit.Backlog) {
+	if b != (submit.Backlog{Endpoint: b.Endpoint, Leaving: b.Leaving}) {
+		m.observe(now, b)
+		return
+	}
+	if b.Leaving {
+		m.live.leaving.Store(true)
+	}
+}
+
 // Leaving reports whether the endpoint takes no new work. Once true, it stays
 // true for this incarnation.
 func (m *Member) Leaving() bool { return m.live.leaving.Load() }
--- a/limits/limiter.go
+++ b/limits/limiter.go
@@ -1,7 +1,8 @@
 // Package limits keeps accounts to their limits at the entry, in tokens of work
 // and not in requests. Short and long work have separate budgets, so that an
 // account's archives never hold up its queries. Budgets are leased from the
-// control duty: an entry that is cut off spends what it has until it expires.
+// control duty: an entry that is cut off spends what it has until it expires,
+// and then a small part of the account's rate.
 //
 // When the fleet is overloaded, the accounts above their fair share are refused
 // first, and everyone when the wait is too long.
@@ -58,6 +59,10 @@
 	deniedTime = time.Second     // pause after a lease was denied or could not be asked for
 	askTimeout = time.Second
 	askRing    = 256 // leases waiting to be asked for
+
+	// cutOffShare is the part of an account's rate that an entry gives on its
+	// own while it can't reach control and has no lease left.
+	cutOffShare = 0.25
 )
 
 var (
@@ -74,6 +79,7 @@
 type ask struct {
 	key    bucketKey
 	tokens int
+	rate   float64 // the account's limit, in tokens per second
 }
 
 // Limiter is safe for concurrent use.
@@ -142,7 +148,7 @@
 	if l.leaser == nil || left > askBelow*whole || b.asking || now.Before(b.denied) {
 		return
 	}
-	b.asking = l.asks.Put(ask{key: key, tokens: int(whole + b.debt)})
+	b.asking = l.asks.Put(ask{key: key, tokens: int(whole + b.debt), rate: rate})
 }
 
 // Serve asks for leases until ctx ends.
@@ -172,7 +178,11 @@
 	switch {
 	case err != nil:
 		leasesFailed.Inc()
-		b.denied = time.Now().Add(deniedTime)
+		now := time.Now()
+		b.denied = now.Add(deniedTime)
+		if b.left(now) <= 0 {
+			b.grant(a.rate*cutOffShare*deniedTime.Seconds(), b.denied)
+		}
 	case granted <= 0:
 		leasesDenied.Inc()
 		b.denied = time.Now().Add(deniedTime)
