--- /dev/null
+++ b/experiment/deployment.go
@@ -0,0 +1,137 @@
+// Package experiment measures the policy under load. It offers an open-loop
+// workload to routers before emulated engines, or to a live address, and
+// reports time to first token, slowdown, goodput and what went wrong, for the
+// policy in force side by side with baselines.
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jacinthplank/jacinthplank/engine/emulator"
+	"github.com/jacinthplank/jacinthplank/fleet"
+	"github.com/jacinthplank/jacinthplank/work"
+)
+
+// Deployment is the fleet and the callers of one user.
+type Deployment struct {
+	Name     string
+	Replicas int
+	Domains  int
+	Distance time.Duration // round trip between failure domains
+	Mix      []Range
+	Accounts []Account
+}
+
+// Range is a share of requests whose prompts have lengths between two bounds,
+// spread evenly over the logarithm.
+type Range struct {
+	Share    float64
+	From, To int // tokens
+	Answer   int // most tokens of the answer
+	Deadline time.Duration
+}
+
+// Account is a client account with its part of the requests.
+type Account struct {
+	Name string
+	Part float64
+}
+
+// Cantabrica is Estadística Obra Nueva Cantábrica: many short queries beside
+// digests and dossiers, failure domains very close to one another.
+var Cantabrica = Deployment{
+	Name: "cantabrica", Replicas: 15, Domains: 3, Distance: 300 * time.Microsecond,
+	Mix: []Range{
+		{Share: 0.45, From: 1_000, To: 2_000, Answer: 40, Deadline: 20 * time.Second},
+		{Share: 0.30, From: 2_000, To: 8_000, Answer: 60, Deadline: 30 * time.Second},
+		{Share: 0.15, From: 8_000, To: 32_000, Answer: 80, Deadline: time.Minute},
+		{Share: 0.08, From: 32_000, To: 100_000, Answer: 100, Deadline: 5 * time.Minute},
+		{Share: 0.02, From: 100_001, To: 1_000_000, Answer: 150, Deadline: 20 * time.Minute},
+	},
+	Accounts: accounts(0.35, 0.2, 0.15),
+}
+
+// KilimoBarua is Kilimo Barua Systems: complaints, case files and archives,
+// failure domains further apart.
+var KilimoBarua = Deployment{
+	Name: "kilimo-barua", Replicas: 20, Domains: 3, Distance: 2 * time.Millisecond,
+	Mix: []Range{
+		{Share: 0.30, From: 1_000, To: 2_000, Answer: 60, Deadline: 20 * time.Second},
+		{Share: 0.28, From: 2_000, To: 8_000, Answer: 80, Deadline: 30 * time.Second},
+		{Share: 0.25, From: 8_000, To: 32_000, Answer: 80, Deadline: time.Minute},
+		{Share: 0.15, From: 32_000, To: 100_000, Answer: 100, Deadline: 5 * time.Minute},
+		{Share: 0.02, From: 100_001, To: 1_000_000, Answer: 150, Deadline: 20 * time.Minute},
+	},
+	Accounts: accounts(0.5, 0.15, 0.1),
+}
+
+// Deployments lists the deployments by name.
+var Deployments = map[string]Deployment{Cantabrica.Name: Cantabrica, KilimoBarua.Name: KilimoBarua}
+
+// accounts returns ten accounts: large ones with the given parts, and small
+// ones that share the rest.
+func accounts(large ...float64) []Account {
+	const count = 10
+	rest := 1.0
+	var list []Account
+	for i, part := range large {
+		list = append(list, Account{Name: fmt.Sprint("large-", i+1), Part: part})
+		rest -= part
+	}
+	for i := len(large); i < count; i++ {
+		list = append(list, Account{Name: fmt.Sprint("small-", i+1), Part: rest / float64(count-len(large))})
+	}
+	return list
+}
+
+// Properties of the emulated engines.
+const (
+	memoryBlocks   = 3200    // memory blocks
+	memoryTokens   = 128     // tokens per memory block
+	prefillPerSec  = 20_000  // tokens per second at position 0
+	decodePerSec   = 60      // tokens per second of one sequence
+	attentionScale = 250_000 // position at which a prefill token costs twice
+
+	// decodeBatch is the number of sequences that share a step when the work of
+	// an answer is worked out.
+	decodeBatch = 16
+)
+
+var rates = work.Rates{
+	PrefillPerSec: prefillPerSec, DecodePerSec: decodePerSec,
+	AttentionScale: attentionScale, MemoryTokens: memoryTokens,
+}
+
+func (d Deployment) engineConfig(i int, seed uint64, fabric *emulator.Fabric) emulator.Config {
+	return emulator.Config{
+		Name: d.replica(i), Seed: seed + uint64(i), Models: []string{model},
+		MemoryBlocks: memoryBlocks, MemoryTokens: memoryTokens,
+		PrefillPerSec: prefillPerSec, DecodePerSec: decodePerSec, AttentionScale: attentionScale,
+		EventLag: time.Second, EventLoss: 0.05, LoadLag: time.Second, Fabric: fabric,
+	}
+}
+
+const model = "draft"
+
+func (d Deployment) replica(i int) string { return fmt.Sprintf("draft-%02d", i+1) }
+
+func (d Deployment) domain(i int) string { return fmt.Sprintf("domain-%d", i%d.Domains+1) }
+
+// configuration returns the fleet's configuration of the deployment.
+func (d Deployment) configuration() *fleet.Configuration {
+	c := &fleet.Configuration{Name: d.Name, Models: []fleet.Model{{Name: model}}}
+	for i := range d.Domains {
+		distance := map[string]int{}
+		for j := range d.Domains {
+			if j != i {
+				distance[d.domain(j)] = int(d.Distance.Microseconds())
+			}
+		}
+		c.FailureDomains = append(c.FailureDomains, fleet.FailureDomain{Name: d.domain(i), Distance: distance})
+	}
+	for _, a := range d.Accounts {
+		c.Accounts = append(c.Accounts, fleet.Account{Name: a.Name, Share: 1})
+	}
+	return c
+}
