--- a/daemon/config.go
+++ b/daemon/config.go
@@ -49,7 +49,11 @@
 	if c == nil {
 		return nil
 	}
-	return trace.Wrap(d.store.Seed(c))
+	// No quorum accepted what a daemon starts with, so that every accepted
+	// configuration is higher.
+	seed := *c
+	seed.Version = fleet.Version{}
+	return trace.Wrap(d.store.Seed(&seed))
 }
 
 func (d *Daemon) cacheFile() string {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -36,7 +36,6 @@
 func Configuration() *fleet.Configuration {
 	digest := sha256.Sum256([]byte(Key))
 	return &fleet.Configuration{
-		Version:        fleet.Version{Epoch: 1, Revision: 1},
 		Name:           "demo",
 		FailureDomains: []fleet.FailureDomain{{Name: "here", Region: "local"}},
 		Models:         []fleet.Model{{Name: Model, Endpoints: 1, MaxPrompt: fleet.MaxPromptTokens}},
--- a/processes/fleet_test.go
+++ b/processes/fleet_test.go
@@ -22,8 +22,8 @@
 	model      = "drafts"
 )
 
-// fleet is a small fleet of processes.
-type fleet struct {
+// fleetOfProcesses is a small fleet of processes.
+type fleetOfProcesses struct {
 	t       *testing.T
 	g       *WithT
 	folder  string
@@ -37,7 +37,6 @@
 }
 
 const configurationText = `name = "harbour"
-version = { epoch = 1, revision = 1 }
 
 [[failure_domains]]
 name = "north"
@@ -58,8 +57,8 @@
 once = [{ method = "POST", path = "/certificates" }]
 `
 
-func newFleet(t *testing.T) *fleet {
-	f := &fleet{
+func newFleet(t *testing.T) *fleetOfProcesses {
+	f := &fleetOfProcesses{
 		t:       t,
 		g:       NewWithT(t),
 		folder:  t.TempDir(),
@@ -73,15 +72,18 @@
 	return f
 }
 
-func (f *fleet) write(name, text string) string {
+func (f *fleetOfProcesses) write(name, text string) string {
 	path := filepath.Join(f.folder, name)
 	f.g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
 	return path
 }
 
 // daemon starts one daemon; the lines are added to its settings.
-func (f *fleet) daemon(name, duties, lines string) *process {
-	address := freeAddress(f.t)
+func (f *fleetOfProcesses) daemon(name, duties, lines string) *process {
+	address := f.address[name]
+	if address == "" {
+		address = freeAddress(f.t)
+	}
 	quoted := make([]string, len(f.seeds))
 	for i, seed := range f.seeds {
 		quoted[i] = fmt.Sprintf("%q", seed)
@@ -101,7 +103,7 @@
 }
 
 // entry starts an entry.
-func (f *fleet) entry(name string) *process {
+func (f *fleetOfProcesses) entry(name string) *process {
 	callers := freeAddress(f.t)
 	p := f.daemon(name, `"entry"`, fmt.Sprintf("[entry]\nlisten = %q\nbalancer_delay = \"100ms\"\n", callers))
 	f.seeds = append(f.seeds, f.address[name])
@@ -109,8 +111,42 @@
 	return p
 }
 
+// quorum starts n entries that hold the quorum log.
+func (f *fleetOfProcesses) quorum(n int) {
+	var members []string
+	for i := range n {
+		name := fmt.Sprintf("entry-%d", i+1)
+		f.address[name] = freeAddress(f.t)
+		f.seeds = append(f.seeds, f.address[name])
+		members = append(members, fmt.Sprintf("{ name = %q, address = %q }", name, f.address[name]))
+	}
+	for i := range n {
+		f.controlEntry(fmt.Sprintf("entry-%d", i+1), members)
+	}
+}
+
+func (f *fleetOfProcesses) controlEntry(name string, members []string) {
+	callers := freeAddress(f.t)
+	f.callers = append(f.callers, callers)
+	f.daemon(name, `"entry", "control"`, fmt.Sprintf(`[entry]
+listen = %q
+balancer_delay = "100ms"
+
+[control]
+data_folder = %q
+members = [%s]
+`, callers, f.dataFolder(name), strings.Join(members, ", ")))
+}
+
+func (f *fleetOfProcesses) dataFolder(name string) string { return filepath.Join(f.folder, name) }
+
+// registry starts the process beside the plain service at a URL.
+func (f *fleetOfProcesses) registry(name, url string) *process {
+	return f.daemon(name, `"endpoint"`, fmt.Sprintf("[endpoint]\nkind = \"registry\"\nservice = \"registry\"\nurl = %q\n", url))
+}
+
 // endpoint starts an emulated engine and the process beside it.
-func (f *fleet) endpoint(name string, engineFlags ...string) *process {
+func (f *fleetOfProcesses) endpoint(name string, engineFlags ...string) *process {
 	f.engine[name] = freeAddress(f.t)
 	flags := append([]string{"--listen", f.engine[name], "--name", name, "--models", model}, engineFlags...)
 	f.engines[name] = launch(f.t, "engine-emulator", flags...)
@@ -118,13 +154,13 @@
 	return f.daemon(name, `"endpoint"`, fmt.Sprintf("[endpoint]\nkind = \"emulated\"\nengine = \"http://%s\"\nstall = \"2s\"\n", f.engine[name]))
 }
 
-func (f *fleet) awaitOK(url string) {
+func (f *fleetOfProcesses) awaitOK(url string) {
 	f.t.Helper()
 	f.g.Eventually(func() int { return statusOf(url) }, 15*time.Second, 20*time.Millisecond).Should(Equal(http.StatusOK), url)
 }
 
 // awaitServing waits until an entry answers a request.
-func (f *fleet) awaitServing(entry int) {
+func (f *fleetOfProcesses) awaitServing(entry int) {
 	f.t.Helper()
 	f.awaitOK("http://" + f.callers[entry] + "/readyz")
 	f.g.Eventually(func() int {
@@ -134,12 +170,12 @@
 }
 
 // complete asks for a plain answer and returns its status and body.
-func (f *fleet) complete(entry int, prompt string, maxTokens int, timeout string) (int, string) {
+func (f *fleetOfProcesses) complete(entry int, prompt string, maxTokens int, timeout string) (int, string) {
 	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"prompt":%q}`, model, maxTokens, prompt)
 	return f.post(entry, "/v1/completions", body, map[string]string{"X-Request-Timeout": timeout})
 }
 
-func (f *fleet) post(entry int, path, body string, headers map[string]string) (int, string) {
+func (f *fleetOfProcesses) post(entry int, path, body string, headers map[string]string) (int, string) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+f.callers[entry]+path, bytes.NewReader([]byte(body)))
 	f.g.Expect(err).NotTo(HaveOccurred())
 	request.Header.Set("Authorization", "Bearer "+accountKey)
--- a/processes/serving_test.go
+++ b/processes/serving_test.go
@@ -59,7 +59,7 @@
 }
 
 // held is what the engine of an endpoint lists as held by attempts.
-func (f *fleet) held(endpoint string) string {
+func (f *fleetOfProcesses) held(endpoint string) string {
 	_, text := get("http://" + f.engine[endpoint] + "/engine/holdings")
 	return strings.TrimSpace(text)
 }
