coord/quorum: state-machine test of Cores under faults; a repair removes the old disk first

The test found a quorum that stayed without a leader: a new disk was promoted while the dead one still voted, and the loss of the new one left two of four voters. The dead disk is now removed before the promotion, and a learner carries which disk it replaces, so that any later leader can go on.

With the mechanism off the test fails for: one vote for each term, commit of own term only, acknowledgement after sync, the synced index cut on truncation, and terms entered by becomeFollower. Not found by it in 2500 sequences, and so left to directed tests: log check in Vote (pre-vote hides it), read rounds, the first entry of a term before reads and changes, the leader's own sync.

--- /dev/null
+++ b/coord/quorum/cluster_test.go
@@ -0,0 +1,393 @@
+package quorum
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/jacinthplank/jacinthplank/coord/wal"
+)
+
+// faults is what the tests of the Core raise a violation with.
+type faults interface {
+	Fatalf(format string, args ...any)
+}
+
+// simulation is a cluster of Cores on simulated disks and a simulated network.
+// Nothing happens but by its methods. After each of them check looks for
+// violations of what the algorithm promises.
+type simulation struct {
+	faults  faults
+	random  *rand.Rand
+	members []*simulated // live ones, one for each name
+	flight  []flight
+	cut     map[[2]int]bool
+	disks   int
+
+	committed   map[uint64]Entry               // by index: what any member held for committed
+	termLeaders map[uint64]DiskIdentity        // election safety
+	seen        map[[2]uint64]string           // by index and term: entry and its predecessor's term
+	reads       map[[2]uint64]uint64           // by member and id: lowest index that the answer may have
+	answered    int                            // reads
+	observed    map[DiskIdentity]Configuration // last configuration of each disk
+}
+
+type flight struct {
+	from, to int
+	data     []byte
+}
+
+// simulated is one instance with its disk, which may be exchanged.
+type simulated struct {
+	name     string
+	place    int
+	core     *Core
+	storage  *storage
+	folder   *wal.MemoryFolder
+	unsynced []Ready
+	founding *founding
+	applied  uint64
+	lastTerm uint64
+	reads    uint64
+}
+
+func newSimulation(f faults, seed uint64, size int) *simulation {
+	s := &simulation{
+		faults: f, random: rand.New(rand.NewPCG(seed, 1)),
+		cut: map[[2]int]bool{}, committed: map[uint64]Entry{}, termLeaders: map[uint64]DiskIdentity{},
+		seen: map[[2]uint64]string{}, reads: map[[2]uint64]uint64{}, observed: map[DiskIdentity]Configuration{},
+	}
+	var first []Member
+	for i := range size {
+		first = append(first, Member{Name: fmt.Sprintf("m%d", i), Address: fmt.Sprint(i)})
+	}
+	for i, m := range first {
+		s.members = append(s.members, &simulated{name: m.Name, place: i})
+		s.emptyDisk(i, first)
+	}
+	return s
+}
+
+// emptyDisk gives a member a blank disk.
+func (s *simulation) emptyDisk(i int, first []Member) {
+	s.members[i].folder = wal.NewMemoryFolder()
+	s.start(i, first)
+}
+
+// start starts a member with what its disk holds.
+func (s *simulation) start(i int, first []Member) {
+	m := s.members[i]
+	s.disks++
+	fresh := DiskIdentity(fmt.Sprintf("%s-%04d", m.name, s.disks))
+	storage, saved, err := openStorage(m.folder, fresh, 4)
+	if err != nil {
+		s.faults.Fatalf("start of %s: %v", m.name, err)
+		return
+	}
+	self := Member{Name: m.name, Address: fmt.Sprint(i), Disk: storage.identity}
+	m.storage, m.unsynced, m.applied, m.lastTerm = storage, nil, 0, 0
+	m.founding = newFounding(self, first, storage.promise)
+	m.core = NewCore(CoreConfig{
+		Self: storage.identity, HeartbeatTicks: 2, ElectionTicks: 10, JitterTicks: 10,
+		MaxBytes: 64, MaxInFlight: 8, TailLength: 4, Rand: s.random,
+	}, saved)
+	if saved.Snapshot != nil {
+		m.applied = saved.Snapshot.Index
+	}
+}
+
+// found makes the quorum without the handshake, which has its own tests.
+func (s *simulation) found() {
+	var first Configuration
+	for _, m := range s.members {
+		first.Voters = append(first.Voters, m.founding.self)
+	}
+	s.members[0].core.Found(first)
+	s.run(0)
+	s.sync(0, 1)
+}
+
+// run does what a member's Core wants done, but for its disk.
+func (s *simulation) run(i int) {
+	m := s.members[i]
+	r := m.core.Ready()
+	s.post(i, r.Messages)
+	if r.Sequence > 0 {
+		m.unsynced = append(m.unsynced, r)
+	}
+	if r.Snapshot != nil {
+		m.applied = r.Snapshot.Index
+	}
+	for _, e := range r.Committed {
+		if e.Index != m.applied+1 {
+			s.faults.Fatalf("%s applies %d after %d", m.name, e.Index, m.applied)
+		}
+		m.applied = e.Index
+	}
+	for _, read := range r.Reads {
+		s.answer(i, read)
+	}
+	s.check(i)
+}
+
+// post puts messages on the network.
+func (s *simulation) post(from int, messages []Message) {
+	for _, m := range messages {
+		data, err := EncodeMessage(m)
+		if err != nil {
+			s.faults.Fatalf("%v", err)
+		}
+		for to, member := range s.members {
+			if member.core.config.Self == m.To && !s.cut[[2]int{from, to}] {
+				s.flight = append(s.flight, flight{from, to, data})
+			}
+		}
+	}
+}
+
+// deliver hands over the message at place k of those in flight.
+func (s *simulation) deliver(k int) {
+	f := s.flight[k]
+	s.flight = slices.Delete(s.flight, k, k+1)
+	if s.cut[[2]int{f.from, f.to}] {
+		return
+	}
+	m, err := DecodeMessage(f.data)
+	if err != nil {
+		s.faults.Fatalf("%v", err)
+	}
+	s.members[f.to].core.Step(m)
+	s.run(f.to)
+}
+
+// sync ends the oldest count writes of a member.
+func (s *simulation) sync(i, count int) {
+	m := s.members[i]
+	count = min(count, len(m.unsynced))
+	if count == 0 {
+		return
+	}
+	writes := m.unsynced[:count]
+	m.unsynced = m.unsynced[count:]
+	if err := m.storage.write(writes); err != nil {
+		s.faults.Fatalf("write of %s: %v", m.name, err)
+	}
+	for _, w := range writes {
+		s.post(i, w.AfterSync)
+	}
+	m.core.Synced(writes[count-1].Sequence)
+	s.run(i)
+}
+
+func (s *simulation) tick(i int) {
+	s.members[i].core.Tick()
+	s.run(i)
+}
+
+// crash restarts a member, which loses what it had not synced.
+func (s *simulation) crash(i int) {
+	s.members[i].folder.Crash(func(int) int { return 0 })
+	s.start(i, nil)
+	s.check(i)
+}
+
+// mayLoseDisk reports whether a majority of every configuration in use is left
+// without this member's disk.
+func (s *simulation) mayLoseDisk(i int) bool {
+	for _, m := range s.members {
+		c := m.core.Configuration()
+		left := 0
+		for k, other := range s.members {
+			if _, ok := c.Voter(other.core.config.Self); ok && k != i {
+				left++
+			}
+		}
+		if left < c.Quorum() {
+			return false
+		}
+	}
+	return true
+}
+
+// hello makes the blank disks known to all, and the leaders repair.
+func (s *simulation) repair() {
+	for i, blank := range s.members {
+		if _, ok := blank.core.Configuration().Member(blank.core.config.Self); ok {
+			continue
+		}
+		for k, m := range s.members {
+			if k == i || s.cut[[2]int{i, k}] {
+				continue
+			}
+			m.core.Step(Message{Kind: Hello, From: blank.core.config.Self, Sender: blank.founding.self})
+		}
+	}
+	for i, m := range s.members {
+		strangers := m.core.Strangers()
+		if m.core.role != Leader {
+			continue
+		}
+		if change, ok := m.core.nextRepair(strangers); ok {
+			_, _, _ = m.core.ChangeMember(change)
+			s.run(i)
+		}
+	}
+}
+
+// compact takes a snapshot of what a member has applied.
+func (s *simulation) compact(i int) {
+	m := s.members[i]
+	index := m.applied
+	term, ok := m.core.log.term(index)
+	if !ok || index == 0 || len(m.unsynced) > 0 {
+		return
+	}
+	var configuration Configuration
+	for _, at := range m.core.members {
+		if at.index <= index {
+			configuration = at.configuration
+		}
+	}
+	snapshot := &Snapshot{Index: index, Term: term, Configuration: configuration, Data: []byte("state")}
+	if err := m.storage.writeSnapshot(snapshot); err != nil {
+		s.faults.Fatalf("%v", err)
+	}
+	isNew, err := m.storage.compact(snapshot)
+	if err != nil {
+		s.faults.Fatalf("%v", err)
+	}
+	if isNew {
+		m.core.Compact(snapshot)
+	}
+	s.check(i)
+}
+
+func (s *simulation) propose(i int, command string) {
+	if _, _, err := s.members[i].core.Propose([]byte(command)); err == nil {
+		s.run(i)
+	}
+}
+
+// read asks for a read, whose answer must hold all that is committed by now.
+func (s *simulation) read(i int) {
+	m := s.members[i]
+	m.reads++
+	if m.core.ReadIndex(m.reads) != nil {
+		return
+	}
+	s.reads[[2]uint64{uint64(i), m.reads}] = s.lastCommitted()
+	s.run(i)
+}
+
+func (s *simulation) answer(i int, r ReadResult) {
+	lowest := s.reads[[2]uint64{uint64(i), r.ID}]
+	if r.Err != nil {
+		return
+	}
+	s.answered++
+	if r.Index < lowest {
+		s.faults.Fatalf("%s answers a read at %d, though %d was committed before it", s.members[i].name, r.Index, lowest)
+	}
+}
+
+func (s *simulation) lastCommitted() uint64 {
+	var last uint64
+	for index := range s.committed {
+		last = max(last, index)
+	}
+	return last
+}
+
+func (s *simulation) leader() (int, bool) {
+	best, found := 0, false
+	for i, m := range s.members {
+		if m.core.role == Leader && (!found || m.core.Term() > s.members[best].core.Term()) {
+			best, found = i, true
+		}
+	}
+	return best, found
+}
+
+// settle runs the cluster without faults for a number of ticks.
+func (s *simulation) settle(ticks int) {
+	s.cut = map[[2]int]bool{}
+	for range ticks {
+		for i := range s.members {
+			s.tick(i)
+		}
+		for range 20 {
+			for i := range s.members {
+				s.sync(i, len(s.members[i].unsynced))
+			}
+			for n := len(s.flight); n > 0; n-- {
+				s.deliver(0)
+			}
+		}
+		s.repair()
+	}
+}
+
+// check looks for violations at member i.
+func (s *simulation) check(i int) {
+	m := s.members[i]
+	c := m.core
+	if c.Term() < m.lastTerm {
+		s.faults.Fatalf("term of %s went from %d to %d", m.name, m.lastTerm, c.Term())
+	}
+	m.lastTerm = c.Term()
+	s.checkLog(m)
+	s.checkCommitted(m)
+	if c.role == Leader {
+		s.checkLeader(m)
+	}
+}
+
+// checkLog is log matching: entries of one index and term are the same, and so
+// are those before them.
+func (s *simulation) checkLog(m *simulated) {
+	for _, e := range m.core.log.entries {
+		before, ok := m.core.log.term(e.Index - 1)
+		if !ok {
+			continue
+		}
+		content := fmt.Sprintf("%d %q after term %d", e.Kind, e.Data, before)
+		key := [2]uint64{e.Index, e.Term}
+		if old, ok := s.seen[key]; ok && old != content {
+			s.faults.Fatalf("entry %d of term %d is %s on %s and %s elsewhere", e.Index, e.Term, content, m.name, old)
+		}
+		s.seen[key] = content
+	}
+}
+
+// checkCommitted compares what m holds for committed with what others did.
+func (s *simulation) checkCommitted(m *simulated) {
+	for _, e := range m.core.log.entries {
+		if e.Index > m.core.commit {
+			return
+		}
+		old, ok := s.committed[e.Index]
+		if ok && (old.Term != e.Term || string(old.Data) != string(e.Data)) {
+			s.faults.Fatalf("committed entry %d is of term %d on %s and was of term %d", e.Index, e.Term, m.name, old.Term)
+		}
+		s.committed[e.Index] = e
+	}
+}
+
+// checkLeader is election safety and leader completeness.
+func (s *simulation) checkLeader(m *simulated) {
+	c := m.core
+	if old, ok := s.termLeaders[c.Term()]; ok && old != c.config.Self {
+		s.faults.Fatalf("term %d has the leaders %s and %s", c.Term(), old, c.config.Self)
+	}
+	_, isOld := s.termLeaders[c.Term()]
+	s.termLeaders[c.Term()] = c.config.Self
+	if isOld {
+		return
+	}
+	for index, e := range s.committed {
+		isOlder := e.Term < c.Term() && index > c.log.baseIndex
+		if isOlder && !c.log.matches(index, e.Term) {
+			s.faults.Fatalf("leader %s of term %d lacks the committed entry %d of term %d", m.name, c.Term(), index, e.Term)
+		}
+	}
+}
--- a/coord/quorum/codec.go
+++ b/coord/quorum/codec.go
@@ -154,9 +154,12 @@
 }
 
 func memberToProto(m Member) *quorumv1.Member {
-	return &quorumv1.Member{Name: m.Name, Address: m.Address, Disk: string(m.Disk)}
+	return &quorumv1.Member{Name: m.Name, Address: m.Address, Disk: string(m.Disk), Replaces: string(m.Replaces)}
 }
 
 func memberFromProto(in *quorumv1.Member) Member {
-	return Member{Name: in.GetName(), Address: in.GetAddress(), Disk: DiskIdentity(in.GetDisk())}
+	return Member{
+		Name: in.GetName(), Address: in.GetAddress(),
+		Disk: DiskIdentity(in.GetDisk()), Replaces: DiskIdentity(in.GetReplaces()),
+	}
 }
--- /dev/null
+++ b/coord/quorum/core_rapid_test.go
@@ -0,0 +1,127 @@
+package quorum
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// TestCoresKeepTheirPromisesUnderFaults drives a cluster through random faults:
+// messages lost, repeated, late and out of order, cuts one way and both,
+// members that freeze, crash and lose unsynced writes, and exchanged disks.
+// After each step the simulation checks election safety, log matching, leader
+// completeness, that nothing committed is lost, and linearizable reads. In the
+// end the cluster must commit again.
+func TestCoresKeepTheirPromisesUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{3, 3, 3, 5}).Draw(t, "size")
+		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), size)
+		s.found()
+		s.settle(rapid.IntRange(0, 40).Draw(t, "quiet ticks"))
+		member := rapid.IntRange(0, size-1)
+		count := 0
+		actions := map[string]func(*rapid.T){
+			"tick all":  func(*rapid.T) { s.tickAll() },
+			"tick":      func(t *rapid.T) { s.tick(member.Draw(t, "member")) },
+			"race":      func(t *rapid.T) { s.timeOut(member.Draw(t, "member")) },
+			"deliver":   func(t *rapid.T) { s.deliverSome(t, 12) },
+			"deliver 2": func(t *rapid.T) { s.deliverSome(t, 12) },
+			"lose":      func(t *rapid.T) { s.lose(t) },
+			"repeat":    func(t *rapid.T) { s.repeat(t) },
+			"sync":      func(t *rapid.T) { s.sync(member.Draw(t, "member"), rapid.IntRange(1, 4).Draw(t, "writes")) },
+			"sync all":  func(*rapid.T) { s.syncAll() },
+			"crash":     func(t *rapid.T) { s.crash(member.Draw(t, "member")) },
+			"compact":   func(t *rapid.T) { s.compact(member.Draw(t, "member")) },
+			"cut": func(t *rapid.T) {
+				s.cut[[2]int{member.Draw(t, "from"), member.Draw(t, "to")}] = true
+			},
+			"isolate": func(t *rapid.T) { s.isolate(member.Draw(t, "member")) },
+			"join":    func(*rapid.T) { s.cut = map[[2]int]bool{} },
+			"propose": func(t *rapid.T) {
+				count++
+				s.propose(member.Draw(t, "member"), fmt.Sprint(count))
+			},
+			"read":     func(t *rapid.T) { s.read(member.Draw(t, "member")) },
+			"transfer": func(t *rapid.T) { s.transfer(member.Draw(t, "from"), member.Draw(t, "to")) },
+			"exchange disk": func(t *rapid.T) {
+				if i := member.Draw(t, "member"); s.mayLoseDisk(i) {
+					s.emptyDisk(i, nil)
+				}
+			},
+			"repair": func(*rapid.T) { s.repair() },
+			"quiet":  func(t *rapid.T) { s.settle(rapid.IntRange(1, 30).Draw(t, "ticks")) },
+		}
+		t.Repeat(actions)
+
+		g := NewWithT(t)
+		s.settle(120)
+		leader, ok := s.leader()
+		g.Expect(ok).To(BeTrue(), "no leader once the faults are over")
+		s.propose(leader, "last")
+		s.settle(20)
+		last := s.members[leader].core.LastIndex()
+		for _, m := range s.members {
+			g.Expect(m.applied).To(Equal(last), "%s of %v", m.name, s.members[leader].core.Configuration())
+		}
+	})
+}
+
+func (s *simulation) tickAll() {
+	for i := range s.members {
+		s.tick(i)
+	}
+}
+
+func (s *simulation) syncAll() {
+	for i, m := range s.members {
+		s.sync(i, len(m.unsynced))
+	}
+}
+
+// timeOut ticks one member until its election begins.
+func (s *simulation) timeOut(i int) {
+	for range 25 {
+		s.tick(i)
+	}
+}
+
+func (s *simulation) deliverSome(t *rapid.T, most int) {
+	for range rapid.IntRange(1, most).Draw(t, "count") {
+		if len(s.flight) == 0 {
+			return
+		}
+		s.deliver(rapid.IntRange(0, len(s.flight)-1).Draw(t, "message"))
+	}
+}
+
+func (s *simulation) lose(t *rapid.T) {
+	if len(s.flight) == 0 {
+		return
+	}
+	k := rapid.IntRange(0, len(s.flight)-1).Draw(t, "message")
+	s.flight = append(s.flight[:k:k], s.flight[k+1:]...)
+}
+
+func (s *simulation) repeat(t *rapid.T) {
+	if len(s.flight) == 0 {
+		return
+	}
+	s.flight = append(s.flight, s.flight[rapid.IntRange(0, len(s.flight)-1).Draw(t, "message")])
+}
+
+func (s *simulation) isolate(i int) {
+	for k := range s.members {
+		if k != i {
+			s.cut[[2]int{i, k}] = true
+			s.cut[[2]int{k, i}] = true
+		}
+	}
+}
+
+func (s *simulation) transfer(from, to int) {
+	if s.members[from].core.Transfer(s.members[to].core.config.Self) == nil {
+		s.run(from)
+	}
+}
--- a/coord/quorum/member.go
+++ b/coord/quorum/member.go
@@ -14,6 +14,8 @@
 	Name    string       `json:"name"`
 	Address string       `json:"address"`
 	Disk    DiskIdentity `json:"disk"`
+	// Replaces is the voter's disk in whose place a learner is to vote.
+	Replaces DiskIdentity `json:"replaces,omitempty"`
 }
 
 // Configuration is the members that have effect at some index of the log.
@@ -87,6 +89,7 @@
 		next.Learners = append(next.Learners, change.Member)
 	case change.Kind == Promote && isLearner:
 		next.Learners = without(next.Learners, disk)
+		learner.Replaces = ""
 		next.Voters = append(next.Voters, learner)
 	case change.Kind == Remove && isLearner:
 		next.Learners = without(next.Learners, disk)
