--- a/operator/accept.go
+++ b/operator/accept.go
@@ -84,7 +84,7 @@
 // change returns the change to send. One that was sent without an answer is sent
 // again as it was.
 func (a *acceptance) change() (revision.Change, error) {
-	if !a.record.pending() || a.record.Digest != a.digest || a.command.Base != "" {
+	if !a.resends() {
 		base := a.record.Base
 		if a.record.Revision != "" {
 			base = a.record.Revision
@@ -116,6 +116,13 @@
 	}, nil
 }
 
+// resends reports whether this is the command that was run without an answer.
+func (a *acceptance) resends() bool {
+	sameBase := a.command.Base == "" || a.command.Base == a.record.Base
+	sameEpoch := a.command.Epoch == 0 || a.command.Epoch == a.record.Epoch
+	return a.record.pending() && a.record.Digest == a.digest && sameBase && sameEpoch
+}
+
 func (a *acceptance) judge(ctx context.Context, answer *revision.Answer) error {
 	switch answer.Verdict {
 	case revision.Accepted:
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -86,6 +86,27 @@
 	g.Expect(f.version().String()).To(Equal("1.2"))
 }
 
+// The same holds for a command that names the revision it follows.
+func TestALostAnswerWithABase(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeFleet(t)
+	f.run(initLine)
+	f.run("accept answers.toml")
+	f.replace("answers.toml", `size = "small"`, `size = "large"`)
+	f.set(func() { f.loseNext = true })
+	code, text := f.run("accept answers.toml --base 1.1")
+	g.Expect(code).To(Equal(operator.ExitUnreachable), text)
+
+	f.set(func() { f.noQuorum = false })
+	f.run("init other.toml --name quay --failure-domains north --models drafts --accounts council --entries 10.0.0.1")
+	code, text = f.run("accept other.toml --base 1.2")
+	g.Expect(code).To(Equal(operator.ExitOK), text)
+
+	code, text = f.run("accept answers.toml --base 1.1")
+	g.Expect(code).To(Equal(operator.ExitOK), text)
+	g.Expect(text).To(ContainSubstring("Accepted as revision 1.2"))
+}
+
 func TestOfTwoOperatorsTheSecondGetsAConflict(t *testing.T) {
 	g := NewWithT(t)
 	f := newFakeFleet(t)
--- a/operator/run.go
+++ b/operator/run.go
@@ -15,6 +15,8 @@
 	"github.com/alexflint/go-arg"
 	"github.com/gravitational/trace"
 
+	"github.com/jacinthplank/jacinthplank/explain"
+	"github.com/jacinthplank/jacinthplank/outcome"
 	"github.com/jacinthplank/jacinthplank/tomlcheck"
 )
 
@@ -49,11 +51,20 @@
 	}
 	if err := chosen.run(ctx, t); err != nil {
 		fmt.Fprintln(t.Err, trace.UserMessage(err))
+		tellCode(t.Err, err)
 		return exitCode(err)
 	}
 	return ExitOK
 }
 
+// tellCode explains the code of a failure that a daemon answered with.
+func tellCode(w io.Writer, err error) {
+	var failure *outcome.Error
+	if errors.As(err, &failure) {
+		fmt.Fprintf(w, "That is, %s. See %s in docs/operators/errors.md.\n", explain.Meaning(string(failure.Code)), failure.Code)
+	}
+}
+
 // parse returns the subcommand that args name.
 func parse(args []string) (command, *arg.Parser, error) {
 	var a arguments
