--- a/admission/queue.go
+++ b/admission/queue.go
@@ -79,12 +79,14 @@
 type Queue struct {
 	limits  Limits
 	short   []Request // by order
-	long    []Request // by deadline
+	long    []Request // by order
 	running map[engine.Key]*run
 	longs   int // running attempts that are long
 	leaving bool
 	stretch float64 // time of an answer on this engine over its time on an idle one
 	share   shortShare
+
+	overhead float64 // time of a long prefill over what the share of short work explains
 }
 
 // run is an attempt on the engine.
@@ -92,11 +94,13 @@
 	Request
 	prefill time.Duration // still to be prefilled
 	ends    time.Time     // expected
+	started time.Time
+	paced   time.Duration // expected time of the prefill beside short work
 }
 
 // New returns an empty queue.
 func New(l Limits) *Queue {
-	return &Queue{limits: l.withDefaults(), running: make(map[engine.Key]*run), stretch: 1}
+	return &Queue{limits: l.withDefaults(), running: make(map[engine.Key]*run), stretch: 1, overhead: 1}
 }
 
 // Offer queues r, or refuses it when it could not finish in time, when the queue
@@ -114,7 +118,7 @@
 	if r.Estimate.Service()+minMargin > remaining {
 		return outcome.Refuse(outcome.CodeDeadline, step, "%v of work do not fit into %v", r.Estimate.Service(), remaining)
 	}
-	r.order = r.Arrived.Add(ageing[r.Class])
+	r.order = q.order(r)
 	place := q.place(r)
 	late := q.wait(r, place, free, now) + q.service(r) - remaining
 	if late > 0 {
@@ -158,19 +162,35 @@
 
 // place returns where r belongs in its list.
 func (q *Queue) place(r Request) int {
-	list, by := q.short, byOrder
+	list := q.short
 	if r.Long {
-		list, by = q.long, byDeadline
+		list = q.long
 	}
-	place, found := slices.BinarySearchFunc(list, r, by)
-	for found && place < len(list) && by(list[place], r) == 0 {
+	place, found := slices.BinarySearchFunc(list, r, byOrder)
+	for found && place < len(list) && byOrder(list[place], r) == 0 {
 		place++
 	}
 	return place
 }
 
-func byOrder(a, b Request) int    { return a.order.Compare(b.order) }
-func byDeadline(a, b Request) int { return a.Deadline.Compare(b.Deadline) }
+func byOrder(a, b Request) int { return a.order.Compare(b.order) }
+
+// order returns r's place in time: for a long attempt when it should start, by
+// its length or sooner by its deadline.
+func (q *Queue) order(r Request) time.Time {
+	if !r.Long {
+		return r.Arrived.Add(ageing[r.Class])
+	}
+	byLength := r.Arrived.Add(longAgeing * r.Estimate.Prefill)
+	if latest := q.latestStart(r); latest.Before(byLength) {
+		return latest
+	}
+	return byLength
+}
+
+// longAgeing is how long a long attempt lets shorter ones pass, as a multiple of
+// its prefill.
+const longAgeing = 4
 
 func (q *Queue) insert(r Request, place int) {
 	if r.Long {
@@ -248,7 +268,13 @@
 			other.ends = other.ends.Add(r.Estimate.Prefill)
 		}
 	}
-	q.running[r.Key] = &run{Request: r, prefill: r.Estimate.Prefill, ends: now.Add(q.expected(r, r.Estimate.Prefill))}
+	q.running[r.Key] = &run{
+		Request: r,
+		prefill: r.Estimate.Prefill,
+		ends:    now.Add(q.expected(r, r.Estimate.Prefill)),
+		started: now,
+		paced:   q.paced(r.Estimate.Prefill),
+	}
 	if r.Long {
 		q.longs++
 	}
@@ -351,15 +377,4 @@
 // stretchWeight is the weight of a new answer against those before.
 const stretchWeight = 0.05
 
-// ShortPrefill reports whether running attempts that are not long prefill. Those
-// that wait for a slot or memory gain nothing from a pause of long ones.
-func (q *Queue) ShortPrefill() bool {
-	for _, r := range q.running {
-		if !r.Long && r.prefill > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 func byEnd(a, b *run) int { return cmp.Compare(a.ends.UnixNano(), b.ends.UnixNano()) }
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -4,13 +4,18 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/jacinthplank/jacinthplank/engine"
 )
 
 // Wait returns how long an attempt of the given kind and memory that came now
 // would wait for its prefill to begin.
 func (q *Queue) Wait(long bool, blocks, free int, now time.Time) time.Duration {
-	r := Request{Long: long, order: now, Deadline: now.Add(math.MaxInt64 / 4)}
+	r := Request{Long: long, order: now}
 	r.Estimate.Blocks = blocks
+	if long {
+		return q.wait(r, len(q.long), free, now)
+	}
 	return q.wait(r, q.place(r), free, now)
 }
 
@@ -97,7 +102,24 @@
 
 // paced returns how long a long prefill takes beside the short work of late.
 func (q *Queue) paced(d time.Duration) time.Duration {
-	return time.Duration(float64(d) / (1 - q.share.value))
+	return time.Duration(float64(d) * q.overhead / (1 - q.share.value))
+}
+
+// overheadWeight is the weight of a new long prefill against those before.
+const overheadWeight = 0.25
+
+// Prefilled notes that a running attempt's prefill is over, and learns from long
+// ones how much longer they take than the share of short work explains.
+func (q *Queue) Prefilled(k engine.Key, now time.Time) {
+	r := q.running[k]
+	if r == nil {
+		return
+	}
+	if r.Long && r.paced > 0 {
+		seen := q.overhead * now.Sub(r.started).Seconds() / r.paced.Seconds()
+		q.overhead += overheadWeight * (min(max(seen, 1), maxStretch) - q.overhead)
+	}
+	q.Progress(k, 0, now)
 }
 
 // shortShare is the share of the engine's time that short prefill asks for, as
--- a/endpoint/agent.go
+++ b/endpoint/agent.go
@@ -41,10 +41,10 @@
 	Queued      int     // attempts waiting
 	ShortMemory float64 // share of memory that long attempts leave free
 
-	Prefill   PrefillPolicy
 	LongTime  time.Duration // prefill time from which on an attempt is long
-	ChunkTime time.Duration // engine time of one chunk of a long prefill
-	MaxPause  time.Duration // longest gap between two chunks
+	ChunkTime time.Duration // engine time of one piece of prefill
+	WholeTime time.Duration // prefill time up to which a prompt is one piece
+	MaxPause  time.Duration // time after which a piece goes before shorter work
 	Stall     time.Duration // time without progress after which an attempt is given up
 
 	CallTimeout    time.Duration // limit of a call that should be answered at once
@@ -53,24 +53,15 @@
 	Remember       time.Duration // how long keys of ended attempts are remembered
 }
 
-// PrefillPolicy is how long prefill is given to the engine.
-type PrefillPolicy uint8
-
-// Policies for long prefill.
-const (
-	PrefillChunked PrefillPolicy = iota // chunks that extend the cached prefix, with gaps for short work
-	PrefillWhole                        // one call; the engine's priorities alone order it
-	PrefillResume                       // one call, cancelled when short work comes and resumed after it
-)
-
 // Defaults of a Config.
 const (
 	defaultRunning        = 64
-	defaultLong           = 1
+	defaultLong           = 4
 	defaultQueued         = 512
 	defaultShortMemory    = 0.1
 	defaultLongTime       = time.Second
 	defaultChunkTime      = 50 * time.Millisecond
+	defaultWholeTime      = 400 * time.Millisecond
 	defaultMaxPause       = time.Second
 	defaultStall          = 20 * time.Second
 	defaultCallTimeout    = 2 * time.Second
@@ -86,6 +77,7 @@
 	setDefault(&c.ShortMemory, defaultShortMemory)
 	setDefault(&c.LongTime, defaultLongTime)
 	setDefault(&c.ChunkTime, defaultChunkTime)
+	setDefault(&c.WholeTime, defaultWholeTime)
 	setDefault(&c.MaxPause, defaultMaxPause)
 	setDefault(&c.Stall, defaultStall)
 	setDefault(&c.CallTimeout, defaultCallTimeout)
@@ -127,7 +119,7 @@
 	queue       *admission.Queue
 	attempts    map[engine.Key]*attempt
 	cache       *cacheView
-	changed     chan struct{} // closed and replaced when short work comes or goes
+	turns       *turns
 	drained     chan struct{} // closed when leaving and nothing is left
 	fence       uint64
 	fenceKnown  bool
@@ -137,13 +129,14 @@
 
 // New returns an agent that refuses all work until Serve has met the engine.
 func New(cfg Config) *Agent {
+	cfg = cfg.withDefaults()
 	return &Agent{
-		cfg:      cfg.withDefaults(),
+		cfg:      cfg,
 		expiry:   make(chan struct{}, 1),
 		tidy:     make(chan struct{}, 1),
 		attempts: make(map[engine.Key]*attempt),
 		cache:    newCacheView(),
-		changed:  make(chan struct{}),
+		turns:    newTurns(cfg.ChunkTime, cfg.MaxPause),
 		drained:  make(chan struct{}),
 	}
 }
@@ -187,7 +180,6 @@
 	a.attempts[t.entry.Key] = t
 	a.record(timeline.KindAdmitted, t, "", a.ahead())
 	a.pump(now)
-	a.announce()
 	wake(a.expiry)
 	return t, nil
 }
@@ -305,9 +297,6 @@
 		delete(a.attempts, r.Request.Key)
 		t.refuse(r.Err)
 	}
-	if len(refused) > 0 {
-		a.announce()
-	}
 }
 
 // shortBlocks is the memory that long attempts leave free.
@@ -326,12 +315,6 @@
 	}
 }
 
-// announce tells pausing long attempts that short work came or went.
-func (a *Agent) announce() {
-	close(a.changed)
-	a.changed = make(chan struct{})
-}
-
 func (a *Agent) record(kind timeline.Kind, t *attempt, result, detail string) {
 	a.cfg.Recorder.Record(timeline.Event{
 		Kind: kind, Request: t.request.ID, Attempt: t.request.Attempt, Account: t.request.Account,
--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -47,6 +47,7 @@
 	unknown  bool // a call's outcome is unknown
 	offset   int  // tokens passed on
 	first    bool // the first frame was sent
+	paused   bool // a pause was recorded
 	held     bool // memory stays after the end, for the rest of a group
 }
 
@@ -115,7 +116,6 @@
 		delete(a.attempts, t.entry.Key)
 		a.record(timeline.KindCanceled, t, "", "queued")
 		t.refuse(outcome.Refuse(outcome.CodeCanceled, stepAdmit, "the caller went away"))
-		a.announce()
 		a.noteDrained()
 	}
 	t.cancel(errAbandoned)
@@ -143,13 +143,19 @@
 // execute returns nil after the engine's explicit finish was passed on.
 func (a *Agent) execute(t *attempt) error {
 	w := a.workOf(t)
-	if t.entry.Long {
-		if err := a.prefill(t, w); err != nil {
-			return err
-		}
+	if err := a.prefillChunks(t, w); err != nil {
+		return err
 	}
-	left := a.rates.Prefill(t.cached, w.Prompt.Tokens)
+	_, last := bounds(w)
+	left := a.rates.Prefill(t.cached, last)
+	giveBack, err := a.takeTurn(t, left, left)
+	if err != nil {
+		return err
+	}
+	prefilled := sync.OnceFunc(giveBack)
+	defer prefilled()
 	return a.generate(t, w, func(ctx context.Context, chunk engine.Chunk) error {
+		prefilled()
 		return a.pass(ctx, t, chunk)
 	}, left)
 }
@@ -276,12 +282,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	a.queue.Progress(t.entry.Key, 0, now)
+	a.queue.Prefilled(t.entry.Key, now)
 	a.cache.add(t.request.Prompt.Blocks)
 	a.record(timeline.KindFirstToken, t, "", "")
-	if !t.entry.Long {
-		a.announce()
-	}
 	countFirstToken(t.request.Class(), now.Sub(t.entry.Arrived))
 	t.entry.Estimate.Prefill = now.Sub(t.started) // as measured, for what is learnt at the end
 }
@@ -306,7 +309,6 @@
 	close(t.done)
 	t.cancel(nil)
 	a.pump(now)
-	a.announce()
 	a.noteDrained()
 }
 
--- a/endpoint/duty.go
+++ b/endpoint/duty.go
@@ -65,12 +65,16 @@
 		Long:        a.cfg.Long,
 		Queued:      a.cfg.Queued,
 		ShortBlocks: a.shortBlocks(),
-		LongStretch: 1 + a.cfg.ChunkTime.Seconds()*d.DecodePerSec,
+		LongStretch: min(1+a.cfg.ChunkTime.Seconds()*d.DecodePerSec, maxLongStretch),
 	})
 	a.ready = true
 	a.cfg.Log.Info("endpoint met its engine", "endpoint", a.cfg.Name, "models", d.Models, "memory_blocks", d.MemoryBlocks, "orphaned_blocks", a.ledger.Orphaned())
 }
 
+// maxLongStretch bounds how much slower answers are reckoned beside a long
+// prefill.
+const maxLongStretch = 8
+
 // Description returns what the engine said of itself, and whether it was met.
 func (a *Agent) Description() (engine.Description, bool) {
 	a.mu.Lock()
--- a/endpoint/prefill.go
+++ b/endpoint/prefill.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 	"unicode/utf8"
 
@@ -11,36 +10,22 @@
 	"github.com/jacinthplank/jacinthplank/work"
 )
 
-var errGaveWay = errors.New("short work came")
-
-// prefill brings the long prompt of t into the engine, by the agent's policy,
-// but for a last part that the generating call itself prefills.
-func (a *Agent) prefill(t *attempt, w engine.Work) error {
-	switch a.cfg.Prefill {
-	case PrefillWhole:
-		return nil
-	case PrefillResume:
-		return a.prefillResume(t, w)
-	default:
-		return a.prefillChunks(t, w)
-	}
-}
-
-// prefillChunks sends growing prefixes, each of which extends the cached one.
-// Between two of them short work gets in.
+// prefillChunks sends growing prefixes, each of which extends the cached one, but
+// for a last part that the generating call itself prefills. Between two of them
+// shorter work gets its turn.
 func (a *Agent) prefillChunks(t *attempt, w engine.Work) error {
 	first, last := bounds(w)
 	position := max(t.cached, first)
+	if a.rates.Prefill(position, last) <= a.cfg.WholeTime {
+		return nil
+	}
 	for {
 		next := a.nextPosition(position)
-		if next >= last {
-			t.cached = position
-			return a.gap(t)
-		}
-		if err := a.gap(t); err != nil {
-			return err
+		t.cached = position
+		if a.nextPosition(next) >= last {
+			return nil
 		}
-		if err := a.generate(t, prefix(w, next), ignore, a.rates.Prefill(position, next)); err != nil {
+		if err := a.prefillChunk(t, prefix(w, next), position, last); err != nil {
 			return err
 		}
 		position = next
@@ -48,6 +33,19 @@
 	}
 }
 
+// prefillChunk prefills w, whose prefix up to position is in the engine. The
+// whole prompt ends at last.
+func (a *Agent) prefillChunk(t *attempt, w engine.Work, position, last int) error {
+	_, end := bounds(w)
+	piece := a.rates.Prefill(position, end)
+	giveBack, err := a.takeTurn(t, piece, a.rates.Prefill(position, last))
+	if err != nil {
+		return err
+	}
+	defer giveBack()
+	return a.generate(t, w, ignore, piece)
+}
+
 // nextPosition returns the end of the chunk that begins at position.
 func (a *Agent) nextPosition(position int) int {
 	next := position + a.rates.Advance(position, a.cfg.ChunkTime)
@@ -100,80 +98,11 @@
 	a.queue.Progress(t.entry.Key, a.rates.Prefill(position, last), time.Now())
 }
 
-// gap waits while short work waits or prefills, at most MaxPause, so that long
-// work goes on under any load.
-func (a *Agent) gap(t *attempt) error {
-	var limit *time.Timer
-	for {
-		a.mu.Lock()
-		busy, changed := a.queue.ShortPrefill(), a.changed
-		a.mu.Unlock()
-		if !busy {
-			return context.Cause(t.ctx)
-		}
-		if limit == nil {
-			a.record(timeline.KindPaused, t, "", "")
-			limit = time.NewTimer(a.cfg.MaxPause)
-			defer limit.Stop()
-		}
-		select {
-		case <-changed:
-		case <-limit.C:
-			return context.Cause(t.ctx)
-		case <-t.ctx.Done():
-			return context.Cause(t.ctx)
-		}
-	}
-}
-
-// prefillResume prefills the whole prompt in one call that is cancelled when
-// short work comes; what was prefilled stays in the engine's cache.
-func (a *Agent) prefillResume(t *attempt, w engine.Work) error {
-	whole := prefix(w, w.Prompt.Tokens)
-	for {
-		if err := a.gap(t); err != nil {
-			return err
-		}
-		err := a.prefillUntilShort(t, whole)
-		if !errors.Is(err, errGaveWay) {
-			return err
-		}
-	}
-}
-
-func (a *Agent) prefillUntilShort(t *attempt, w engine.Work) error {
-	outer := t.ctx
-	ctx, cancel := context.WithCancelCause(outer)
-	defer cancel(nil)
-	stop := make(chan struct{})
-	defer close(stop)
-	go a.watchShort(cancel, stop)
-	t.ctx = ctx
-	defer func() { t.ctx = outer }()
-	err := a.generate(t, w, ignore, a.rates.Prefill(t.cached, w.Prompt.Tokens))
-	if errors.Is(err, errGaveWay) {
-		call, done := context.WithTimeout(outer, a.cfg.CallTimeout)
-		defer done()
-		if cancelled := a.cfg.Engine.Cancel(call, w.Key); cancelled != nil {
-			return cancelled
-		}
-	}
-	return err
-}
-
-func (a *Agent) watchShort(cancel context.CancelCauseFunc, stop <-chan struct{}) {
-	for {
-		a.mu.Lock()
-		busy, changed := a.queue.ShortPrefill(), a.changed
-		a.mu.Unlock()
-		if busy {
-			cancel(errGaveWay)
-			return
-		}
-		select {
-		case <-changed:
-		case <-stop:
-			return
-		}
+// notePause records that an attempt gave way, once for each.
+func (a *Agent) notePause(t *attempt) {
+	if t.paused {
+		return
 	}
+	t.paused = true
+	a.record(timeline.KindPaused, t, "", "waits for its turn to prefill")
 }
