--- a/operator/arguments.go
+++ b/operator/arguments.go
@@ -22,17 +22,18 @@
 
 // arguments is the command line. Exactly one subcommand is given.
 type arguments struct {
-	Init     *initCommand     `arg:"subcommand:init" help:"answer the questionnaire"`
-	Plan     *planCommand     `arg:"subcommand:plan" help:"make the configuration from the answers and tell what changes"`
-	Check    *checkCommand    `arg:"subcommand:check" help:"check answers, configuration or settings files"`
-	Accept   *acceptCommand   `arg:"subcommand:accept" help:"put the answers in force on the whole fleet"`
-	Status   *statusCommand   `arg:"subcommand:status" help:"show instances, endpoints, quorum and revisions in force"`
-	Explain  *explainCommand  `arg:"subcommand:explain" help:"tell what happened to one request"`
-	Timeline *timelineCommand `arg:"subcommand:timeline" help:"show the events of all daemons in order"`
-	Drain    *drainCommand    `arg:"subcommand:drain" help:"make a daemon leave: no new work, what runs is finished"`
-	Keys     *keysCommand     `arg:"subcommand:keys" help:"make keys of client accounts and certificates of instances"`
-	Load     *loadCommand     `arg:"subcommand:load" help:"put open-loop load on the entries and report how it went"`
-	Member   *memberCommand   `arg:"subcommand:member" help:"change the members of the control quorum"`
+	Init       *initCommand       `arg:"subcommand:init" help:"answer the questionnaire"`
+	Plan       *planCommand       `arg:"subcommand:plan" help:"make the configuration from the answers and tell what changes"`
+	Check      *checkCommand      `arg:"subcommand:check" help:"check answers, configuration or settings files"`
+	Accept     *acceptCommand     `arg:"subcommand:accept" help:"put the answers in force on the whole fleet"`
+	Status     *statusCommand     `arg:"subcommand:status" help:"show instances, endpoints, quorum and revisions in force"`
+	Explain    *explainCommand    `arg:"subcommand:explain" help:"tell what happened to one request"`
+	Timeline   *timelineCommand   `arg:"subcommand:timeline" help:"show the events of all daemons in order"`
+	Drain      *drainCommand      `arg:"subcommand:drain" help:"make a daemon leave: no new work, what runs is finished"`
+	Keys       *keysCommand       `arg:"subcommand:keys" help:"make keys of client accounts and certificates of instances"`
+	Load       *loadCommand       `arg:"subcommand:load" help:"put open-loop load on the entries and report how it went"`
+	Experiment *experimentCommand `arg:"subcommand:experiment" help:"compare policies on emulated engines, without a fleet"`
+	Member     *memberCommand     `arg:"subcommand:member" help:"change the members of the control quorum"`
 }
 
 // Description implements arg.Described.
