--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -178,23 +178,27 @@
 }
 
 func BenchmarkAdmit(b *testing.B) {
+	const forever = 100_000 * time.Hour
 	q := admission.New(admission.Limits{Running: 64, Long: 1, Queued: 256, ShortBlocks: 100})
 	for i := range 48 {
-		_ = q.Offer(request(fmt.Sprint("r", i), 1000, 100, start, time.Hour), blocks, start)
+		_ = q.Offer(request(fmt.Sprint("r", i), 1000, 100, start, forever), blocks, start)
 	}
 	startAll(q, start)
 	for i := range 8 {
-		_ = q.Offer(request(fmt.Sprint("l", i), 100_000, 100, start, time.Hour), blocks, start)
+		_ = q.Offer(request(fmt.Sprint("l", i), 100_000, 100, start, forever), blocks, start)
 	}
-	r := request("x", 1000, 100, start, time.Hour)
+	r := request("x", 1000, 100, start, forever)
 	free := func() int { return blocks }
 	take := func(admission.Request) bool { return true }
+	now := start
 	b.ReportAllocs()
 	for b.Loop() {
-		if err := q.Offer(r, blocks, start); err != nil {
+		now = now.Add(r.Estimate.Prefill)
+		r.Arrived, r.Deadline = now, now.Add(time.Hour)
+		if err := q.Offer(r, blocks, now); err != nil {
 			b.Fatal(err)
 		}
-		q.Next(start, free, take)
+		q.Next(now, free, take)
 		q.Done(r.Key)
 	}
 }
--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -15,7 +15,7 @@
 )
 
 // frameBuffer is the number of frames that wait for a slow caller.
-const frameBuffer = 256
+const frameBuffer = 32
 
 // Causes for which an attempt's context ends.
 var (
