explain: resends, and refusals that sending again does not mend

Tried on four real daemons with a plain service: a call that runs at most once, its resend through another entry, the same key with another body, and a service that is down.

--- a/api/service.go
+++ b/api/service.go
@@ -22,7 +22,14 @@
 	if err != nil {
 		return err
 	}
-	x.record(timeline.KindReceived, "", call.Method+" "+call.Path+" of "+call.Service)
+	x.server.options.Recorder.Record(timeline.Event{
+		Kind:      timeline.KindReceived,
+		Request:   x.id,
+		Account:   x.account.Name,
+		Step:      "entry.api",
+		Detail:    call.Method + " " + call.Path + " of " + call.Service,
+		Remaining: call.Remaining,
+	})
 	ctx, cancel := x.context(call.Remaining)
 	defer cancel()
 	reply, err := s.options.Caller.Call(ctx, call)
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -121,6 +121,15 @@
 	)
 }
 
+// A resend of a call that ran gets the recorded answer.
+func resend() timeline.Line {
+	return line(
+		apiEnd(0, timeline.Event{Kind: timeline.KindReceived, Account: "council", Detail: "POST /receipts of registry"}),
+		at("entry-1", 3, timeline.Event{Kind: timeline.KindRecorded}),
+		apiEnd(4, timeline.Event{Kind: timeline.KindFinished, Outcome: "Created"}),
+	)
+}
+
 func partlyKnown() timeline.Line {
 	return timeline.Merge([]timeline.Part{
 		{Daemon: "entry-1", Events: []timeline.Event{received(1200, time.Minute), placed(1, 1, "draft-03")}, Since: noon.Add(-time.Hour)},
@@ -146,6 +155,7 @@
 		"retried":        retriedRequest(),
 		"once":           onceCall(),
 		"refused":        refusedRequest(),
+		"resend":         resend(),
 		"at-once":        refusedAtOnce(),
 		"given-up-after": givenUpAfterwards(),
 		"partly-known":   partlyKnown(),
--- a/explain/sentences.go
+++ b/explain/sentences.go
@@ -93,7 +93,8 @@
 		t.say("When request %s came is not on record any more. The first event left is from %s.", s.request, s.first.Format(timeLayout))
 		return
 	}
-	t.say("Request %s came from client account %s to %s at %s.", s.request, orUnknown(s.account), s.entry, timeOf(s.received).Format(timeLayout))
+	t.say("Request %s came from client account %s to %s at %s%s.",
+		s.request, orUnknown(s.account), s.entry, timeOf(s.received).Format(timeLayout), note(s.received.Detail))
 	if s.received.Tokens > 0 {
 		t.say("Its prompt was judged to be %s tokens long, which counts as %s.", number(s.received.Tokens), submit.ClassOf(s.received.Tokens))
 	}
@@ -119,8 +120,11 @@
 
 func (t *teller) ending() {
 	s := t.story
-	if s.recorded != nil {
-		t.say("The outcome was recorded (%s), so that a resend gets the same answer.", orUnknown(s.recorded.Outcome))
+	switch {
+	case s.repeated():
+		t.say("The same call, with the same idempotency key, was made before: the answer recorded then was given again.")
+	case s.recorded != nil:
+		t.say("The outcome was recorded%s, so that a resend gets the same answer.", note(s.recorded.Outcome))
 	}
 	switch {
 	case s.final == nil:
@@ -149,17 +153,31 @@
 func (t *teller) whetherItRan() {
 	s := t.story
 	switch {
+	case s.repeated():
+		t.say("It was not run again.")
 	case s.ran():
 		t.say("It ran.")
 	case s.began():
 		t.say("Its work was begun; how far it got is not known.")
 	case s.final != nil && (s.final.State == outcome.NotRun || s.final.Kind == timeline.KindRefused):
-		t.say("It was not run, and may be sent again without harm.")
+		t.say("It was not run%s.", sendAgain(s.final.Outcome))
 	default:
 		t.say("Whether it ran is not known.")
 	}
 }
 
+// sendAgain adds, after a refusal that another time may not meet, that sending
+// again does no harm.
+func sendAgain(code string) string {
+	switch outcome.Code(code) {
+	case outcome.CodeInvalidRequest, outcome.CodeInvalidKey, outcome.CodeModelNotFound, outcome.CodePromptTooLong,
+		outcome.CodeConflict, outcome.CodeUnsupported, outcome.CodeNotFound, outcome.CodeOutcomeUnknown:
+		return ""
+	default:
+		return ", and may be sent again without harm"
+	}
+}
+
 // missing tells which events the sentences had to do without.
 func (t *teller) missing() {
 	for _, u := range t.line.Unreachable {
--- a/explain/story.go
+++ b/explain/story.go
@@ -110,6 +110,12 @@
 	return s.final != nil && s.final.Kind == timeline.KindFinished
 }
 
+// repeated reports whether the caller got the recorded outcome of an earlier
+// call.
+func (s *story) repeated() bool {
+	return s.recorded != nil && s.claimed == nil && len(s.attempts) == 0 && s.received != nil
+}
+
 // refusedAtOnce reports whether the entry refused it before it was taken in.
 func (s *story) refusedAtOnce() bool {
 	return s.received == nil && s.final != nil && s.final.Kind == timeline.KindRefused && len(s.attempts) == 0
