--- a/questionnaire/check.go
+++ b/questionnaire/check.go
@@ -1,7 +1,6 @@
 package questionnaire
 
 import (
-	"encoding/hex"
 	"fmt"
 	"net/netip"
 	"net/url"
@@ -64,22 +63,22 @@
 	if len(names) == 0 {
 		r.Add("failure_domains", "missing", "at least one place")
 	}
-	checkNames(r, "failure_domains", names)
+	r.Names("failure_domains", ".name", names)
 	for i, trip := range a.RoundTrips {
 		key := tomlcheck.Element("round_trips", i)
 		if len(trip.Between) != 2 || trip.Between[0] == trip.Between[1] {
 			r.Add(key+".between", fmt.Sprintf("found %d names", len(trip.Between)), "two different failure domains")
 		}
 		for j, name := range trip.Between {
-			checkKnown(r, tomlcheck.Element(key+".between", j), name, "failure domain", names)
+			r.Known(tomlcheck.Element(key+".between", j), name, "failure domain", names)
 		}
 		checkTime(r, key+".time", trip.Time, true)
 	}
-	checkNames(r, "endpoint_kinds", namesOf(a.EndpointKinds, func(k EndpointKind) string { return k.Name }))
+	r.Names("endpoint_kinds", ".name", namesOf(a.EndpointKinds, func(k EndpointKind) string { return k.Name }))
 }
 
 func (a *Answers) checkModels(r *tomlcheck.Report) {
-	checkNames(r, "models", a.modelNames())
+	r.Names("models", ".name", a.modelNames())
 	if len(a.Models) == 0 && len(a.Services) == 0 {
 		r.Add("models", "missing", "at least one model or service")
 	}
@@ -91,7 +90,7 @@
 }
 
 func (a *Answers) checkServices(r *tomlcheck.Report) {
-	checkNames(r, "services", a.serviceNames())
+	r.Names("services", ".name", a.serviceNames())
 	for i, s := range a.Services {
 		for j, call := range s.NonIdempotent {
 			key := tomlcheck.Element(tomlcheck.Element("services", i)+".non_idempotent", j)
@@ -112,45 +111,33 @@
 }
 
 func (a *Answers) checkAccounts(r *tomlcheck.Report) {
-	checkNames(r, "accounts", namesOf(a.Accounts, func(c Account) string { return c.Name }))
-	owners := map[string]string{}
+	r.Names("accounts", ".name", namesOf(a.Accounts, func(c Account) string { return c.Name }))
+	digests := tomlcheck.Digests{}
 	for i, c := range a.Accounts {
 		key := tomlcheck.Element("accounts", i)
-		checkKnown(r, key+".size", string(c.Size), "size", sizes)
+		r.Known(key+".size", string(c.Size), "size", sizes)
 		for j, m := range c.Models {
-			checkKnown(r, tomlcheck.Element(key+".models", j), m, "model", a.modelNames())
+			r.Known(tomlcheck.Element(key+".models", j), m, "model", a.modelNames())
 		}
 		for j, digest := range c.KeyDigests {
-			checkDigest(r, tomlcheck.Element(key+".key_digests", j), digest, c.Name, owners)
+			digests.Check(r, tomlcheck.Element(key+".key_digests", j), digest, c.Name)
 		}
 		checkTime(r, key+".short", c.Short, true)
 		checkTime(r, key+".long", c.Long, true)
-		checkCount(r, key+".short_tokens", c.ShortTokens)
-		checkCount(r, key+".long_tokens", c.LongTokens)
+		tomlcheck.NotNegative(r, key+".short_tokens", c.ShortTokens, "tokens of work per second, 0 for no limit")
+		tomlcheck.NotNegative(r, key+".long_tokens", c.LongTokens, "tokens of work per second, 0 for no limit")
 	}
 }
 
-func checkDigest(r *tomlcheck.Report, key, digest, account string, owners map[string]string) {
-	raw, err := hex.DecodeString(digest)
-	if err != nil || len(raw) != 32 {
-		r.Add(key, fmt.Sprintf("text of %d characters", len(digest)), "64 hexadecimal digits; `jacinthplank keys` makes them")
-		return
-	}
-	if owner, taken := owners[digest]; taken {
-		r.Add(key, fmt.Sprintf("the key belongs to account %q already", owner), "a key of this account alone")
-	}
-	owners[digest] = account
-}
-
 func (a *Answers) checkInstances(r *tomlcheck.Report) {
-	checkNames(r, "instances", namesOf(a.Instances, func(g Instances) string { return g.Name }))
+	r.Names("instances", ".name", namesOf(a.Instances, func(g Instances) string { return g.Name }))
 	places := namesOf(a.FailureDomains, func(d FailureDomain) string { return d.Name })
 	taken := map[string]string{}
 	entries, disks := 0, 0
 	for i, g := range a.Instances {
 		key := tomlcheck.Element("instances", i)
-		checkKnown(r, key+".task", string(g.Task), "task", tasks)
-		checkKnown(r, key+".failure_domain", g.FailureDomain, "failure domain", places)
+		r.Known(key+".task", string(g.Task), "task", tasks)
+		r.Known(key+".failure_domain", g.FailureDomain, "failure domain", places)
 		if len(g.Addresses) == 0 {
 			r.Add(key+".addresses", "missing", "the IP number of each instance")
 		}
@@ -175,16 +162,16 @@
 }
 
 func (a *Answers) checkEndpoints(r *tomlcheck.Report, key string, g Instances) {
-	checkKnown(r, key+".kind", g.Kind, "endpoint kind", namesOf(a.EndpointKinds, func(k EndpointKind) string { return k.Name }))
+	r.Known(key+".kind", g.Kind, "endpoint kind", namesOf(a.EndpointKinds, func(k EndpointKind) string { return k.Name }))
 	switch {
 	case g.Model == "" && g.Service == "":
 		r.Add(key+".model", "missing", "the model or the service that these endpoints serve")
 	case g.Model != "" && g.Service != "":
 		r.Add(key+".service", "stands beside model", "one of the two")
 	case g.Model != "":
-		checkKnown(r, key+".model", g.Model, "model", a.modelNames())
+		r.Known(key+".model", g.Model, "model", a.modelNames())
 	default:
-		checkKnown(r, key+".service", g.Service, "service", a.serviceNames())
+		r.Known(key+".service", g.Service, "service", a.serviceNames())
 	}
 	u, err := url.Parse(g.URL)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
@@ -221,31 +208,8 @@
 	return names
 }
 
-func checkNames(r *tomlcheck.Report, list string, names []string) {
-	for i, name := range names {
-		key := tomlcheck.Element(list, i) + ".name"
-		if name == "" || strings.ContainsAny(name, " \t\r\n\"'[]") {
-			r.Add(key, fmt.Sprintf("found %q", name), "a name without spaces, quotes or brackets")
-		} else if slices.Index(names, name) < i {
-			r.Add(key, fmt.Sprintf("%q is taken already", name), "a name of its own")
-		}
-	}
-}
-
-func checkKnown(r *tomlcheck.Report, key, name, what string, valid []string) {
-	if !slices.Contains(valid, name) {
-		r.Unknown(key, name, what, valid)
-	}
-}
-
 func checkTime(r *tomlcheck.Report, key string, d fleet.Duration, zero bool) {
 	if d < 0 || (d == 0 && !zero) {
 		r.Add(key, fmt.Sprintf("found %s", d.D()), `a time such as "30s" or "2h"`)
 	}
 }
-
-func checkCount(r *tomlcheck.Report, key string, n int) {
-	if n < 0 {
-		r.Add(key, fmt.Sprintf("found %d", n), "tokens of work per second, 0 for no limit")
-	}
-}
--- a/settings/check.go
+++ b/settings/check.go
@@ -20,8 +20,8 @@
 func (d *Daemon) check(r *tomlcheck.Report) {
 	d.checkInstance(r)
 	d.checkTLS(r)
-	checkOneOf(r, "log.level", d.Log.Level, "log level", logLevels)
-	checkOneOf(r, "log.format", d.Log.Format, "log format", logFormats)
+	r.Known("log.level", d.Log.Level, "log level", logLevels)
+	r.Known("log.format", d.Log.Format, "log format", logFormats)
 	if d.Has(DutyEntry) {
 		d.checkEntry(r)
 	}
@@ -42,7 +42,7 @@
 	}
 	for i, duty := range in.Duties {
 		key := tomlcheck.Element("instance.duties", i)
-		checkOneOf(r, key, string(duty), "duty", dutyNames)
+		r.Known(key, string(duty), "duty", dutyNames)
 		if slices.Index(in.Duties, duty) < i {
 			r.Add(key, fmt.Sprintf("%q stands twice", duty), "each duty once")
 		}
@@ -136,12 +136,6 @@
 	}
 }
 
-func checkOneOf(r *tomlcheck.Report, key, value, what string, valid []string) {
-	if !slices.Contains(valid, value) {
-		r.Unknown(key, value, what, valid)
-	}
-}
-
 func checkPeerAddress(r *tomlcheck.Report, key, address string) {
 	peer, ok := parseAddress(r, key, address)
 	if ok && (peer.Addr().IsUnspecified() || peer.Port() == 0) {
