--- a/coord/quorum/core_test.go
+++ b/coord/quorum/core_test.go
@@ -375,3 +375,27 @@
 		core.Ready()
 	})
 }
+
+// TestSyncOfReplacedEntriesSaysNothingOfNewOnes ends a write whose entries were
+// replaced meanwhile by those of another leader, and those by the first again.
+func TestSyncOfReplacedEntriesSaysNothingOfNewOnes(t *testing.T) {
+	g, s, leader := led(t)
+	follower := (leader + 1) % 3
+	core := s.members[follower].core
+	last := core.LastIndex()
+	appendOf := func(term, entryTerm uint64) {
+		m := s.message(leader, follower, Message{Kind: Append, Term: term, Index: last, LogTerm: core.log.lastTerm()})
+		m.LogTerm, _ = core.log.term(last)
+		m.Entries = []Entry{{Index: last + 1, Term: entryTerm, Kind: EntryEmpty}}
+		core.Step(m)
+	}
+	term := core.Term()
+	appendOf(term, term)
+	first := core.Ready().Sequence
+	appendOf(term+1, term+1)
+	core.Ready()
+	appendOf(term+2, term)
+	core.Ready()
+	core.Synced(first)
+	g.Expect(core.synced).To(Equal(last))
+}
