--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -27,7 +27,7 @@
 	members []settings.Member
 
 	mu      sync.Mutex
-	cut     map[string]bool // addresses that reach nobody
+	side    map[string]int // addresses of different sides don't reach each other
 	running map[string]*running
 }
 
@@ -43,7 +43,7 @@
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	c := &cluster{
 		t: t, network: network, folder: t.TempDir(),
-		cut: map[string]bool{}, running: map[string]*running{},
+		side: map[string]int{}, running: map[string]*running{},
 	}
 	for i := range n {
 		c.members = append(c.members, settings.Member{Name: fmt.Sprintf("c%d", i+1), Address: freeAddress(t)})
@@ -128,19 +128,33 @@
 func (c *cluster) isCut(a, b string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.cut[a] || c.cut[b]
+	return c.side[a] != c.side[b]
 }
 
+// setCut cuts each of the members off from everybody, and no others.
 func (c *cluster) setCut(members ...settings.Member) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cut = map[string]bool{}
-	for _, m := range members {
-		c.cut[m.Address] = true
+	c.side = map[string]int{}
+	for i, m := range members {
+		c.side[m.Address] = i + 1
 	}
 }
 
-func (c *cluster) client() *control.Client {
+// farClient is the source of calls that are cut off together with one member.
+const farClient = "far client"
+
+// setCutWith cuts a member and the far client off from everybody else.
+func (c *cluster) setCutWith(m settings.Member) {
+	c.setCut(m)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.side[farClient] = c.side[m.Address]
+}
+
+func (c *cluster) client() *control.Client { return c.clientFrom("client") }
+
+func (c *cluster) clientFrom(source string) *control.Client {
 	return control.NewClient(control.ClientOptions{
 		Members: func() []string {
 			var addresses []string
@@ -149,7 +163,7 @@
 			}
 			return addresses
 		},
-		HTTP: &http.Client{Transport: c.cutter("client")}, URL: c.network.URL,
+		HTTP: &http.Client{Transport: c.cutter(source)}, URL: c.network.URL,
 	})
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -104,6 +104,24 @@
 	}).WithContext(ctx).WithPolling(100 * time.Millisecond).Should(Succeed())
 }
 
+func TestAnIsolatedLeaderTellsNothingOld(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(t, 3)
+	leader := c.leader()
+	far := c.clientFrom(farClient)
+	_, err := far.Configuration(t.Context(), fleet.Version{})
+	g.Expect(err).NotTo(HaveOccurred())
+	c.setCutWith(leader)
+	near := c.client()
+	g.Eventually(func() error {
+		_, err := near.Accept(t.Context(), control.Change{ID: "new", Configuration: configuration("new")})
+		return err
+	}).WithTimeout(10 * time.Second).Should(Succeed())
+
+	update, err := far.Configuration(t.Context(), fleet.Version{})
+	g.Expect(err).To(HaveOccurred(), "version %v was read where 1.1 is accepted", update.Version)
+}
+
 func TestAnOutcomeIsRecordedAfterTheQuorumComesBack(t *testing.T) {
 	g := NewWithT(t)
 	c := newCluster(t, 3)
--- a/coord/state/state_test.go
+++ b/coord/state/state_test.go
@@ -199,8 +199,8 @@
 		const rate = 100
 		drawn, seconds := int64(0), int64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "draws") {
-			seconds += rapid.Int64Range(0, 10).Draw(t, "pause")
-			d := budget.Draw{Stream: "s", Want: rapid.Int64Range(0, 500).Draw(t, "want"), Rate: rate, Time: time.Second}
+			seconds += rapid.Int64Range(0, 6).Draw(t, "pause")
+			d := budget.Draw{Stream: "s", Want: rapid.Int64Range(100, 5000).Draw(t, "want"), Rate: rate, Time: time.Second}
 			drawn += f.apply(seconds, state.Command{Draw: &state.Draw{Draws: []budget.Draw{d}}}).Draw[0].Amount
 		}
 		if most := rate*seconds + rate*int64(budget.Burst.Seconds()); drawn > most {
--- a/distribution/gossip.go
+++ b/distribution/gossip.go
@@ -102,6 +102,7 @@
 // Serve implements supervise.Duty.
 func (g *Gossip) Serve(ctx context.Context) error {
 	defer g.telling.Wait()
+	g.load()
 	for ctx.Err() == nil {
 		g.read(ctx)
 		address, wait := g.planner.Next(time.Now(), g.options.Store.Version(), g.options.Peers())
@@ -218,6 +219,16 @@
 	g.Heard(address, versionOf(reply.GetVersion()))
 }
 
+// load puts the copy on disk in force when it is higher than what is.
+func (g *Gossip) load() {
+	if g.options.CacheFile == "" {
+		return
+	}
+	if err := g.options.Store.Load(g.options.CacheFile); err != nil {
+		g.options.Log.Error("configuration not read from disk", "error", err)
+	}
+}
+
 func (g *Gossip) save() {
 	if g.options.CacheFile == "" {
 		return
