--- a/fleet/check.go
+++ b/fleet/check.go
@@ -8,8 +8,8 @@
 	"github.com/jacinthplank/jacinthplank/tomlcheck"
 )
 
-// methods are the HTTP methods that a once-route may name.
-var methods = []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodGet}
+// Methods are the HTTP methods that a once-route may name.
+var Methods = []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodGet}
 
 func (c *Configuration) check(r *tomlcheck.Report) {
 	if c.Name == "" {
@@ -91,7 +91,7 @@
 		seen := map[OnceRoute]bool{}
 		for j, route := range s.Once {
 			once := tomlcheck.Element(key+".once", j)
-			r.Known(once+".method", route.Method, "method", methods)
+			r.Known(once+".method", route.Method, "method", Methods)
 			if !strings.HasPrefix(route.Path, "/") {
 				r.Add(once+".path", fmt.Sprintf("found %q", route.Path), `a path that starts with "/"`)
 			}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -51,6 +51,7 @@
 	f.replace("answers.toml", `size = "large"`, `size = "larg"`)
 	do("accept answers.toml")
 	do("status")
+	do("status --json")
 	do("explain r-1")
 	do("explain r-2")
 	do("timeline --from 2026-03-02T00:00:00Z --request r-1")
--- a/plan/sentences.go
+++ b/plan/sentences.go
@@ -136,7 +136,7 @@
 func keys(n int) string {
 	switch n {
 	case 0:
-		return "no key yet: `jacinthplank keys` makes one"
+		return "no key yet: `jacinthplank keys account` makes one"
 	case 1:
 		return "one key"
 	default:
--- a/questionnaire/check.go
+++ b/questionnaire/check.go
@@ -12,9 +12,8 @@
 )
 
 var (
-	sizes   = []string{string(SizeSmall), string(SizeMedium), string(SizeLarge)}
-	tasks   = []string{string(TaskEntry), string(TaskEndpoint)}
-	methods = []string{"POST", "PUT", "PATCH", "DELETE", "GET"}
+	sizes = []string{string(SizeSmall), string(SizeMedium), string(SizeLarge)}
+	tasks = []string{string(TaskEntry), string(TaskEndpoint)}
 )
 
 // Validate returns every fault of the answers as tomlcheck.Faults, or nil.
@@ -104,7 +103,7 @@
 // SplitCall returns the method and path of a call such as "POST /receipts".
 func SplitCall(call string) (method, path string, err error) {
 	method, path, found := strings.Cut(call, " ")
-	if !found || !slices.Contains(methods, method) || !strings.HasPrefix(path, "/") || strings.Contains(path, " ") {
+	if !found || !slices.Contains(fleet.Methods, method) || !strings.HasPrefix(path, "/") || strings.Contains(path, " ") {
 		return "", "", fmt.Errorf("%q is no method and path", call)
 	}
 	return method, path, nil
