entry: closing an answer after its finish is no cancel

Every whole answer left a canceled event behind, because the HTTP interface closes after the frame with the finish and does not ask for the end. explain had taken it for a caller that went away. TestCloseAfterTheFinishIsNoCancel fails without the change.

--- a/entry/flight.go
+++ b/entry/flight.go
@@ -359,7 +359,11 @@
 	f.cancel()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.done == nil {
+	switch {
+	case f.done != nil:
+	case f.frames.Complete() && f.current != nil:
+		f.finish()
+	default:
 		f.fail(f.ended(&outcome.Error{Code: outcome.CodeCanceled}))
 	}
 	return nil
