placement: long work is told by its prefill time, as endpoints tell it

Cause: prompts of 20,000 to 32,000 tokens take over a second of prefill, so that endpoints queue them as long work, but the entry expected the short wait for them. Ruled out: the queue's own order; the waits it reports were right.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -30,7 +30,7 @@
 			(req.Remaining - slack).Round(time.Millisecond), req.Remaining.Round(time.Millisecond))
 	}
 	kind := limits.KindOf(req.Class())
-	pressure := limits.Pressure{Wait: choice.Wait, Most: mostWait(choice.Member, req, slack)}
+	pressure := limits.Pressure{Wait: choice.Wait, Most: mostWait(choice, req, slack)}
 	configuration := r.configuration()
 	now := time.Now()
 	tokens := max(req.Prompt.Tokens-choice.Cached, 0) + req.MaxTokens
@@ -54,11 +54,11 @@
 }
 
 // mostWait returns the longest wait at which a request is admitted.
-func mostWait(m *directory.Member, req *submit.Request, slack time.Duration) time.Duration {
-	if limits.KindOf(req.Class()) == limits.Long {
+func mostWait(c placement.Choice, req *submit.Request, slack time.Duration) time.Duration {
+	if c.Long {
 		return time.Duration(longWaitShare * float64(slack))
 	}
-	prefill := placement.PrefillTime(m, 0, req.Prompt.Tokens)
+	prefill := placement.PrefillTime(c.Member, 0, req.Prompt.Tokens)
 	return min(shortWaitFloor+time.Duration(shortWaitShare*float64(prefill)), slack)
 }
 
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -141,7 +141,7 @@
 	f.frames.Begin(f.request.Attempt)
 	f.event(timeline.KindPlaced, member.Name, "")
 	a := newAttempt(f.ctx, choice)
-	member.AddSent(f.request.Prompt.Tokens-choice.Cached, f.request.Class() >= submit.ClassLong)
+	member.AddSent(f.request.Prompt.Tokens-choice.Cached, choice.Long)
 	f.router.attempts.add(a)
 	stream, err := f.router.port(member).Submit(a.ctx, f.outgoing())
 	if err != nil {
--- a/entry/group.go
+++ b/entry/group.go
@@ -112,7 +112,7 @@
 // groupChoice is what admission needs to know of a group: the longest wait.
 func groupChoice(members []*directory.Member) placement.Choice {
 	now := time.Now()
-	choice := placement.Choice{Member: members[0]}
+	choice := placement.Choice{Member: members[0], Long: true}
 	for _, m := range members {
 		choice.Wait = max(choice.Wait, placement.ExpectedWait(now, m, true))
 	}
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -35,7 +35,7 @@
 	Broken     int // answers told as whole that were not
 	Retried    int // whole answers that took more than one attempt
 	LeftBlocks int
-	Goodput    float64 // work of whole answers over what the fleet can carry
+	Goodput    float64 // work of whole answers that ended within the run, over what the fleet can carry
 	Codes      map[outcome.Code]int
 
 	Ratio    [classes]*hdrhistogram.Histogram // time to first token over the bare prefill, by class
@@ -56,7 +56,10 @@
 	}
 	var good time.Duration
 	for i := range results {
-		good += r.add(&results[i])
+		work := r.add(&results[i])
+		if results[i].At+results[i].Total <= o.Length {
+			good += work
+		}
 	}
 	r.Goodput = good.Seconds() / (o.Length.Seconds() * float64(o.Deployment.Replicas))
 	return r
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -10,6 +10,10 @@
 // that announced none.
 const defaultPrefill = 10_000
 
+// LongTime is the time of prefill from which on endpoints treat an attempt as
+// long work: one at a time, in chunks, behind short work.
+const LongTime = time.Second
+
 // PrefillTime returns the time to prefill the tokens from first to last on an
 // idle endpoint. Attention makes a token at position p cost 1 + p/scale times
 // as much as the first.
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -67,12 +67,13 @@
 // judge estimates the time to the first token on m. favoured is the number of
 // prefix tokens for which m won the rendezvous.
 func (p *Placer) judge(q *Query, m *directory.Member, favoured int) Choice {
-	wait := ExpectedWait(q.Now, m, q.Long())
 	cached := min(p.hints.cached(q.Now, m, q.Blocks), q.Tokens)
 	prefill := PrefillTime(m, cached, q.Tokens)
+	long := prefill >= LongTime
+	wait := ExpectedWait(q.Now, m, long)
 	cost := q.distance(m) + wait + prefill
 	if cached == 0 {
 		cost -= time.Duration(affinity * float64(PrefillTime(m, 0, min(favoured, q.Tokens))))
 	}
-	return Choice{Member: m, Wait: wait, Cost: cost, Cached: cached}
+	return Choice{Member: m, Wait: wait, Cost: cost, Cached: cached, Long: long}
 }
--- a/placement/query.go
+++ b/placement/query.go
@@ -31,9 +31,6 @@
 	Blocked  func(*directory.Member) bool // endpoints that take nothing now; nil for none
 }
 
-// Long reports whether the request belongs to the classes of long prompts.
-func (q *Query) Long() bool { return q.Class >= submit.ClassLong }
-
 // usable reports whether m may get the request.
 func (q *Query) usable(m *directory.Member) bool {
 	if m.Leaving() || (m.MaxPrompt > 0 && q.Tokens+q.Output > m.MaxPrompt) {
@@ -70,6 +67,7 @@
 	Wait   time.Duration // expected wait before prefill
 	Cost   time.Duration // expected time to the first token
 	Cached int           // prompt tokens expected in the endpoint's prefix cache
+	Long   bool          // the endpoint will send the prefill in chunks, after other long work
 }
 
 // Policy chooses endpoints. Implementations are safe for concurrent use.
