placement: what a short prefill suffers beside other work counts

Cause: an endpoint in the middle of long work tells a short wait of 0, as an idle one does, though a short prompt waits there for a chunk and for decode steps. The line between short and long work is work.LongTime for entry and endpoint.

--- a/endpoint/agent.go
+++ b/endpoint/agent.go
@@ -59,7 +59,7 @@
 	defaultLong           = 4
 	defaultQueued         = 512
 	defaultShortMemory    = 0.1
-	defaultLongTime       = time.Second
+	defaultLongTime       = work.LongTime
 	defaultChunkTime      = 50 * time.Millisecond
 	defaultWholeTime      = 400 * time.Millisecond
 	defaultMaxPause       = time.Second
--- a/experiment/run_test.go
+++ b/experiment/run_test.go
@@ -24,6 +24,9 @@
 	policies    = flag.String("policies", experiment.PolicyCurrent, "policies to compare")
 	length      = flag.Duration("length", 20*time.Second, "virtual length of a run")
 	faults      = flag.Bool("faults", false, "with faults")
+	longTime    = flag.Duration("long-time", 0, "prefill from which on endpoints send chunks; 0 for the default")
+	longs       = flag.Int("longs", 0, "long attempts on one engine at a time; 0 for the default")
+	chunk       = flag.Duration("chunk", 0, "time of one chunk; 0 for the default")
 	csvFile     = flag.String("csv", "", "file for the figures")
 )
 
@@ -73,6 +76,7 @@
 	o := experiment.Options{
 		Deployment: experiment.Deployments[deployment], Load: percent / 100, Seed: s, Policy: policy, Length: *length,
 	}
+	o.Endpoint.LongTime, o.Endpoint.Long, o.Endpoint.ChunkTime = *longTime, *longs, *chunk
 	if *faults {
 		o.Faults = experiment.StandardFaults(*length)
 		o.LoadLag = 2 * time.Second
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -10,10 +10,6 @@
 // that announced none.
 const defaultPrefill = 10_000
 
-// LongTime is the time of prefill from which on endpoints treat an attempt as
-// long work: one at a time, in chunks, behind short work.
-const LongTime = time.Second
-
 // PrefillTime returns the time to prefill the tokens from first to last on an
 // idle endpoint. Attention makes a token at position p cost 1 + p/scale times
 // as much as the first.
@@ -49,3 +45,24 @@
 	left := max(wait-age, 0)
 	return left + PrefillTime(m, 0, sent)
 }
+
+// Delays of a short prefill by what an endpoint does already.
+const (
+	chunkDelay  = 12 * time.Millisecond // by a chunk of long work, as endpoints send it
+	decodeDelay = 12 * time.Millisecond // by answers that are generated
+)
+
+// Interference returns how much longer a short prefill takes on m than on an
+// idle endpoint, beside the wait for prefills before it.
+func Interference(m *directory.Member) time.Duration {
+	report := m.Report()
+	_, long := m.Sent()
+	var delay time.Duration
+	if report.LongWait > report.Wait || long > 0 {
+		delay += chunkDelay
+	}
+	if report.Running > 0 {
+		delay += decodeDelay
+	}
+	return delay
+}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -7,6 +7,7 @@
 
 	"github.com/jacinthplank/jacinthplank/directory"
 	"github.com/jacinthplank/jacinthplank/engine"
+	"github.com/jacinthplank/jacinthplank/work"
 )
 
 const (
@@ -69,11 +70,24 @@
 func (p *Placer) judge(q *Query, m *directory.Member, favoured int) Choice {
 	cached := min(p.hints.cached(q.Now, m, q.Blocks), q.Tokens)
 	prefill := PrefillTime(m, cached, q.Tokens)
-	long := prefill >= LongTime
+	long := prefill >= work.LongTime
 	wait := ExpectedWait(q.Now, m, long)
 	cost := q.distance(m) + wait + prefill
+	if !long {
+		cost += Interference(m) + spread(q, m)
+	}
 	if cached == 0 {
 		cost -= time.Duration(affinity * float64(PrefillTime(m, 0, min(favoured, q.Tokens))))
 	}
 	return Choice{Member: m, Wait: wait, Cost: cost, Cached: cached, Long: long}
 }
+
+// spreadDelay is the largest random delay that is added to a short request's
+// cost, so that entries with reports of equal age don't all choose the same
+// idle endpoint.
+const spreadDelay = 10 * time.Millisecond
+
+// spread returns the random part of the cost of m.
+func spread(q *Query, m *directory.Member) time.Duration {
+	return time.Duration(mix(q.Random^m.Hash) % uint64(spreadDelay))
+}
