--- a/operator/prepare.go
+++ b/operator/prepare.go
@@ -85,6 +85,9 @@
 	for _, s := range sentences {
 		fmt.Fprintln(t.Out, s)
 	}
+	for _, s := range plan.Advice(answers) {
+		fmt.Fprintln(t.Out, "Note: "+s)
+	}
 	if c.Dry {
 		return nil
 	}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -1,6 +1,7 @@
 package plan_test
 
 import (
+	"fmt"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -86,3 +87,32 @@
 	}
 	g.Expect(members).To(HaveLen(3))
 }
+
+func TestAdvice(t *testing.T) {
+	g := NewWithT(t)
+	a := example(t)
+	for i := range a.Accounts {
+		a.Accounts[i].KeyDigests = []string{digest}
+	}
+	g.Expect(plan.Advice(a)).To(BeEmpty())
+
+	var said []string
+	a.Accounts[3].KeyDigests = nil
+	a.Models = append(a.Models, questionnaire.Model{Name: "letters"})
+	a.Services = append(a.Services, questionnaire.Service{Name: "stamps"})
+	for i := range a.Instances {
+		if a.Instances[i].Task == questionnaire.TaskEntry {
+			a.Instances[i].FailureDomain = "bahia"
+			a.Instances[i].Addresses = append(a.Instances[i].Addresses, fmt.Sprintf("10.40.9.%d", i))
+		}
+	}
+	said = append(said, plan.Advice(a)...)
+	for i := range a.Instances {
+		a.Instances[i].Disk = ""
+	}
+	a.Instances[0].Disk = "/data"
+	a.Instances[0].Addresses = a.Instances[0].Addresses[:1]
+	a.Instances = a.Instances[:1]
+	said = append(said, plan.Advice(a)...)
+	golden.Expect(t, "advice.txt", strings.Join(said, "\n")+"\n")
+}
