--- a/endpoint/agent.go
+++ b/endpoint/agent.go
@@ -202,9 +202,11 @@
 	return nil
 }
 
-// pump starts what may start. a.mu is held: the reservation, the removal from the
-// queue and the commitment are one step.
+// pump gives back what can no longer finish and starts what may start. a.mu is
+// held: the reservation, the removal from the queue and the commitment are one
+// step.
 func (a *Agent) pump(now time.Time) {
+	a.giveBack(a.queue.Expire(now))
 	take := func(r admission.Request) bool {
 		err := a.ledger.Reserve(r.Key, r.Estimate.Blocks, r.Deadline.Add(leaseGrace))
 		if err != nil && outcome.From(err).Code == outcome.CodeConflict {
--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -333,9 +333,12 @@
 	if err == nil {
 		return nil
 	}
-	state := outcome.Unknown
-	if t.accepted {
+	state := outcome.NotRun
+	switch {
+	case t.accepted:
 		state = outcome.Ran
+	case t.unknown:
+		state = outcome.Unknown
 	}
 	var failure *outcome.Error
 	switch {
--- a/endpoint/duty.go
+++ b/endpoint/duty.go
@@ -35,6 +35,9 @@
 // meet learns what the engine is and holds. Nothing is admitted before, so what
 // an earlier run of the agent left behind is never over-committed.
 func (a *Agent) meet(ctx context.Context) error {
+	if _, met := a.Description(); met {
+		return nil // the duty was restarted: deadlines are watched whatever the engine does
+	}
 	for {
 		description, err := called(ctx, a.cfg.CallTimeout, a.cfg.Engine.Describe)
 		if err == nil {
@@ -53,9 +56,6 @@
 func (a *Agent) setUp(d engine.Description, held []engine.Holding, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.ready { // the duty was restarted, its state was not
-		return
-	}
 	a.description = d
 	a.rates = work.RatesOf(d)
 	a.ledger = ledger.New(ledger.Config{Blocks: d.MemoryBlocks, OrphanGrace: a.cfg.OrphanGrace, Remember: a.cfg.Remember})
@@ -105,7 +105,6 @@
 func (a *Agent) expire(now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.giveBack(a.queue.Expire(now))
 	if len(a.ledger.Expire(now)) > 0 {
 		wake(a.tidy)
 	}
