--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -202,3 +203,14 @@
 		}
 	})
 }
+
+func BenchmarkQueryFullLog(b *testing.B) {
+	log := timeline.NewLog("entry-1", timeline.DefaultCapacity, time.Now)
+	for i := range timeline.DefaultCapacity {
+		log.Record(timeline.Event{Kind: timeline.KindPlaced, Request: strconv.Itoa(i / 6), Account: "council"})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Query(timeline.Filter{Request: "4000"})
+	}
+}
