--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -151,6 +151,19 @@
 	g.Expect(text).To(ContainSubstring("Control quorum: LOST"))
 }
 
+// A conversation is not lost when its answers do not fit together.
+func TestInitKeepsAnswersThatDoNotFit(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeFleet(t)
+	code, text := f.run(strings.Replace(initLine, "--entries 10.0.0.1,10.0.0.2", "--entries 10.0.0.1,host", 1))
+	g.Expect(code).To(Equal(operator.ExitBadInput))
+	g.Expect(text).To(ContainSubstring("Some do not fit yet"))
+	g.Expect(text).To(MatchRegexp(`answers.toml:\d+: instances\[3\].addresses\[1\]: found "host"`))
+	f.replace("answers.toml", `"host"`, `"10.0.0.2"`)
+	code, _ = f.run("check answers.toml")
+	g.Expect(code).To(Equal(operator.ExitOK))
+}
+
 func TestAnOptionReplacesItsEnvironmentVariable(t *testing.T) {
 	g := NewWithT(t)
 	f := newFakeFleet(t)
--- a/operator/prepare.go
+++ b/operator/prepare.go
@@ -25,12 +25,19 @@
 	if errors.Is(err, questionnaire.ErrEnded) {
 		return exitWith(ExitBadInput, "%w; nothing was written", err)
 	}
-	if err != nil {
+	var faults tomlcheck.Faults
+	if err != nil && (answers == nil || !errors.As(err, &faults)) {
 		return err
 	}
 	if err := os.WriteFile(c.Answers, []byte(answers.Text()), 0o644); err != nil {
 		return trace.ConvertSystemError(err)
 	}
+	if len(faults) > 0 {
+		// Read anew, the faults have the lines of the file.
+		fmt.Fprintf(t.Out, "\nYour answers are in %s. Some do not fit yet: mend them there, then run `jacinthplank check %s`.\n", c.Answers, c.Answers)
+		_, err := questionnaire.Load(c.Answers)
+		return err
+	}
 	fmt.Fprintf(t.Out, "\nYour answers are in %s. Look them over, edit what you like, then run `jacinthplank plan %s`.\n", c.Answers, c.Answers)
 	return nil
 }
--- a/questionnaire/ask.go
+++ b/questionnaire/ask.go
@@ -9,7 +9,8 @@
 )
 
 // Ask puts the whole questionnaire to a person, or to a file of replies with one
-// reply a line. An empty reply takes what stands in brackets.
+// reply a line. An empty reply takes what stands in brackets. Answers that do not
+// fit together are returned with their faults.
 func Ask(in io.Reader, out io.Writer) (*Answers, error) {
 	p := &prompt{in: bufio.NewScanner(in), out: out, echo: in != io.Reader(os.Stdin)}
 	a := New()
@@ -154,7 +155,8 @@
 	Disk           string
 }
 
-// Fill returns answers made from an outline.
+// Fill returns answers made from an outline, with their faults when they do not
+// fit together.
 func Fill(o Outline) (*Answers, error) {
 	a := New()
 	a.Name = o.Name
