--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -21,7 +21,7 @@
 // cluster is control members in one process, which talk over the loopback
 // through a network that can be cut.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	network *transport.Transport
 	folder  string
 	members []settings.Member
@@ -60,19 +60,26 @@
 }
 
 // freeAddress returns an address of the loopback that nobody listens on.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	defer listener.Close()
 	return listener.Addr().String()
 }
 
-func (c *cluster) start(m settings.Member, first []settings.Member) {
+func (c *cluster) start(m settings.Member, first []settings.Member) { c.startOn(m, first, nil) }
+
+// startOn starts a member that hands accepted configurations to a peer.
+func (c *cluster) startOn(m settings.Member, first []settings.Member, on *peer) {
 	g := NewWithT(c.t)
-	member, err := control.Start(control.Options{
+	options := control.Options{
 		Name: m.Name, Address: m.Address, Members: first, Folder: filepath.Join(c.folder, m.Name),
 		HTTP: &http.Client{Transport: c.cutter(m.Address)}, URL: c.network.URL,
-	})
+	}
+	if on != nil {
+		options.Store, options.Gossip = on.store, on.gossip
+	}
+	member, err := control.Start(options)
 	g.Expect(err).NotTo(HaveOccurred())
 	mux := http.NewServeMux()
 	member.Register(mux)
