distribution: ten neighbours that change slowly, all told of a new version; clients close idle connections first

Cause: peers drawn anew for each question open a connection to nearly every other daemon, and each open connection costs a ping every 3 s. Seen with BenchmarkIdle, 25 s after the start: 114, 251, 466, 615 and 652 B/s a daemon at 3, 10, 30, 100 and 200 peers, still growing.

--- a/distribution/gossip.go
+++ b/distribution/gossip.go
@@ -153,7 +153,7 @@
 		g.planner.Failed(time.Now(), n.address)
 		if n.untold && g.spare > 0 {
 			g.spare--
-			g.tellSome(ctx, 1)
+			g.tell(ctx, g.planner.SampleFar(time.Now(), g.options.Peers(), 1))
 		}
 	case n.reply != nil:
 		g.takeReply(ctx, n.address, n.reply)
@@ -222,16 +222,16 @@
 // Peers that are behind then pull from here.
 func (g *Gossip) spread(ctx context.Context) {
 	g.spare = FanOut
-	g.tellSome(ctx, FanOut)
+	g.tell(ctx, g.planner.Sample(time.Now(), g.options.Peers(), FanOut))
 }
 
-func (g *Gossip) tellSome(ctx context.Context, n int) {
-	for _, address := range g.planner.Sample(time.Now(), g.options.Peers(), n) {
-		g.asking.Go(func() { g.tell(ctx, address) })
+func (g *Gossip) tell(ctx context.Context, addresses []string) {
+	for _, address := range addresses {
+		g.asking.Go(func() { g.tellOne(ctx, address) })
 	}
 }
 
-func (g *Gossip) tell(ctx context.Context, address string) {
+func (g *Gossip) tellOne(ctx context.Context, address string) {
 	reply, err := g.question(ctx, address, false)
 	if err != nil {
 		unheard.Inc()
--- a/distribution/planner.go
+++ b/distribution/planner.go
@@ -17,7 +17,9 @@
 	AvoidTime   = 3 * time.Second        // how long a peer that did not answer is left alone
 	PullTimeout = time.Second            // for one question to one peer
 	MaxAsked    = 3                      // peers asked at one time
-	FanOut      = 6                      // peers told of a new version
+	FanOut      = 10                     // peers told of a new version
+	Neighbours  = 10                     // peers that are asked and told as a rule, over connections that stay open
+	SwapPeriod  = 10 * time.Second       // from the change of one neighbour to the next
 )
 
 // Planner decides which peer to ask and when. It does no I/O; addresses name
@@ -29,6 +31,8 @@
 	asked   map[string]time.Time     // since when a peer has been asked
 	hold    time.Time                // before this no second peer is asked
 	probe   time.Time                // when to ask a random peer
+	near    []string                 // neighbours
+	swap    time.Time                // when to change a neighbour
 }
 
 // NewPlanner returns a planner that draws from r.
@@ -150,18 +154,50 @@
 	}
 }
 
-// Sample draws up to n different peers that are not avoided.
+// Sample draws up to n different peers that are not avoided, neighbours first.
 func (p *Planner) Sample(now time.Time, peers []string, n int) []string {
-	sample := make([]string, 0, n)
-	for _, i := range p.rand.Perm(len(peers)) {
-		if len(sample) == n {
-			break
+	p.refresh(now, peers)
+	sample := p.draw(now, p.near, n, nil)
+	return append(sample, p.draw(now, peers, n-len(sample), p.near)...)
+}
+
+// SampleFar draws up to n different peers that are neither avoided nor
+// neighbours.
+func (p *Planner) SampleFar(now time.Time, peers []string, n int) []string {
+	return p.draw(now, peers, n, p.near)
+}
+
+// refresh replaces neighbours that left or are avoided, and one at each swap, so
+// that parts of the fleet that were cut off find each other again.
+func (p *Planner) refresh(now time.Time, peers []string) {
+	p.near = slices.DeleteFunc(p.near, func(address string) bool {
+		return p.avoid(now, address) || !slices.Contains(peers, address)
+	})
+	if len(p.near) == Neighbours && !now.Before(p.swap) {
+		i := p.rand.IntN(len(p.near))
+		p.near = slices.Delete(p.near, i, i+1)
+		p.swap = now.Add(SwapPeriod)
+	}
+	p.near = append(p.near, p.draw(now, peers, Neighbours-len(p.near), p.near)...)
+}
+
+// draw returns up to n different addresses that are neither avoided nor among
+// those to leave out.
+func (p *Planner) draw(now time.Time, from []string, n int, out []string) []string {
+	var drawn []string
+	if n <= 0 {
+		return drawn
+	}
+	for _, i := range p.rand.Perm(len(from)) {
+		if p.avoid(now, from[i]) || slices.Contains(out, from[i]) {
+			continue
 		}
-		if !p.avoid(now, peers[i]) {
-			sample = append(sample, peers[i])
+		drawn = append(drawn, from[i])
+		if len(drawn) == n {
+			break
 		}
 	}
-	return sample
+	return drawn
 }
 
 func (p *Planner) avoid(now time.Time, address string) bool {
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -23,7 +23,8 @@
 	handshakeTimeout  = 2 * time.Second
 	pingAfter         = 3 * time.Second
 	pingTimeout       = 2 * time.Second
-	idleTimeout       = 2 * time.Minute
+	idleTimeout       = 2 * time.Minute  // at the server
+	clientIdle        = 30 * time.Second // at the client, which closes first
 	readHeaderTimeout = 10 * time.Second
 )
 
@@ -116,7 +117,7 @@
 		Protocols:       clientProtocols(t.identity == nil),
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		DialContext:     dialer.DialContext,
-		IdleConnTimeout: idleTimeout,
+		IdleConnTimeout: clientIdle,
 	}
 	if t.identity != nil {
 		made.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
