--- a/operator/status.go
+++ b/operator/status.go
@@ -3,15 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 	"sort"
 	"strings"
-	"text/tabwriter"
-	"time"
 
 	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
-	"github.com/jacinthplank/jacinthplank/tomlcheck"
 )
 
 func (c *statusCommand) run(ctx context.Context, t Terminal) error {
@@ -24,6 +19,9 @@
 		return err
 	}
 	o := overviewOf(reports)
+	if o.Quorum.Healthy {
+		o.Models = modelRows(client.accepted(ctx), o.Endpoints)
+	}
 	if c.JSON {
 		encoder := json.NewEncoder(t.Out)
 		encoder.SetIndent("", "  ")
@@ -37,6 +35,7 @@
 	Quorum         quorumRow   `json:"quorum"`
 	FailureDomains []domainRow `json:"failure_domains"`
 	Daemons        []daemonRow `json:"daemons"`
+	Models         []modelRow  `json:"models,omitempty"` // empty without a quorum
 	Endpoints      []endpoint  `json:"endpoints"`
 }
 
@@ -77,6 +76,7 @@
 	LongWaitMs    int64  `json:"long_wait_ms"`
 	Leaving       bool   `json:"leaving"`
 	Breaker       string `json:"breaker,omitempty"`
+	models        []string
 	age           int64
 }
 
@@ -161,6 +161,7 @@
 		LongWaitMs:    b.GetLongWaitUs() / 1000,
 		Leaving:       b.GetLeaving(),
 		Breaker:       e.GetBreaker(),
+		models:        e.GetModels(),
 		age:           e.GetAgeUs(),
 	}
 }
@@ -197,85 +198,3 @@
 	}
 	return row
 }
-
-func (o overview) write(w io.Writer) error {
-	fmt.Fprintln(w, o.Quorum.sentence())
-	fmt.Fprintln(w, o.revisions())
-	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "\nFAILURE DOMAIN\tDAEMONS\tANSWERING")
-	for _, d := range o.FailureDomains {
-		fmt.Fprintf(table, "%s\t%d\t%d\n", orDash(d.Name), d.Daemons, d.Answering)
-	}
-	fmt.Fprintln(table, "\nDAEMON\tFAILURE DOMAIN\tDUTIES\tSTATE\tREVISION\tADDRESS")
-	for _, d := range o.Daemons {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", d.Name, orDash(d.FailureDomain), orDash(strings.Join(d.Duties, ",")), d.State, orDash(d.Revision), d.Address)
-	}
-	fmt.Fprintln(table, "\nENDPOINT\tFAILURE DOMAIN\tSERVES\tQUEUED TOKENS\tRUNNING\tWAIT\tLONG WAIT\tSTATE")
-	for _, e := range o.Endpoints {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\n", e.Name, orDash(e.FailureDomain), orDash(e.Serves),
-			e.QueuedTokens, e.Running, millis(e.WaitMillis), millis(e.LongWaitMs), e.state())
-	}
-	return table.Flush()
-}
-
-func (q quorumRow) sentence() string {
-	switch {
-	case !q.Known:
-		return "Control quorum: no member answered. Changes and calls that run at most once are refused until one does."
-	case !q.Healthy:
-		return fmt.Sprintf("Control quorum: LOST. Of the voters %s, not answering: %s. See docs/operators/lost-quorum.md.",
-			strings.Join(q.Voters, ", "), orDash(strings.Join(q.Missing, ", ")))
-	case len(q.Missing) > 0:
-		return fmt.Sprintf("Control quorum: led by %s, but %s did not answer. See docs/operators/replace-a-member.md.", q.Leader, strings.Join(q.Missing, ", "))
-	default:
-		return fmt.Sprintf("Control quorum: good, led by %s; voters %s.", q.Leader, strings.Join(q.Voters, ", "))
-	}
-}
-
-// revisions tells on how many daemons each revision is in force.
-func (o overview) revisions() string {
-	counts := map[string]int{}
-	for _, d := range o.Daemons {
-		if d.Revision != "" {
-			counts[d.Revision]++
-		}
-	}
-	var parts []string
-	for v, n := range counts {
-		parts = append(parts, fmt.Sprintf("%s on %d", v, n))
-	}
-	sort.Strings(parts)
-	return fmt.Sprintf("Revision in force: %s of %d daemons.", orDash(strings.Join(parts, ", ")), len(o.Daemons))
-}
-
-func (e endpoint) state() string {
-	switch {
-	case e.Leaving:
-		return "leaving"
-	case e.Breaker != "" && e.Breaker != "closed":
-		return "breaker " + e.Breaker
-	default:
-		return "open"
-	}
-}
-
-func orDash(s string) string {
-	if s == "" {
-		return "-"
-	}
-	return s
-}
-
-func millis(n int64) string { return (time.Duration(n) * time.Millisecond).String() }
-
-// suggestion names the member whose name is nearest to name.
-func suggestion(name string, members []member) string {
-	names := make([]string, len(members))
-	for i, m := range members {
-		names[i] = m.name
-	}
-	if near := tomlcheck.Nearest(name, names); near != "" {
-		return fmt.Sprintf("; did you mean %q?", near)
-	}
-	return ""
-}
