--- /dev/null
+++ b/capacity/fleet_test.go
@@ -0,0 +1,155 @@
+package capacity_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/daemon"
+	"github.com/jacinthplank/jacinthplank/engine"
+	"github.com/jacinthplank/jacinthplank/fleet"
+	"github.com/jacinthplank/jacinthplank/settings"
+)
+
+// Times of one measurement.
+const (
+	settleTime  = 6 * time.Second
+	measureTime = 10 * time.Second
+)
+
+// entryShare is the share of daemons that are entries: one in so many.
+const entryShare = 5
+
+// countedListener counts the bytes of every connection that it accepts. Each
+// connection between two daemons is accepted once, so the sum over all daemons
+// is what the fleet sends.
+type countedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countedConn{c, l.bytes}, err
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// idle is an engine that no request reaches.
+type idle struct{ engine.Engine }
+
+func (idle) Describe(context.Context) (engine.Description, error) {
+	return engine.Description{
+		Models: []string{"drafts"}, MemoryBlocks: 3200, MemoryTokens: 128,
+		MaxPrompt: 400_000, PrefillPerSec: 20_000, DecodePerSec: 60,
+	}, nil
+}
+func (idle) Holdings(context.Context) ([]engine.Holding, error) { return nil, nil }
+func (idle) CacheEvents(context.Context, uint64) ([]engine.CacheEvent, error) {
+	return nil, nil
+}
+
+// testFleet is n daemons in this process, one in five an entry.
+type testFleet struct {
+	b       *testing.B
+	g       *WithT
+	bytes   atomic.Int64
+	daemons []*daemon.Daemon
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+func newTestFleet(b *testing.B, n int) *testFleet {
+	f := &testFleet{b: b, g: NewWithT(b)}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	var seeds []string
+	for i := range n {
+		d := f.start(ctx, i, seeds)
+		if len(seeds) < 3 && i%entryShare == 0 {
+			seeds = append(seeds, d.Address())
+		}
+	}
+	b.Cleanup(func() {
+		cancel()
+		f.running.Wait()
+	})
+	return f
+}
+
+func (f *testFleet) start(ctx context.Context, i int, seeds []string) *daemon.Daemon {
+	s := settings.Defaults()
+	s.Instance = settings.Instance{
+		Name:          fmt.Sprintf("instance-%04d", i),
+		FailureDomain: fmt.Sprintf("domain-%d", i%14),
+		Duties:        []settings.Duty{settings.DutyEndpoint},
+		Seeds:         seeds,
+	}
+	if i%entryShare == 0 {
+		s.Instance.Duties = []settings.Duty{settings.DutyEntry}
+		s.Entry.BalancerDelay = 0
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	d, err := daemon.New(s, daemon.Options{
+		Log:            slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Engine:         idle{},
+		Configuration:  &fleet.Configuration{Name: "capacity"},
+		Listener:       countedListener{l, &f.bytes},
+		CallerListener: callers,
+	})
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.daemons = append(f.daemons, d)
+	f.running.Go(func() { _ = d.Run(ctx) })
+	return d
+}
+
+// awaitComplete waits until every entry knows every endpoint.
+func (f *testFleet) awaitComplete() {
+	endpoints := len(f.daemons) - (len(f.daemons)+entryShare-1)/entryShare
+	for i := 0; i < len(f.daemons); i += entryShare {
+		d := f.daemons[i]
+		f.g.Eventually(d.EndpointCount, time.Minute, 50*time.Millisecond).Should(Equal(endpoints))
+	}
+}
+
+// cpu is the processor time of this process so far.
+func cpu() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
--- /dev/null
+++ b/capacity/membership_test.go
@@ -0,0 +1,34 @@
+package capacity_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkIdleDaemon measures what one daemon at rest spends on heartbeats,
+// membership and the watch over its engine, by the size of the fleet. Bytes are
+// those that it sends and receives.
+func BenchmarkIdleDaemon(b *testing.B) {
+	for _, n := range []int{25, 50, 100, 200} {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) { measureIdle(b, n) })
+	}
+}
+
+func measureIdle(b *testing.B, n int) {
+	before := heap()
+	start := time.Now()
+	f := newTestFleet(b, n)
+	f.awaitComplete()
+	complete := time.Since(start)
+	time.Sleep(settleTime)
+	startBytes, startCPU, startTime := f.bytes.Load(), cpu(), time.Now()
+	time.Sleep(measureTime)
+	seconds := time.Since(startTime).Seconds()
+	perDaemon := float64(n) * seconds
+	b.ReportMetric(2*float64(f.bytes.Load()-startBytes)/perDaemon, "B/s/daemon")
+	b.ReportMetric(100*(cpu()-startCPU).Seconds()/perDaemon, "%core/daemon")
+	b.ReportMetric(float64(heap()-before)/float64(n)/(1<<20), "MiB/daemon")
+	b.ReportMetric(complete.Seconds(), "s-to-complete")
+	b.ReportMetric(0, "ns/op")
+}
--- a/coord/membership/table.go
+++ b/coord/membership/table.go
@@ -118,6 +118,9 @@
 	return out
 }
 
+// Head grows with every change of the table.
+func (t *Table) Head() uint64 { return t.head }
+
 // SetFacts replaces what the member tells of itself.
 func (t *Table) SetFacts(facts []byte) {
 	self := t.Self()
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"path/filepath"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
 
-	"github.com/jacinthplank/jacinthplank/coord/membership"
 	"github.com/jacinthplank/jacinthplank/distribution"
 	"github.com/jacinthplank/jacinthplank/fleet"
 	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
@@ -17,6 +17,10 @@
 // force over a restart.
 const cacheName = "configuration.json"
 
+// probePeriod is the mean time between questions to a random peer. Versions ride
+// on every heartbeat; probes only join what heartbeats may not.
+const probePeriod = 30 * time.Second
+
 // provisionConfiguration makes the store of the configuration in force and the
 // duty that keeps it up to date.
 func (d *Daemon) provisionConfiguration() error {
@@ -27,9 +31,10 @@
 	d.distribution = distribution.NewGossip(distribution.Options{
 		Store:     d.store,
 		Address:   d.address,
-		Peers:     d.peerAddresses,
+		Peers:     d.book.peers,
 		Ask:       d.askConfiguration,
 		CacheFile: d.cacheFile(),
+		Probe:     probePeriod,
 		Log:       d.log,
 		Events:    d.recorder,
 	})
@@ -72,17 +77,6 @@
 	return d.store.Current()
 }
 
-// peerAddresses returns the addresses of the other daemons.
-func (d *Daemon) peerAddresses() []string {
-	var out []string
-	for _, r := range d.gossip.Members() {
-		if r.Name != d.settings.Instance.Name && r.State < membership.Dead {
-			out = append(out, r.Address)
-		}
-	}
-	return out
-}
-
 func (d *Daemon) askConfiguration(ctx context.Context, address string, q *pb.ConfigurationRequest) (*pb.ConfigurationResponse, error) {
 	reply, err := d.network.peer(address).Configuration(ctx, connect.NewRequest(q))
 	if err != nil {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/jacinthplank/jacinthplank/control"
-	"github.com/jacinthplank/jacinthplank/gossip"
-	"github.com/jacinthplank/jacinthplank/settings"
 )
 
 // fencePause is the time between tries to learn the fencing number.
@@ -39,30 +36,12 @@
 // provisionControlClient makes the client by which the duties reach the quorum.
 func (d *Daemon) provisionControlClient() {
 	d.quorum = control.NewClient(control.ClientOptions{
-		Members: d.controlAddresses,
+		Members: d.book.controls,
 		HTTP:    d.network.Client(),
 		URL:     d.network.URL,
 	})
 }
 
-// controlAddresses returns the addresses of the control instances: those that
-// are members of the fleet now, and those that the settings name.
-func (d *Daemon) controlAddresses() []string {
-	var out []string
-	for _, r := range d.gossip.Members() {
-		duties := gossip.Facts(r).GetDuties()
-		if !r.State.Gone() && slices.Contains(duties, string(settings.DutyControl)) {
-			out = append(out, r.Address)
-		}
-	}
-	for _, m := range d.settings.Control.Members {
-		if !slices.Contains(out, m.Address) {
-			out = append(out, m.Address)
-		}
-	}
-	return out
-}
-
 // fencing is the duty that learns, after a start, the highest fencing number
 // that was given for the endpoint here. Until then its agent passes no order on.
 type fencing struct {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -63,6 +63,7 @@
 	distribution *distribution.Gossip
 	entry        *entryDuty
 	endpoint     *endpointDuty
+	book         *addressBook
 	control      *control.Member // nil without the duty
 	quorum       *control.Client
 
--- a/daemon/endpoint.go
+++ b/daemon/endpoint.go
@@ -24,8 +24,12 @@
 	engineIdleConnections = 256
 )
 
-// factsInterval is the time between two looks at what the engine is.
-const factsInterval = 100 * time.Millisecond
+// Times between two looks at what the engine is: until it first answers, and
+// after that.
+const (
+	firstFactsInterval = 100 * time.Millisecond
+	factsInterval      = time.Second
+)
 
 // endpointDuty is the duty beside an engine or a plain service.
 type endpointDuty struct {
@@ -134,6 +138,7 @@
 // Serve implements supervise.Duty.
 func (a announcing) Serve(ctx context.Context) error {
 	told := &pb.MemberFacts{}
+	interval := firstFactsInterval
 	for ctx.Err() == nil {
 		if description, ready := a.daemon.endpoint.agent.Description(); ready {
 			facts := a.daemon.ownFacts()
@@ -142,8 +147,9 @@
 				a.daemon.gossip.SetFacts(facts)
 				told = facts
 			}
+			interval = factsInterval
 		}
-		sleep(ctx, factsInterval)
+		sleep(ctx, interval)
 	}
 	return ctx.Err()
 }
--- a/daemon/provision.go
+++ b/daemon/provision.go
@@ -19,6 +19,7 @@
 // it needs.
 func (d *Daemon) provision() error {
 	facts := d.ownFacts()
+	d.book = &addressBook{self: d.settings.Instance.Name, first: d.settings.Control.Members}
 	if err := d.provisionConfiguration(); err != nil {
 		return trace.Wrap(err)
 	}
@@ -36,7 +37,14 @@
 			return trace.Wrap(err)
 		}
 	}
-	d.gossip = gossip.New(gossip.Options{
+	d.book.gossip = d.gossipService(facts)
+	d.gossip = d.book.gossip
+	return nil
+}
+
+// gossipService makes the membership duty.
+func (d *Daemon) gossipService(facts *pb.MemberFacts) *gossip.Service {
+	return gossip.New(gossip.Options{
 		Self:      d.self(facts),
 		Seeds:     d.settings.Instance.Seeds,
 		Dial:      func(address string) gossip.Peer { return d.network.peer(address) },
@@ -46,7 +54,6 @@
 		OnVersion: d.distribution.Heard,
 		OnBacklog: d.peerBacklog,
 	})
-	return nil
 }
 
 // ownFacts returns what this member tells of itself before an engine is known.
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -14,6 +14,7 @@
 	leaveTimeout  = 2 * time.Second        // to tell the partners
 	drainPoll     = 20 * time.Millisecond  // between two looks at what still runs
 	longestDrain  = 24 * time.Hour         // no request has a later deadline
+	closeTimeout  = 2 * time.Second        // for connections without requests
 	streamsLinger = 200 * time.Millisecond // for last frames to leave
 )
 
@@ -32,7 +33,7 @@
 		d.awaitEndpoint(ctx)
 	}
 	d.leave(ctx)
-	_ = server.Shutdown(ctx)
+	closeServer(ctx, server, func() int { return 0 })
 	if d.control != nil {
 		d.control.Stop()
 	}
@@ -43,7 +44,28 @@
 // answer is written.
 func (d *Daemon) stopEntry(ctx context.Context) {
 	sleep(ctx, d.settings.Entry.BalancerDelay.D())
-	_ = d.entry.server.Shutdown(ctx)
+	closeServer(ctx, d.entry.server, d.entry.api.Running)
+}
+
+// closeServer takes no new connections, waits for the requests in progress and
+// closes what is left. The HTTP library may never tell a connection that was
+// made in the same moment, and would wait for it until it is idle for long.
+func closeServer(ctx context.Context, server *http.Server, running func() int) {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_ = server.Shutdown(ctx)
+	}()
+	for running() > 0 && ctx.Err() == nil {
+		sleep(ctx, drainPoll)
+	}
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-closed:
+	case <-timer.C:
+		_ = server.Close()
+	}
 }
 
 func (d *Daemon) awaitEndpoint(ctx context.Context) {
--- a/distribution/gossip.go
+++ b/distribution/gossip.go
@@ -39,7 +39,10 @@
 	CacheFile string // file for the configuration in force, empty for none
 	Log       *slog.Logger
 	Events    timeline.Recorder
-	Rand      *rand.Rand // used by the duty only; nil for one seeded at random
+	// Probe is the mean time between questions to a random peer; 0 for
+	// ProbePeriod. It may be long where versions are heard with heartbeats.
+	Probe time.Duration
+	Rand  *rand.Rand // used by the duty only; nil for one seeded at random
 }
 
 // Gossip is the duty that keeps a Store up to date and its peers with it.
@@ -74,7 +77,11 @@
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	return &Gossip{options: o, planner: NewPlanner(o.Rand), news: ring.New[item](newsCapacity, ring.DropOldest)}
+	planner := NewPlanner(o.Rand)
+	if o.Probe > 0 {
+		planner.period = o.Probe
+	}
+	return &Gossip{options: o, planner: planner, news: ring.New[item](newsCapacity, ring.DropOldest)}
 }
 
 // Name implements supervise.Duty.
--- a/distribution/planner.go
+++ b/distribution/planner.go
@@ -26,6 +26,7 @@
 // the peers.
 type Planner struct {
 	rand    *rand.Rand
+	period  time.Duration            // mean time between probes
 	ahead   map[string]fleet.Version // what peers are known to have
 	avoided map[string]time.Time     // until when a peer is left alone
 	asked   map[string]time.Time     // since when a peer has been asked
@@ -39,6 +40,7 @@
 func NewPlanner(r *rand.Rand) *Planner {
 	return &Planner{
 		rand:    r,
+		period:  ProbePeriod,
 		ahead:   make(map[string]fleet.Version),
 		avoided: make(map[string]time.Time),
 		asked:   make(map[string]time.Time),
@@ -132,8 +134,8 @@
 
 // schedule draws the time of the next probe.
 func (p *Planner) schedule(now time.Time) {
-	spread := time.Duration(p.rand.Int64N(int64(ProbePeriod)))
-	p.probe = now.Add(ProbePeriod/2 + spread)
+	spread := time.Duration(p.rand.Int64N(int64(p.period)))
+	p.probe = now.Add(p.period/2 + spread)
 }
 
 // Answered notes the version that a peer has answered with, which may be lower
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -108,6 +108,13 @@
 	return s.table.Members()
 }
 
+// Head grows with every change of the members.
+func (s *Service) Head() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Head()
+}
+
 // SetFacts replaces what this member tells of itself.
 func (s *Service) SetFacts(f *pb.MemberFacts) {
 	s.mu.Lock()
--- a/sessions/fleet_test.go
+++ b/sessions/fleet_test.go
@@ -13,12 +13,15 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	. "github.com/onsi/gomega"
 
 	"github.com/jacinthplank/jacinthplank/daemon"
 	"github.com/jacinthplank/jacinthplank/engine"
 	"github.com/jacinthplank/jacinthplank/engine/emulator"
 	"github.com/jacinthplank/jacinthplank/fleet"
+	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
+	"github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1/jacinthplankv1connect"
 	"github.com/jacinthplank/jacinthplank/settings"
 )
 
@@ -133,6 +136,7 @@
 	}, 10*time.Second, 20*time.Millisecond).Should(Equal(http.StatusOK))
 	entry := f.members[s.entryName()].daemon
 	f.g.Eventually(entry.EndpointCount, 10*time.Second, 20*time.Millisecond).Should(Equal(len(s.Daemons) - 1))
+	f.g.Eventually(func() bool { return hasLeader(entry.Address()) }, 10*time.Second, 20*time.Millisecond).Should(BeTrue())
 }
 
 func engineNames(c *fleet.Configuration) []string {
@@ -142,3 +146,15 @@
 	}
 	return names
 }
+
+// hasLeader reports whether the daemon's quorum has a leader; true for a daemon
+// without control duty.
+func hasLeader(address string) bool {
+	client := jacinthplankv1connect.NewPeerServiceClient(http.DefaultClient, "http://"+address)
+	reply, err := client.Status(context.Background(), connect.NewRequest(&pb.StatusRequest{}))
+	if err != nil {
+		return false
+	}
+	q := reply.Msg.GetQuorum()
+	return q == nil || q.GetHasQuorum() && q.GetLeader() != ""
+}
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -3,24 +3,27 @@
 // Ring keeps the newest events of a daemon. A full ring overwrites the oldest.
 // It is not safe for concurrent use; Log is.
 type Ring struct {
-	events  []Event
+	events   []Event // grows to capacity, then is overwritten
+	capacity int
 	next    uint64 // sequence number of the next event; events count from 0
 	dropped Stamp  // stamp of the newest overwritten event
 }
 
 // NewRing returns a ring for capacity events, at least 1.
 func NewRing(capacity int) *Ring {
-	return &Ring{events: make([]Event, max(capacity, 1))}
+	return &Ring{capacity: max(capacity, 1)}
 }
 
 // Add keeps e.
 func (r *Ring) Add(e Event) {
-	slot := &r.events[r.next%uint64(len(r.events))]
-	if r.next >= uint64(len(r.events)) {
-		r.dropped = slot.Stamp()
+	r.next++
+	if len(r.events) < r.capacity {
+		r.events = append(r.events, e)
+		return
 	}
+	slot := &r.events[(r.next-1)%uint64(r.capacity)]
+	r.dropped = slot.Stamp()
 	*slot = e
-	r.next++
 }
 
 // Oldest returns the sequence number of the oldest event kept.
