--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -5,8 +5,8 @@
 type Ring struct {
 	events   []Event // grows to capacity, then is overwritten
 	capacity int
-	next    uint64 // sequence number of the next event; events count from 0
-	dropped Stamp  // stamp of the newest overwritten event
+	next     uint64 // sequence number of the next event; events count from 0
+	dropped  Stamp  // stamp of the newest overwritten event
 }
 
 // NewRing returns a ring for capacity events, at least 1.
