--- a/operator/experiment.go
+++ b/operator/experiment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"sort"
@@ -23,6 +24,7 @@
 	Length     time.Duration `arg:"--length" default:"20s" help:"how long new requests come in each run; answers take longer"`
 	Faults     bool          `arg:"--faults" help:"with engines that die, freeze and leave"`
 	CSV        string        `arg:"--csv" help:"file to write the figures to as well"`
+	SVG        string        `arg:"--svg" help:"file to draw the slowdown of short requests to"`
 }
 
 // defaultLoad is the offered work of an experiment that names none, in percent.
@@ -44,7 +46,10 @@
 	if err := experiment.WriteTable(t.Out, reports); err != nil {
 		return trace.Wrap(err)
 	}
-	return c.writeCSV(reports)
+	if err := writeFigures(c.CSV, reports, experiment.WriteCSV); err != nil {
+		return err
+	}
+	return writeFigures(c.SVG, reports, experiment.WriteSVG)
 }
 
 // options returns one run for each load, seed and policy.
@@ -109,16 +114,17 @@
 	return orDefault(c.Policies, experiment.Policies...), nil
 }
 
-func (c *experimentCommand) writeCSV(reports []*experiment.Report) error {
-	if c.CSV == "" {
+// writeFigures writes reports to a file; an empty name stands for none.
+func writeFigures(name string, reports []*experiment.Report, write func(io.Writer, []*experiment.Report) error) error {
+	if name == "" {
 		return nil
 	}
-	file, err := os.Create(c.CSV)
+	file, err := os.Create(name)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
 	defer file.Close()
-	return trace.Wrap(experiment.WriteCSV(file, reports))
+	return trace.Wrap(write(file, reports))
 }
 
 func unknownName(flag, name string, valid []string) error {
