--- a/entry/group.go
+++ b/entry/group.go
@@ -43,7 +43,6 @@
 // tryGroup makes one attempt at a group of endpoints: all members are reserved
 // in the order of their names, or none.
 func (f *flight) tryGroup() error {
-	key := f.request.Key()
 	for {
 		members, err := f.router.chooseGroup(&f.request, f.avoid)
 		if err != nil {
@@ -52,7 +51,7 @@
 		if err = f.admit(groupChoice(members)); err != nil {
 			return err
 		}
-		err = f.router.reserve(f.ctx, key, members, &f.request, f.deadline)
+		err = f.router.reserve(f.ctx, f.request.Key(), members, &f.request, f.deadline)
 		if err == nil {
 			f.enterGroup(members)
 			return nil
@@ -63,6 +62,7 @@
 		if err = f.waitForMemory(err); err != nil {
 			return err
 		}
+		f.request.Attempt++ // endpoints refuse a key that was released
 	}
 }
 
