endpoint: a restarted engine has an empty cache

Cause: after a restart an engine counts its cache events from 1, and the agent waited for higher ones: it believed the old prefixes cached for ever, and admitted work that could not finish. Change: the view is forgotten when the engine fails or does not answer; a chunk that finds less cached than believed corrects it. Shown: without the reset TestARestartedEngineHasAnEmptyCache fails.

--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -358,7 +358,12 @@
 	return failure
 }
 
+// recordFailure notes a failed attempt. An engine that failed may have been
+// restarted with an empty cache. a.mu is held.
 func (a *Agent) recordFailure(t *attempt, failure *outcome.Error) {
+	if failure.Code == outcome.CodeEngineFailed || failure.Code == outcome.CodeTransport {
+		a.cache.reset()
+	}
 	kind := timeline.KindFailed
 	if failure.Code == outcome.CodeCanceled {
 		kind = timeline.KindCanceled
--- a/endpoint/cacheview.go
+++ b/endpoint/cacheview.go
@@ -36,6 +36,20 @@
 	}
 }
 
+// reset forgets everything, as after a restart of the engine, which counts its
+// events from the start again.
+func (v *cacheView) reset() {
+	clear(v.blocks)
+	v.sequence = 0
+}
+
+// correct takes in that only cached tokens of a prompt were found in the cache.
+func (v *cacheView) correct(blocks []engine.Block, cached int) {
+	for _, b := range blocks[min(cached/engine.BlockTokens, len(blocks)):] {
+		delete(v.blocks, b)
+	}
+}
+
 // apply takes in events, oldest first.
 func (v *cacheView) apply(events []engine.CacheEvent) {
 	for _, e := range events {
--- a/endpoint/duty.go
+++ b/endpoint/duty.go
@@ -173,10 +173,12 @@
 func (a *Agent) reconcile(ctx context.Context) {
 	asked := a.releasing()
 	held, err := called(ctx, a.cfg.CallTimeout, a.cfg.Engine.Holdings)
+	a.mu.Lock()
 	if err != nil {
+		a.cache.reset()
+		a.mu.Unlock()
 		return
 	}
-	a.mu.Lock()
 	now := time.Now()
 	overdue := a.ledger.Reconcile(asked, held, now)
 	for _, k := range overdue {
--- a/endpoint/faults_test.go
+++ b/endpoint/faults_test.go
@@ -106,6 +106,33 @@
 	})
 }
 
+func TestARestartedEngineHasAnEmptyCache(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, emulator.Config{}, endpoint.Config{})
+		r := request("a", 100_000, 10, time.Minute) // 5 s of prefill
+		_, _, err := read(b.submit(r))
+		b.Expect(err).NotTo(HaveOccurred())
+		r.Attempt, r.Remaining = 2, 3*time.Second
+		_, _, err = read(b.submit(r))
+		b.Expect(err).NotTo(HaveOccurred(), "cached, so there is time enough")
+		b.emu.Kill()
+		time.Sleep(3 * time.Second)
+		b.emu.Revive()
+		time.Sleep(3 * time.Second)
+		r.Attempt = 3
+		_, err = b.agent.Submit(t.Context(), r)
+		b.Expect(outcome.From(err).Code).To(Equal(outcome.CodeDeadline))
+		r.Attempt, r.Remaining = 4, time.Minute
+		_, _, err = read(b.submit(r))
+		b.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(3 * time.Second) // its cache events are read, though they count from 1 again
+		r.Attempt, r.Remaining = 5, 3*time.Second
+		_, _, err = read(b.submit(r))
+		b.Expect(err).NotTo(HaveOccurred())
+		b.close()
+	})
+}
+
 func TestARestartedAgentFreesWhatItsEngineStillHolds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, emulator.Config{MemoryBlocks: 1000}, endpoint.Config{})
--- a/endpoint/metrics.go
+++ b/endpoint/metrics.go
@@ -14,6 +14,7 @@
 	canceledTotal    = metrics.NewCounter("jacinthplank_endpoint_cancels_total")
 	cancelRetryTotal = metrics.NewCounter("jacinthplank_endpoint_cancel_retries_total")
 	orphansTotal     = metrics.NewCounter("jacinthplank_endpoint_orphans_freed_total")
+	cacheMissesTotal = metrics.NewCounter("jacinthplank_endpoint_cache_misses_total")
 	staleOrdersTotal = metrics.NewCounter("jacinthplank_endpoint_stale_orders_total")
 )
 
--- a/endpoint/prefill.go
+++ b/endpoint/prefill.go
@@ -43,7 +43,20 @@
 		return err
 	}
 	defer giveBack()
-	return a.generate(t, w, ignore, piece)
+	return a.generate(t, w, func(_ context.Context, c engine.Chunk) error {
+		if w.Segment == nil && c.Finish != engine.FinishNone && c.Usage.CachedTokens+engine.BlockTokens <= position {
+			a.cacheMissed(w.Prompt.Blocks, c.Usage.CachedTokens)
+		}
+		return nil
+	}, piece)
+}
+
+// cacheMissed notes that a prefix was not cached as believed.
+func (a *Agent) cacheMissed(blocks []engine.Block, cached int) {
+	cacheMissesTotal.Inc()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cache.correct(blocks, cached)
 }
 
 // nextPosition returns the end of the chunk that begins at position.
@@ -89,8 +102,6 @@
 	return p.Text[:min(end, len(p.Text))]
 }
 
-func ignore(context.Context, engine.Chunk) error { return nil }
-
 func (a *Agent) progress(t *attempt, position, last int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
