--- /dev/null
+++ b/coord/quorum/node_fault_test.go
@@ -0,0 +1,391 @@
+package quorum_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/coord/quorum"
+	"github.com/jacinthplank/jacinthplank/coord/wal"
+)
+
+// disk returns a member's disk.
+func (c *cluster) disk(name string) *wal.MemoryFolder { return c.disks[name].(*wal.MemoryFolder) }
+
+// others returns the members but for one.
+func (c *cluster) others(name string) []string {
+	var out []string
+	for _, n := range names(c) {
+		if n != name {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func TestProposalsAreRefusedAsNotRunByOthersThanTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(g, 3, quorum.Options{Seed: 2})
+		defer c.stop()
+		leader := c.leader(names(c)...)
+		follower := c.others(leader)[0]
+		time.Sleep(time.Second)
+
+		err := c.propose(follower, "x")
+		var notLeader *quorum.ErrNotLeader
+		g.Expect(errors.As(err, &notLeader)).To(BeTrue())
+		g.Expect(*notLeader).To(Equal(quorum.ErrNotLeader{Leader: leader, Address: "addr-" + leader}))
+		g.Expect(quorum.IsNotRun(err)).To(BeTrue())
+
+		c.network.isolate(follower, true)
+		time.Sleep(2 * time.Second)
+		err = c.propose(follower, "x")
+		g.Expect(err).To(MatchError(quorum.ErrNoQuorum))
+		g.Expect(c.node(follower).Status().HasQuorum).To(BeFalse())
+		g.Expect(c.node(follower).ReadIndex(context.Background())).To(MatchError(quorum.ErrNoQuorum))
+	})
+}
+
+func TestLeaderCutOffSaysUnknownAndThenNoQuorum(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(g, 3, quorum.Options{Seed: 3})
+		defer c.stop()
+		leader := c.leader(names(c)...)
+		c.network.isolate(leader, true)
+		start := time.Now()
+
+		err := c.propose(leader, "x")
+		g.Expect(err).To(MatchError(quorum.ErrUnknown))
+		g.Expect(quorum.IsNotRun(err)).To(BeFalse())
+		g.Expect(time.Since(start)).To(BeNumerically("<=", quorum.ElectionTimeout+quorum.Heartbeat))
+		err = c.propose(leader, "y")
+		g.Expect(err).To(MatchError(quorum.ErrNoQuorum))
+		g.Expect(quorum.IsNotRun(err)).To(BeTrue())
+	})
+}
+
+func TestMemberWithAFailedDiskStops(t *testing.T) {
+	for _, operation := range []string{"write", "sync"} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCluster(g, 3, quorum.Options{Seed: 4})
+			defer c.stop()
+			leader := c.leader(names(c)...)
+			c.disk(leader).SetFault(func(op, _ string) error {
+				if op == operation {
+					return errors.New("no space left on device")
+				}
+				return nil
+			})
+			_ = c.propose(leader, "x")
+			c.eventually(func() error { return c.node(leader).Status().Err }).Should(MatchError(ContainSubstring("no space left")))
+			g.Expect(c.node(leader).Status().Err).To(MatchError(ContainSubstring("log-")))
+			next := c.leader(c.others(leader)...)
+			g.Expect(c.propose(next, "y")).To(Succeed())
+			g.Expect(c.propose(leader, "z")).To(MatchError(quorum.ErrStopped))
+		})
+	}
+}
+
+func TestDamagedDiskDoesNotStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(g, 3, quorum.Options{Seed: 5})
+		defer c.stop()
+		leader := c.leader(names(c)...)
+		for i := range 5 {
+			g.Expect(c.propose(leader, fmt.Sprint(i))).To(Succeed())
+		}
+		c.kill(leader)
+		c.disk(leader).Corrupt("log-0000000000000001", 60)
+		_, err := quorum.Start(quorum.Options{
+			Name: leader, Disk: c.disk(leader), Machine: &register{}, Transport: link{c.network, leader},
+		})
+		var corrupt *wal.CorruptError
+		g.Expect(errors.As(err, &corrupt)).To(BeTrue())
+		g.Expect(corrupt.File).To(Equal("log-0000000000000001"))
+		g.Expect(corrupt.Offset).To(BeNumerically("<=", 60))
+	})
+}
+
+// TestExchangedDisksAreRepairedOneAfterTheOther exchanges each disk in turn, as
+// soon as the one before has voted, and looks for every command in the end.
+func TestExchangedDisksAreRepairedOneAfterTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(g, 3, quorum.Options{Seed: 6, Repair: true, LogBytes: 2000})
+		defer c.stop()
+		var want []string
+		for round, name := range append(names(c), names(c)...) {
+			leader := c.leader(names(c)...)
+			for i := range 20 {
+				cmd := fmt.Sprintf("%d-%d", round, i)
+				g.Expect(c.propose(leader, cmd)).To(Succeed())
+				want = append(want, cmd)
+			}
+			c.kill(name)
+			old := c.disks[name]
+			c.disks[name] = wal.NewMemoryFolder()
+			c.start(name)
+			fresh := c.node(name).Status().DiskIdentity
+			g.Expect(old).NotTo(BeIdenticalTo(c.disks[name]))
+			c.eventually(func() []quorum.Member {
+				return c.node(c.leader(names(c)...)).Status().Voters
+			}).Should(And(HaveLen(3), ContainElement(HaveField("Disk", fresh))))
+		}
+		for _, name := range names(c) {
+			c.eventually(c.machines[name].all).Should(Equal(want))
+		}
+	})
+}
+
+func TestSnapshotsAreTakenAndRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(g, 3, quorum.Options{Seed: 7, LogBytes: 1000})
+		defer c.stop()
+		leader := c.leader(names(c)...)
+		var want []string
+		for i := range 200 {
+			g.Expect(c.propose(leader, fmt.Sprint(i))).To(Succeed())
+			want = append(want, fmt.Sprint(i))
+		}
+		for _, name := range names(c) {
+			c.kill(name)
+		}
+		for _, name := range names(c) {
+			c.disk(name).Crash(func(int) int { return 0 })
+			c.start(name)
+		}
+		for _, name := range names(c) {
+			c.eventually(c.machines[name].all).Should(Equal(want))
+			g.Expect(c.disk(name).List()).To(ContainElement(HavePrefix("snapshot-")))
+		}
+	})
+}
+
+func TestStoppedLeaderHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(g, 3, quorum.Options{Seed: 8})
+		defer c.stop()
+		leader := c.leader(names(c)...)
+		time.Sleep(time.Second)
+		c.node(leader).Stop()
+		start := time.Now()
+		c.leader(c.others(leader)...)
+		g.Expect(time.Since(start)).To(BeNumerically("<", quorum.ElectionTimeout))
+	})
+}
+
+// call is one operation on the register: a write of value, or a read.
+type call struct {
+	isWrite bool
+	value   string
+}
+
+// lastValue is a register for porcupine: a read returns the last write.
+var lastValue = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		in := input.(call)
+		if in.isWrite {
+			return true, in.value
+		}
+		return output == state, state
+	},
+}
+
+// history records what clients of a cluster saw.
+type history struct {
+	mu         sync.Mutex
+	operations []porcupine.Operation
+	unknown    []porcupine.Operation
+	notRun     []string
+	reads      int
+}
+
+// operate makes one call at a random member and records it. A write with an
+// unknown outcome may take effect at any later time.
+func (h *history) operate(c *cluster, random *rand.Rand, client, i int) {
+	name := names(c)[random.IntN(len(names(c)))]
+	node, machine := c.node(name), c.machine(name)
+	if node == nil {
+		time.Sleep(50 * time.Millisecond)
+		return
+	}
+	in := call{isWrite: random.IntN(2) == 0, value: fmt.Sprintf("%d-%d", client, i)}
+	op := porcupine.Operation{ClientId: client, Input: in, Call: time.Now().UnixNano()}
+	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer cancel()
+	var err error
+	if in.isWrite {
+		_, err = node.Propose(ctx, []byte(in.value))
+	} else if err = node.ReadIndex(ctx); err == nil {
+		op.Output = machine.last()
+	}
+	op.Return = time.Now().UnixNano()
+	h.record(op, err)
+	time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
+}
+
+func (h *history) record(op porcupine.Operation, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	in := op.Input.(call)
+	switch {
+	case err == nil:
+		h.operations = append(h.operations, op)
+		if !in.isWrite {
+			h.reads++
+		}
+	case in.isWrite && quorum.IsNotRun(err):
+		h.notRun = append(h.notRun, in.value)
+	case in.isWrite:
+		op.Return = time.Now().Add(time.Hour).UnixNano()
+		h.unknown = append(h.unknown, op)
+	}
+}
+
+func (r *register) last() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.commands) == 0 {
+		return ""
+	}
+	return r.commands[len(r.commands)-1]
+}
+
+func (c *cluster) machine(name string) *register {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	return c.machines[name]
+}
+
+// disturb makes one fault, waits, and ends it.
+func (c *cluster) disturb(random *rand.Rand) {
+	name := names(c)[random.IntN(len(names(c)))]
+	pause := time.Duration(200+random.IntN(2000)) * time.Millisecond
+	switch random.IntN(5) {
+	case 4:
+		c.network.freeze(name, true)
+		time.Sleep(pause)
+		c.network.freeze(name, false)
+	case 0:
+		c.network.isolate(name, true)
+		time.Sleep(pause)
+		c.network.isolate(name, false)
+	case 1:
+		c.network.oneWay(name, true)
+		time.Sleep(pause)
+		c.network.oneWay(name, false)
+	case 2:
+		c.kill(name)
+		c.disk(name).Crash(func(atRisk int) int { return random.IntN(atRisk + 1) })
+		time.Sleep(pause)
+		c.start(name)
+	case 3:
+		c.kill(name)
+		c.disks[name] = c.slowDisk()
+		c.start(name)
+		time.Sleep(10 * time.Second)
+	}
+	time.Sleep(pause)
+}
+
+// oneWay cuts what a member sends, or joins it again.
+func (n *network) oneWay(name string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for other := range n.nodes {
+		n.cut[[2]string{name, other}] = cut
+	}
+}
+
+// slowDisk returns a disk whose syncs take a while.
+func (c *cluster) slowDisk() *wal.MemoryFolder {
+	folder := wal.NewMemoryFolder()
+	folder.SetFault(func(op, _ string) error {
+		if op == "sync" {
+			time.Sleep(3 * time.Millisecond)
+		}
+		return nil
+	})
+	return folder
+}
+
+// TestHistoriesUnderFaultsAreLinearizable lets clients write and read while
+// members are cut off both ways and one way, freeze, crash with loss of what they had
+// not synced, and have their disks exchanged and repaired. What was refused as
+// not run must be nowhere.
+func TestHistoriesUnderFaultsAreLinearizable(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			var h *history
+			synctest.Test(t, func(t *testing.T) { h = makeHistory(t, seed) })
+			if t.Failed() {
+				return
+			}
+			t.Logf("seed %d: %d operations, %d reads, %d unknown, %d not run",
+				seed, len(h.operations), h.reads, len(h.unknown), len(h.notRun))
+			g := NewWithT(t)
+			g.Expect(len(h.operations)).To(BeNumerically(">", 100))
+			result := porcupine.CheckOperationsTimeout(lastValue, h.operations, 30*time.Second)
+			g.Expect(result).To(Equal(porcupine.Ok))
+		})
+	}
+}
+
+func makeHistory(t *testing.T, seed uint64) *history {
+	g := NewWithT(t)
+	c := newCluster(g, 3, quorum.Options{Seed: 100 + seed, Repair: true, LogBytes: 3000})
+	defer c.stop()
+	c.leader(names(c)...)
+	h := &history{}
+	faultsOver := make(chan struct{})
+	var clients sync.WaitGroup
+	for client := range 4 {
+		random := rand.New(rand.NewPCG(seed, uint64(client)))
+		clients.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-faultsOver:
+					return
+				default:
+					h.operate(c, random, client, i)
+				}
+			}
+		})
+	}
+	random := rand.New(rand.NewPCG(seed, 99))
+	for range 10 {
+		c.disturb(random)
+	}
+	close(faultsOver)
+	clients.Wait()
+
+	leader := c.leader(names(c)...)
+	c.eventually(func() error { return c.propose(leader, "end") }).Should(Succeed())
+	applied := c.machines[leader].all()
+	for _, value := range h.notRun {
+		g.Expect(applied).NotTo(ContainElement(value), "refused as not run")
+	}
+	// What is not before the last command never will be.
+	for _, op := range h.unknown {
+		if slices.Contains(applied, op.Input.(call).value) {
+			h.operations = append(h.operations, op)
+		}
+	}
+	return h
+}
--- a/coord/quorum/node_test.go
+++ b/coord/quorum/node_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,9 +62,13 @@
 // network delivers messages between the nodes of a test, but for the links
 // that are cut.
 type network struct {
-	mu    sync.Mutex
-	nodes map[string]*quorum.Node
-	cut   map[[2]string]bool
+	mu     sync.Mutex
+	nodes  map[string]*quorum.Node
+	cut    map[[2]string]bool
+	frozen map[string]bool
+
+	messages atomic.Int64
+	bytes    atomic.Int64
 }
 
 type link struct {
@@ -72,6 +77,9 @@
 }
 
 func (l link) Send(to quorum.Member, msgs [][]byte) {
+	for l.network.isFrozen(l.from) {
+		time.Sleep(freezeStep)
+	}
 	l.network.mu.Lock()
 	node := l.network.nodes[to.Name]
 	isCut := l.network.cut[[2]string{l.from, to.Name}]
@@ -80,10 +88,27 @@
 		return
 	}
 	for _, m := range msgs {
+		l.network.messages.Add(1)
+		l.network.bytes.Add(int64(len(m)))
 		node.Step(l.from, m)
 	}
 }
 
+const freezeStep = 5 * time.Millisecond
+
+func (n *network) isFrozen(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.frozen[name]
+}
+
+// freeze stops the duties of a member at their next message, or lets them go on.
+func (n *network) freeze(name string, frozen bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.frozen[name] = frozen
+}
+
 // isolate cuts every link of a member, or joins them again.
 func (n *network) isolate(name string, cut bool) {
 	n.mu.Lock()
@@ -107,7 +132,7 @@
 func newCluster(g *WithT, size int, options quorum.Options) *cluster {
 	c := &cluster{
 		g:        g,
-		network:  &network{nodes: map[string]*quorum.Node{}, cut: map[[2]string]bool{}},
+		network:  &network{nodes: map[string]*quorum.Node{}, cut: map[[2]string]bool{}, frozen: map[string]bool{}},
 		disks:    map[string]wal.Folder{},
 		machines: map[string]*register{},
 		options:  options,
@@ -115,7 +140,7 @@
 	for i := range size {
 		name := fmt.Sprintf("m%d", i)
 		c.members = append(c.members, quorum.Member{Name: name, Address: "addr-" + name})
-		c.disks[name] = wal.NewMemoryFolder()
+		c.disks[name] = c.slowDisk()
 	}
 	for _, m := range c.members {
 		c.start(m.Name)
@@ -124,11 +149,14 @@
 }
 
 func (c *cluster) start(name string) {
-	c.machines[name] = &register{}
+	machine := &register{}
+	c.network.mu.Lock()
+	c.machines[name] = machine
+	c.network.mu.Unlock()
 	o := c.options
 	o.Name, o.Address, o.Members = name, "addr-"+name, c.members
-	o.Disk, o.Machine, o.Transport = c.disks[name], c.machines[name], link{c.network, name}
-	o.Seed = c.options.Seed + uint64(len(c.machines)) + uint64(name[1])
+	o.Disk, o.Machine, o.Transport = c.disks[name], machine, link{c.network, name}
+	o.Seed = c.options.Seed + uint64(name[1])
 	node, err := quorum.Start(o)
 	c.g.Expect(err).NotTo(HaveOccurred())
 	c.network.mu.Lock()
