--- a/endpoint/longprefill_test.go
+++ b/endpoint/longprefill_test.go
@@ -42,6 +42,7 @@
 type result struct {
 	short, long []float64                // time to first token over the bare prefill time
 	first       map[string]time.Duration // time to first token of short requests
+	between     []float64                // seconds between tokens of short requests, mean of each
 	refused     int                      // not run
 	failed      int                      // admitted without an answer in time
 }
@@ -105,7 +106,7 @@
 		for at, q := range all {
 			done.Go(func() {
 				time.Sleep(at)
-				first, err := timeToFirst(t, b.agent, q)
+				first, between, err := times(t, b.agent, q)
 				ratio := first.Seconds() / experiment.rates.Prefill(0, q.Prompt.Tokens).Seconds()
 				mu.Lock()
 				defer mu.Unlock()
@@ -119,6 +120,7 @@
 				default:
 					r.short = append(r.short, ratio)
 					r.first[q.ID] = first
+					r.between = append(r.between, between.Seconds())
 				}
 			})
 		}
@@ -128,18 +130,20 @@
 	return r
 }
 
-func timeToFirst(t *testing.T, agent *endpoint.Agent, q submit.Request) (time.Duration, error) {
+// times returns the time to the first token of an answer and the mean time between
+// its tokens.
+func times(t *testing.T, agent *endpoint.Agent, q submit.Request) (first, between time.Duration, err error) {
 	began := time.Now()
 	answer, err := agent.Submit(t.Context(), q)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	if _, err = answer.Next(t.Context()); err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	first := time.Since(began)
+	first = time.Since(began)
 	_, _, err = read(answer)
-	return first, err
+	return first, (time.Since(began) - first) / time.Duration(q.MaxTokens-1), err
 }
 
 func quantile(values []float64, q float64) float64 {
@@ -152,7 +156,7 @@
 
 // quantiles returns p50, p95 and p99 as text.
 func quantiles(values []float64) string {
-	return fmt.Sprintf("%7.2f %7.2f %7.2f", quantile(values, 0.5), quantile(values, 0.95), quantile(values, 0.99))
+	return fmt.Sprintf("%7.3g %7.3g %7.3g", quantile(values, 0.5), quantile(values, 0.95), quantile(values, 0.99))
 }
 
 // TestLongPrefillPolicies prints the experiment of docs/design/long-prefill.md
@@ -176,7 +180,7 @@
 	}
 	p95, failed := make(map[string]float64), make(map[string]int)
 	alone := make([]result, *seeds)
-	t.Logf("%-34s %s   %s   %s", "", "short over bare prefill", "over short ones alone  ", "long over bare prefill")
+	t.Logf("%-34s %s   %s   %s   %s", "", "short over bare prefill", "over short ones alone  ", "long over bare prefill ", "s between tokens, short")
 	for _, v := range variants {
 		var all result
 		var paired []float64
@@ -184,6 +188,7 @@
 			r := runVariant(t, uint64(seed+1), v.longs, v.config)
 			all.short = append(all.short, r.short...)
 			all.long = append(all.long, r.long...)
+			all.between = append(all.between, r.between...)
 			all.failed += r.failed
 			all.refused += r.refused
 			if !v.longs {
@@ -195,8 +200,8 @@
 		}
 		p95[v.name] = quantile(all.short, 0.95)
 		failed[v.name] = all.failed
-		t.Logf("%-34s %s   %s   %s  (%d short, %d long, %d refused, %d failed)", v.name,
-			quantiles(all.short), quantiles(paired), quantiles(all.long), len(all.short), len(all.long), all.refused, all.failed)
+		t.Logf("%-34s %s   %s   %s   %s  (%d short, %d long, %d refused, %d failed)", v.name,
+			quantiles(all.short), quantiles(paired), quantiles(all.long), quantiles(all.between), len(all.short), len(all.long), all.refused, all.failed)
 	}
 	g.Expect(p95["chunks of 50 ms"]).To(BeNumerically("<", p95["whole, priority only"]/1.5))
 	g.Expect(failed["chunks of 50 ms"]).To(BeZero(), "admitted without an answer in time")
--- a/engine/openaiengine/openaiengine.go
+++ b/engine/openaiengine/openaiengine.go
@@ -16,6 +16,7 @@
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+	"github.com/openai/openai-go/v3/packages/ssestream"
 
 	"github.com/jacinthplank/jacinthplank/engine"
 	"github.com/jacinthplank/jacinthplank/engine/openaiengine/wireform"
@@ -60,14 +61,22 @@
 // Generate implements engine.Engine. The stream outlives ctx: it ends by itself
 // or by Close.
 func (e *Engine) Generate(ctx context.Context, w engine.Work) (engine.Stream, error) {
+	body, err := json.Marshal(completionOf(w))
+	if err != nil {
+		return nil, outcome.Fail(outcome.CodeInternal, outcome.NotRun, step, err)
+	}
 	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stopWatch := context.AfterFunc(ctx, cancel)
-	events := e.api.Completions.NewStreaming(streamCtx, completionParams(w), completionOptions(w)...)
+	var response *http.Response
+	err = e.api.Post(streamCtx, "completions", body, &response,
+		option.WithHeader("Content-Type", "application/json"),
+		option.WithHeader(wireform.HeaderRequestID, wireform.FormatKey(w.Key)))
 	stopWatch()
-	if err := events.Err(); err != nil {
+	if err != nil {
 		cancel()
 		return nil, e.failure(err)
 	}
+	events := ssestream.NewStream[openai.Completion](ssestream.NewDecoder(response), nil)
 	s := &stream{
 		chunks:      make(chan engine.Chunk, streamBuffer),
 		done:        make(chan struct{}),
@@ -78,35 +87,27 @@
 	return s, nil
 }
 
-func completionParams(w engine.Work) openai.CompletionNewParams {
-	return openai.CompletionNewParams{
-		Model:     openai.CompletionNewParamsModel(w.Model),
-		Prompt:    openai.CompletionNewParamsPromptUnion{OfString: openai.String(w.Prompt.Text + w.Generated)},
-		MaxTokens: openai.Int(int64(max(w.MaxTokens-w.Offset, 1))),
-		StreamOptions: openai.ChatCompletionStreamOptionsParam{
-			IncludeUsage: openai.Bool(true),
+// completionOf returns the body of a streamed completion. It is encoded here and
+// not by the client library, which copies a long prompt several times.
+func completionOf(w engine.Work) wireform.Completion {
+	return wireform.Completion{
+		Model:         w.Model,
+		Prompt:        w.Prompt.Text + w.Generated,
+		MaxTokens:     max(w.MaxTokens-w.Offset, 1),
+		Priority:      int(w.Priority),
+		Stream:        true,
+		StreamOptions: &wireform.StreamOptions{IncludeUsage: true},
+		Extension: &wireform.Extension{
+			Adapter:     w.Adapter,
+			PrefillOnly: w.MaxTokens == 0,
+			Generated:   len(w.Generated),
+			Offset:      w.Offset,
 		},
+		Segment: w.Segment,
+		Context: w.Context,
 	}
 }
 
-func completionOptions(w engine.Work) []option.RequestOption {
-	extension := wireform.Extension{
-		Adapter:     w.Adapter,
-		PrefillOnly: w.MaxTokens == 0,
-		Generated:   len(w.Generated),
-		Offset:      w.Offset,
-	}
-	options := []option.RequestOption{
-		option.WithHeader(wireform.HeaderRequestID, wireform.FormatKey(w.Key)),
-		option.WithJSONSet("priority", int(w.Priority)),
-		option.WithJSONSet("extension", extension),
-	}
-	if w.Segment != nil {
-		options = append(options, option.WithJSONSet("segment", w.Segment), option.WithJSONSet("context", w.Context))
-	}
-	return options
-}
-
 // Cancel implements engine.Engine.
 func (e *Engine) Cancel(ctx context.Context, k engine.Key) error {
 	return e.post(ctx, wireform.PathCancel, k, nil, 0)
--- a/engine/openaiengine/wireform/wireform.go
+++ b/engine/openaiengine/wireform/wireform.go
@@ -34,13 +34,20 @@
 // Completion is the body of a completion. Extension holds fields that a plain
 // engine ignores.
 type Completion struct {
-	Model     string          `json:"model"`
-	Prompt    string          `json:"prompt"`
-	MaxTokens int             `json:"max_tokens"`
-	Priority  int             `json:"priority,omitempty"`
-	Extension *Extension      `json:"extension,omitempty"`
-	Segment   *engine.Segment `json:"segment,omitempty"`
-	Context   []string        `json:"context,omitempty"`
+	Model         string          `json:"model"`
+	Prompt        string          `json:"prompt"`
+	MaxTokens     int             `json:"max_tokens"`
+	Priority      int             `json:"priority,omitempty"`
+	Stream        bool            `json:"stream,omitempty"`
+	StreamOptions *StreamOptions  `json:"stream_options,omitempty"`
+	Extension     *Extension      `json:"extension,omitempty"`
+	Segment       *engine.Segment `json:"segment,omitempty"`
+	Context       []string        `json:"context,omitempty"`
+}
+
+// StreamOptions asks for the usage on a stream.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
 }
 
 // Extension tells what the published form has no field for.
--- a/operator/control.go
+++ b/operator/control.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"net"
-	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -41,10 +40,7 @@
 		return nil, err
 	}
 	last := exitWith(ExitUnreachable, "no daemon with the control duty is known")
-	for _, m := range members {
-		if !slices.Contains(m.duties, string(settings.DutyControl)) {
-			continue
-		}
+	for _, m := range withDuty(members, settings.DutyControl) {
 		answer, err := f.follow(ctx, m.address, call)
 		if err == nil {
 			return answer, nil
--- a/operator/events.go
+++ b/operator/events.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
 
 	"github.com/jacinthplank/jacinthplank/explain"
+	"github.com/jacinthplank/jacinthplank/settings"
 	"github.com/jacinthplank/jacinthplank/timeline"
 )
 
@@ -20,6 +22,54 @@
 	if err != nil {
 		return timeline.Line{}, err
 	}
+	return timeline.Merge(f.partsOf(ctx, members, filter)), nil
+}
+
+// request asks for the events of one request: the entries first, then the
+// endpoints that they placed it on. When no entry knows it, every daemon is
+// asked.
+func (f *fleetClient) request(ctx context.Context, id string) (timeline.Line, error) {
+	members, err := f.daemons(ctx)
+	if err != nil {
+		return timeline.Line{}, err
+	}
+	filter := timeline.Filter{Request: id}
+	parts := f.partsOf(ctx, withDuty(members, settings.DutyEntry), filter)
+	line := timeline.Merge(parts)
+	if !explain.Found(line, id) {
+		return timeline.Merge(f.partsOf(ctx, members, filter)), nil
+	}
+	parts = append(parts, f.partsOf(ctx, placedOn(members, line), filter)...)
+	return timeline.Merge(parts), nil
+}
+
+func withDuty(members []member, duty settings.Duty) []member {
+	var chosen []member
+	for _, m := range members {
+		if slices.Contains(m.duties, string(duty)) {
+			chosen = append(chosen, m)
+		}
+	}
+	return chosen
+}
+
+// placedOn returns the members beside the endpoints that the events name,
+// without those that were asked as entries.
+func placedOn(members []member, line timeline.Line) []member {
+	named := map[string]bool{}
+	for i := range line.Events {
+		named[line.Events[i].Endpoint] = true
+	}
+	var chosen []member
+	for _, m := range members {
+		if named[m.name] && !slices.Contains(m.duties, string(settings.DutyEntry)) {
+			chosen = append(chosen, m)
+		}
+	}
+	return chosen
+}
+
+func (f *fleetClient) partsOf(ctx context.Context, members []member, filter timeline.Filter) []timeline.Part {
 	parts := make([]timeline.Part, len(members))
 	each(members, func(i int, m member) {
 		ctx, cancel := context.WithTimeout(ctx, f.timeout)
@@ -31,7 +81,7 @@
 		}
 		parts[i] = timeline.PartFromProto(answer.Msg)
 	})
-	return timeline.Merge(parts), nil
+	return parts
 }
 
 func (c *explainCommand) run(ctx context.Context, t Terminal) error {
@@ -39,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	line, err := client.events(ctx, timeline.Filter{Request: c.Request})
+	line, err := client.request(ctx, c.Request)
 	if err != nil {
 		return err
 	}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -164,6 +164,27 @@
 	g.Expect(code).To(Equal(operator.ExitOK))
 }
 
+// explain asks the entries and the endpoints that they name, and says so when
+// one of these is away. Others do not matter to it.
+func TestExplainAsksOnlyThoseThatMetTheRequest(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeFleet(t)
+	f.start("engine-south-1", "south", "endpoint")
+	f.daemons[0].log.Record(timeline.Event{Kind: timeline.KindReceived, Request: "r-1", Step: "entry.api"})
+	f.daemons[0].log.Record(timeline.Event{Kind: timeline.KindPlaced, Request: "r-1", Attempt: 1, Endpoint: "engine-north-1", Step: "entry"})
+	f.daemons[2].log.Record(timeline.Event{Kind: timeline.KindStarted, Request: "r-1", Attempt: 1, Endpoint: "engine-north-1"})
+
+	_ = f.daemons[3].server.Close()
+	_, text := f.run("explain r-1")
+	g.Expect(text).To(ContainSubstring("Its work was begun"))
+	g.Expect(text).NotTo(ContainSubstring("engine-south-1"))
+
+	_ = f.daemons[2].server.Close()
+	_, text = f.run("explain r-1")
+	g.Expect(text).To(ContainSubstring("Daemon engine-north-1 could not be asked"))
+	g.Expect(text).To(ContainSubstring("Whether it ran is not known."))
+}
+
 func TestAnOptionReplacesItsEnvironmentVariable(t *testing.T) {
 	g := NewWithT(t)
 	f := newFakeFleet(t)
--- a/tomlcheck/checks.go
+++ b/tomlcheck/checks.go
@@ -14,15 +14,18 @@
 // is the key of the name within each element of the list, such as ".name", and
 // empty when the list is of names.
 func (r *Report) Names(list, field string, names []string) {
+	places := make(map[string]int, len(names))
 	for i, name := range names {
 		key := Element(list, i) + field
 		if !validName(name) {
 			r.Add(key, fmt.Sprintf("found %q", name), fmt.Sprintf("a name without spaces, quotes or brackets, up to %d characters", MaxName))
 			continue
 		}
-		if first := slices.Index(names, name); first < i {
+		if first, taken := places[name]; taken {
 			r.Add(key, fmt.Sprintf("%q is taken by %s", name, Element(list, first)), "a name of its own")
+			continue
 		}
+		places[name] = i
 	}
 }
 
