--- a/admission/queue.go
+++ b/admission/queue.go
@@ -64,17 +64,6 @@
 	submit.ClassHuge:   2 * time.Second,
 }
 
-// Bounds of learned values and answers.
-const (
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 10 * time.Minute
-	maxShortShare = 0.9 // share of the engine's time that short work can take
-	maxStretch    = 8.0
-
-	minMargin  = 20 * time.Millisecond // of estimates, at least
-	marginPart = 20                    // and one part in marginPart of the estimate
-)
-
 // Queue is the admission of one endpoint. It is not safe for concurrent use.
 type Queue struct {
 	limits  Limits
@@ -138,28 +127,6 @@
 	return e
 }
 
-// expected returns how long r will still run when prefill of it is left and
-// nothing else starts.
-func (q *Queue) expected(r Request, prefill time.Duration) time.Duration {
-	return prefill + time.Duration(float64(r.Estimate.Decode)*q.stretch)
-}
-
-// service returns the time that r takes once it starts, beside the short work of
-// late and with a margin.
-func (q *Queue) service(r Request) time.Duration {
-	prefill := r.Estimate.Prefill
-	if r.Long {
-		prefill = q.paced(prefill)
-	}
-	stretch := q.stretch
-	if q.longs > 0 && !r.Long {
-		stretch = max(stretch, q.limits.LongStretch)
-	}
-	stretched := time.Duration(float64(r.Estimate.Decode) * stretch)
-	left := prefill + max(stretched, q.paced(r.Estimate.Decode))
-	return left + left/marginPart + minMargin
-}
-
 // place returns where r belongs in its list.
 func (q *Queue) place(r Request) int {
 	list := q.short
@@ -175,23 +142,6 @@
 
 func byOrder(a, b Request) int { return a.order.Compare(b.order) }
 
-// order returns r's place in time: for a long attempt when it should start, by
-// its length or sooner by its deadline.
-func (q *Queue) order(r Request) time.Time {
-	if !r.Long {
-		return r.Arrived.Add(ageing[r.Class])
-	}
-	byLength := r.Arrived.Add(longAgeing * r.Estimate.Prefill)
-	if latest := q.latestStart(r); latest.Before(byLength) {
-		return latest
-	}
-	return byLength
-}
-
-// longAgeing is how long a long attempt lets shorter ones pass, as a multiple of
-// its prefill.
-const longAgeing = 4
-
 func (q *Queue) insert(r Request, place int) {
 	if r.Long {
 		q.long = slices.Insert(q.long, place, r)
@@ -200,22 +150,6 @@
 	q.short = slices.Insert(q.short, place, r)
 }
 
-// delays returns by how much r, put at place, would make a long attempt behind
-// it miss its deadline.
-func (q *Queue) delays(r Request, place int, free int, now time.Time) time.Duration {
-	if !r.Long {
-		return 0
-	}
-	var late time.Duration
-	added := q.paced(r.Estimate.Prefill)
-	for i := place; i < len(q.long); i++ {
-		other := q.long[i]
-		end := q.wait(other, i, free, now) + added + q.service(other)
-		late = max(late, end-other.Deadline.Sub(now))
-	}
-	return late
-}
-
 // Next removes the attempts that may start from the queue and returns them. take
 // reserves memory for one and reports whether there was enough; free returns the
 // blocks left. The head of each list waits for memory rather than be overtaken.
@@ -240,24 +174,6 @@
 	return started
 }
 
-// disturbs reports whether the start of r would make a running attempt late.
-func (q *Queue) disturbs(r Request, now time.Time) bool {
-	for _, other := range q.running {
-		if other.ends.After(other.Deadline) {
-			continue // late already
-		}
-		delay := r.Estimate.Prefill
-		if r.Long {
-			left := other.ends.Sub(now)
-			delay = min(delay, time.Duration(float64(left)*(q.limits.LongStretch-1)))
-		}
-		if other.ends.Add(delay).After(other.Deadline) {
-			return true
-		}
-	}
-	return false
-}
-
 // Begin notes that r started without queueing, as a member of a group does whose
 // memory was reserved before.
 func (q *Queue) Begin(r Request, now time.Time) { q.begin(r, now) }
@@ -319,9 +235,6 @@
 	return q.remove(late, outcome.CodeDeadline, "no time is left to finish")
 }
 
-// latestStart returns when r must start to finish in time.
-func (q *Queue) latestStart(r Request) time.Time { return r.Deadline.Add(-q.service(r)) }
-
 // NextExpiry returns when Expire will have work, the zero time for never.
 func (q *Queue) NextExpiry() time.Time {
 	var next time.Time
@@ -365,16 +278,4 @@
 // Queued returns the number of attempts waiting.
 func (q *Queue) Queued() int { return len(q.short) + len(q.long) }
 
-// Learn takes in how long an answer took against its estimate on an idle engine.
-func (q *Queue) Learn(actual, estimate time.Duration) {
-	if estimate <= 0 {
-		return
-	}
-	seen := min(max(actual.Seconds()/estimate.Seconds(), 1), maxStretch)
-	q.stretch += stretchWeight * (seen - q.stretch)
-}
-
-// stretchWeight is the weight of a new answer against those before.
-const stretchWeight = 0.05
-
 func byEnd(a, b *run) int { return cmp.Compare(a.ends.UnixNano(), b.ends.UnixNano()) }
