--- a/control/measure_test.go
+++ b/control/measure_test.go
@@ -252,6 +252,56 @@
 	return c
 }
 
+// BenchmarkCatchUpOverTheWire measures the time from the start of a daemon that
+// is 500 changes behind until the version of its peer is in force.
+func BenchmarkCatchUpOverTheWire(b *testing.B) {
+	g := NewWithT(b)
+	p := newPeers(b, 1)
+	defer p.stop()
+	var register revision.Register
+	var cached revision.Update
+	configuration := fleetOf(380)
+	for i := range 510 {
+		configuration.Accounts[i%380].Share = i + 2
+		document, err := distribution.Document(configuration)
+		g.Expect(err).NotTo(HaveOccurred())
+		register.Accept(revision.Change{ID: fmt.Sprint(i), Base: register.Version, Document: document})
+		if i == 9 {
+			cached = register.After(revision.Version{})
+		}
+	}
+	_, err := p.all[0].store.Apply(cached)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = p.all[0].store.Apply(register.After(cached.Version))
+	g.Expect(err).NotTo(HaveOccurred())
+	var times []time.Duration
+	for b.Loop() {
+		times = append(times, catchUp(b, p.all[0], cached))
+	}
+	report(b, "in-force", times)
+}
+
+func catchUp(b *testing.B, from *peer, cached revision.Update) time.Duration {
+	g := NewWithT(b)
+	network, err := transport.New(settings.TLS{}, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	one := newPeer(network, "127.0.0.1:1", []string{from.address})
+	_, err = one.store.Apply(cached)
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(b.Context())
+	var serving sync.WaitGroup
+	started := time.Now()
+	serving.Go(func() { _ = one.gossip.Serve(ctx) })
+	for one.store.Version() != from.store.Version() {
+		time.Sleep(100 * time.Microsecond)
+	}
+	took := time.Since(started)
+	cancel()
+	serving.Wait()
+	network.Client().CloseIdleConnections()
+	return took
+}
+
 // BenchmarkIdle measures what distribution costs while nothing changes.
 func BenchmarkIdle(b *testing.B) {
 	const settle, length = 40 * time.Second, 10 * time.Second
--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -165,6 +165,20 @@
 	g.Expect(p.Sample(now, []string{"a"}, 1)).To(Equal([]string{"a"}))
 }
 
+func TestADaemonThatStartsAsksAsSoonAsItKnowsAPeer(t *testing.T) {
+	g := NewWithT(t)
+	p := distribution.NewPlanner(rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(0, 0)
+	address, wait := p.Next(now, fleet.Version{}, nil)
+	g.Expect(address).To(BeEmpty())
+	g.Expect(wait).To(BeNumerically("<=", distribution.HedgeAfter))
+	address, _ = p.Next(now.Add(wait), fleet.Version{}, []string{"a"})
+	g.Expect(address).To(Equal("a"))
+	p.Answered("a", fleet.Version{})
+	_, wait = p.Next(now.Add(wait), fleet.Version{}, []string{"a"})
+	g.Expect(wait).To(BeNumerically(">=", distribution.ProbePeriod/2))
+}
+
 // network joins stores in one process. Messages take latency, are lost with the
 // probability lost, and do not pass between the two sides of a cut.
 type network struct {
--- a/distribution/planner.go
+++ b/distribution/planner.go
@@ -71,9 +71,6 @@
 	if len(p.asked) > 0 {
 		return p.askAny(now, peers)
 	}
-	if p.probe.IsZero() {
-		p.schedule(now)
-	}
 	if wait := p.probe.Sub(now); wait > 0 {
 		return "", wait
 	}
@@ -96,13 +93,15 @@
 	return address, 0
 }
 
-// askAny asks a peer drawn among those that are not asked yet.
+// askAny asks a peer drawn among those that are not asked yet. With none it looks
+// again soon.
 func (p *Planner) askAny(now time.Time, peers []string) (string, time.Duration) {
 	for _, address := range p.Sample(now, peers, MaxAsked) {
 		if _, isAsked := p.asked[address]; !isAsked {
 			return p.ask(now, address)
 		}
 	}
+	p.probe = now.Add(HedgeAfter)
 	return "", HedgeAfter
 }
 
