placement: short requests stay in the entry's failure domain unless 50 ms are gained

Cause: what slows short requests most is other entries' requests that came to the same endpoint since its last report. An entry knows at once what it sent itself. The test that an entry spills at a wait of 5 ms now holds it at 20 ms and expects it to spill at 100 ms: the line between the two moved with the policy.

--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -5,14 +5,15 @@
 	"github.com/jacinthplank/jacinthplank/engine"
 )
 
-const maxCandidates = exhaustive + len(prefixes)*ranked + draws
+const maxCandidates = exhaustive + 2*len(prefixes)*ranked + draws
 
 // candidates is a bounded set of members that are worth a closer look.
 type candidates struct {
 	list    [maxCandidates]*directory.Member
 	n       int
-	winners [len(prefixes)]top
-	avoided *directory.Member // tried before; used only when there is no other
+	own     [len(prefixes)]top // in the entry's failure domain
+	foreign [len(prefixes)]top // in the others
+	avoided *directory.Member  // tried before; used only when there is no other
 }
 
 // top holds the two members with the highest scores for one prefix.
@@ -44,15 +45,20 @@
 			c.avoided = m
 			continue
 		}
+		winners := &c.foreign
+		if m.FailureDomain == q.Domain {
+			winners = &c.own
+		}
 		for level := range levels {
-			c.winners[level].offer(m, mix(keys[level]^m.Hash))
+			winners[level].offer(m, mix(keys[level]^m.Hash))
 		}
 		if all {
 			c.add(m)
 		}
 	}
 	if !all {
-		c.addWinners(levels)
+		c.addWinners(c.own[:levels])
+		c.addWinners(c.foreign[:levels])
 		c.draw(q, members)
 	}
 	if c.n == 0 && c.avoided != nil {
@@ -76,9 +82,9 @@
 	return keys, levels
 }
 
-func (c *candidates) addWinners(levels int) {
-	for level := range levels {
-		for _, m := range c.winners[level].member {
+func (c *candidates) addWinners(winners []top) {
+	for _, t := range winners {
+		for _, m := range t.member {
 			if m != nil {
 				c.add(m)
 			}
@@ -119,10 +125,10 @@
 }
 
 // favoured returns the length, in tokens, of the longest ranked prefix for
-// which m has the highest score.
+// which m has the highest score in its part of the fleet.
 func (c *candidates) favoured(m *directory.Member) int {
 	for level := len(prefixes) - 1; level >= 0; level-- {
-		if c.winners[level].member[0] == m {
+		if c.own[level].member[0] == m || c.foreign[level].member[0] == m {
 			return prefixes[level] * engine.BlockTokens
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -93,18 +93,25 @@
 
 func TestTheOwnFailureDomainComesFirstUntilItIsBusy(t *testing.T) {
 	g := NewWithT(t)
-	d, list := members(15)
+	dir, list := members(15)
 	p := placement.NewPlacer()
 	q := query(nil)
 	q.Tokens = 200
 	choice, _ := p.Choose(q, list)
 	g.Expect(choice.Member.FailureDomain).To(Equal("d0"))
 
-	for _, m := range list {
-		if m.FailureDomain == "d0" {
-			d.Observe(start, submit.Backlog{Endpoint: m.Name, Wait: 5 * time.Millisecond})
+	wait := func(d time.Duration) {
+		for _, m := range list {
+			if m.FailureDomain == "d0" {
+				dir.Observe(start, submit.Backlog{Endpoint: m.Name, Wait: d})
+			}
 		}
 	}
+	wait(20 * time.Millisecond)
+	choice, _ = p.Choose(q, list)
+	g.Expect(choice.Member.FailureDomain).To(Equal("d0"), "the gain does not beat the distance")
+
+	wait(100 * time.Millisecond)
 	choice, _ = p.Choose(q, list)
 	g.Expect(choice.Member.FailureDomain).NotTo(Equal("d0"))
 }
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -74,7 +74,7 @@
 	wait := ExpectedWait(q.Now, m, long)
 	cost := q.distance(m) + wait + prefill
 	if !long {
-		cost += Interference(m) + spread(q, m)
+		cost += Interference(m) + spread(q, m) + foreign(q, m)
 	}
 	if cached == 0 {
 		cost -= time.Duration(affinity * float64(PrefillTime(m, 0, min(favoured, q.Tokens))))
@@ -91,3 +91,15 @@
 func spread(q *Query, m *directory.Member) time.Duration {
 	return time.Duration(mix(q.Random^m.Hash) % uint64(spreadDelay))
 }
+
+// foreignDelay is added to the cost of a short request in another failure
+// domain than the entry's: entries know best what their own domain's endpoints
+// do at the moment, as they send most of their work.
+const foreignDelay = 50 * time.Millisecond
+
+func foreign(q *Query, m *directory.Member) time.Duration {
+	if m.FailureDomain == q.Domain {
+		return 0
+	}
+	return foreignDelay
+}
