--- a/coord/quorum/cluster_test.go
+++ b/coord/quorum/cluster_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 
 	"github.com/jacinthplank/jacinthplank/coord/wal"
 )
@@ -24,12 +25,12 @@
 	cut     map[[2]int]bool
 	disks   int
 
-	committed   map[uint64]Entry               // by index: what any member held for committed
-	termLeaders map[uint64]DiskIdentity        // election safety
-	seen        map[[2]uint64]string           // by index and term: entry and its predecessor's term
-	reads       map[[2]uint64]uint64           // by member and id: lowest index that the answer may have
-	answered    int                            // reads
-	observed    map[DiskIdentity]Configuration // last configuration of each disk
+	committed   map[uint64]Entry        // by index: what any member held for committed
+	termLeaders map[uint64]DiskIdentity // election safety
+	seen        map[[2]uint64]string    // by index and term: entry and its predecessor's term
+	reads       map[[2]uint64]uint64    // by member and id: lowest index that the answer may have
+	answered    int                     // reads
+	snapshots   map[string]bool         // states of snapshots that were taken
 }
 
 type flight struct {
@@ -55,7 +56,7 @@
 	s := &simulation{
 		faults: f, random: rand.New(rand.NewPCG(seed, 1)),
 		cut: map[[2]int]bool{}, committed: map[uint64]Entry{}, termLeaders: map[uint64]DiskIdentity{},
-		seen: map[[2]uint64]string{}, reads: map[[2]uint64]uint64{}, observed: map[DiskIdentity]Configuration{},
+		seen: map[[2]uint64]string{}, reads: map[[2]uint64]uint64{}, snapshots: map[string]bool{},
 	}
 	var first []Member
 	for i := range size {
@@ -117,6 +118,9 @@
 	}
 	if r.Snapshot != nil {
 		m.applied = r.Snapshot.Index
+		if !s.snapshots[string(r.Snapshot.Data)] {
+			s.faults.Fatalf("%s restores a snapshot that nobody took", m.name)
+		}
 	}
 	for _, e := range r.Committed {
 		if e.Index != m.applied+1 {
@@ -248,7 +252,7 @@
 			configuration = at.configuration
 		}
 	}
-	snapshot := &Snapshot{Index: index, Term: term, Configuration: configuration, Data: []byte("state")}
+	snapshot := &Snapshot{Index: index, Term: term, Configuration: configuration, Data: s.state(m, index)}
 	if err := m.storage.writeSnapshot(snapshot); err != nil {
 		s.faults.Fatalf("%v", err)
 	}
@@ -262,6 +266,14 @@
 	s.check(i)
 }
 
+// state returns the bytes of a snapshot, which take several messages and differ
+// between members and starts.
+func (s *simulation) state(m *simulated, index uint64) []byte {
+	state := strings.Repeat(fmt.Sprintf("%s %d %d;", m.name, index, s.disks), 60)
+	s.snapshots[state] = true
+	return []byte(state)
+}
+
 func (s *simulation) propose(i int, command string) {
 	if _, _, err := s.members[i].core.Propose([]byte(command)); err == nil {
 		s.run(i)
--- a/coord/quorum/codec.go
+++ b/coord/quorum/codec.go
@@ -14,6 +14,7 @@
 		Term: m.Term, Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit,
 		Round: m.Round, Match: m.Match, Reject: m.Reject, Force: m.Force,
 		Entries: entriesToProto(m.Entries), Promise: string(m.Promise),
+		Offset: m.Offset, Total: m.Total,
 	}
 	if m.Snapshot != nil {
 		out.Snapshot = snapshotToProto(m.Snapshot)
@@ -46,6 +47,7 @@
 		Term: in.GetTerm(), Index: in.GetIndex(), LogTerm: in.GetLogTerm(), Commit: in.GetCommit(),
 		Round: in.GetRound(), Match: in.GetMatch(), Reject: in.GetReject(), Force: in.GetForce(),
 		Entries: entries, Sender: memberFromProto(in.GetSender()), Promise: DiskIdentity(in.GetPromise()),
+		Offset: in.GetOffset(), Total: in.GetTotal(),
 	}
 	if in.GetSnapshot() != nil {
 		m.Snapshot = snapshotFromProto(in.GetSnapshot())
--- a/coord/quorum/core.go
+++ b/coord/quorum/core.go
@@ -104,6 +104,7 @@
 	install   *Snapshot
 
 	leading   leadership
+	incoming  *incoming // nil when no snapshot is on its way here
 	messages  []Message
 	afterSync []Message
 	readsDone []ReadResult
--- a/coord/quorum/core_test.go
+++ b/coord/quorum/core_test.go
@@ -282,6 +282,51 @@
 	g.Expect(s.members[behind].core.Commit()).To(BeNumerically(">=", base))
 }
 
+// TestSnapshotArrivesWholeThoughPiecesAreLostAndRepeated also lets the receiver
+// restart half way. The simulation checks that what is restored was taken.
+func TestSnapshotArrivesWholeThoughPiecesAreLostAndRepeated(t *testing.T) {
+	g, s, leader := led(t)
+	behind := (leader + 1) % 3
+	s.isolate(behind)
+	for range 30 {
+		s.propose(leader, "x")
+		s.tick(leader)
+		s.deliverAll(true)
+	}
+	s.compact(leader)
+	s.cut = map[[2]int]bool{}
+	pieces, restarts := 0, 0
+	for step := 0; s.members[behind].applied < s.members[leader].applied && step < 5000; step++ {
+		if step%10 == 0 {
+			s.tick(leader)
+			s.syncAll()
+		}
+		if len(s.flight) == 0 {
+			continue
+		}
+		m, err := DecodeMessage(s.flight[0].data)
+		g.Expect(err).NotTo(HaveOccurred())
+		if m.Kind == InstallSnapshot {
+			pieces++
+		}
+		switch {
+		case m.Kind == InstallSnapshot && pieces%4 == 1:
+			s.flight = s.flight[1:]
+		case m.Kind == InstallSnapshot && pieces%4 == 2:
+			s.flight = append(s.flight, s.flight[0])
+			s.deliver(0)
+		case m.Kind == InstallSnapshot && pieces == 4 && restarts == 0:
+			restarts++
+			s.crash(behind)
+		default:
+			s.deliver(0)
+		}
+	}
+	g.Expect(s.members[behind].applied).To(Equal(s.members[leader].applied))
+	g.Expect(pieces).To(BeNumerically(">", 12))
+	g.Expect(restarts).To(Equal(1))
+}
+
 func TestTransferMakesAnotherMemberLead(t *testing.T) {
 	g, s, leader := led(t)
 	next := (leader + 1) % 3
--- a/coord/quorum/message.go
+++ b/coord/quorum/message.go
@@ -46,15 +46,16 @@
 	VoteReply                              // Reject tells
 	Append                                 // entries after Index and LogTerm; a heartbeat when there are none
 	AppendReply                            // the log is the leader's up to Match, synced; or Reject with a hint in Match and LogTerm
-	InstallSnapshot                        // a snapshot in place of entries that are gone
+	InstallSnapshot                        // a piece of a snapshot, in place of entries that are gone
 	TimeoutNow                             // start an election at once
 	Hello                                  // a blank disk tells of itself
 	Promise                                // a blank disk will follow this founder only
+	SnapshotReply                          // Match bytes of the snapshot at Index were received
 )
 
 var messageNames = [...]string{
 	"none", "pre_vote", "pre_vote_reply", "vote", "vote_reply", "append", "append_reply",
-	"install_snapshot", "timeout_now", "hello", "promise",
+	"install_snapshot", "timeout_now", "hello", "promise", "snapshot_reply",
 }
 
 // String returns the name used in counters and logs.
@@ -81,7 +82,9 @@
 	Reject   bool
 	Force    bool // vote though a leader is alive: it asked for the election
 	Entries  []Entry
-	Snapshot *Snapshot
+	Snapshot *Snapshot    // its Data is the piece
+	Offset   uint64       // bytes of the snapshot before the piece
+	Total    uint64       // bytes of the snapshot
 	Sender   Member       // in Hello and Promise
 	Promise  DiskIdentity // in Promise: the founder
 }
--- a/coord/quorum/replication.go
+++ b/coord/quorum/replication.go
@@ -31,7 +31,10 @@
 	paused bool   // a probe was sent and not answered
 	heard  uint64 // tick at which it last answered
 	round  uint64 // last heartbeat round that it answered
-	since  uint64 // tick at which the snapshot was sent
+
+	sending *Snapshot // snapshot on its way, nil for none
+	offset  int       // bytes of it that were received
+	since   uint64    // tick at which the last piece was sent
 }
 
 // Propose appends commands to the leader's log and returns the index of the
@@ -170,17 +173,6 @@
 	}
 }
 
-func (c *Core) sendSnapshot(to DiskIdentity, p *progress) {
-	if c.snapshot == nil {
-		return
-	}
-	p.state, p.since = snapshotting, c.now
-	c.send(Message{
-		Kind: InstallSnapshot, To: to, Term: c.hard.Term,
-		Round: c.leading.round, Snapshot: c.snapshot, Sender: c.self(),
-	})
-}
-
 // stepAppendReply takes what a member says of its log.
 func (c *Core) stepAppendReply(m Message) {
 	if c.role != Leader {
@@ -211,6 +203,7 @@
 	switch {
 	case p.state == snapshotting && p.match >= c.log.baseIndex:
 		p.state, p.next, p.paused = probing, p.match+1, false
+		p.sending = nil
 	case p.state == probing && isFound:
 		p.state, p.paused = replicating, false
 	}
--- a/coord/quorum/step.go
+++ b/coord/quorum/step.go
@@ -36,6 +36,8 @@
 		c.stepAppendReply(m)
 	case InstallSnapshot:
 		c.stepSnapshot(m)
+	case SnapshotReply:
+		c.stepSnapshotReply(m)
 	case TimeoutNow:
 		c.stepTimeoutNow()
 	}
@@ -176,34 +178,3 @@
 	term, _ = c.log.term(index)
 	return index, term
 }
-
-// stepSnapshot takes a snapshot of the leader in place of missing entries.
-func (c *Core) stepSnapshot(m Message) {
-	c.becomeFollower(m.Term, m.From)
-	s := m.Snapshot
-	if s == nil {
-		return
-	}
-	reply := Message{Kind: AppendReply, To: m.From, Term: c.hard.Term, Index: s.Index, Round: m.Round}
-	switch {
-	case s.Index <= c.commit:
-		reply.Match = min(c.commit, s.Index)
-	case c.log.matches(s.Index, s.Term):
-		c.commit = s.Index
-		reply.Match = s.Index
-	default:
-		c.restore(s)
-		reply.Match = s.Index
-	}
-	c.sendAfterSync(reply)
-}
-
-func (c *Core) restore(s *Snapshot) {
-	c.snapshot, c.install = s, s
-	c.log.reset(s.Index, s.Term)
-	c.members = []configurationAt{{s.Index, s.Configuration}}
-	c.commit, c.delivered, c.handed, c.synced = s.Index, s.Index, s.Index, 0
-	for i := range c.writes {
-		c.writes[i].last = 0
-	}
-}
