--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -38,7 +38,7 @@
 	done   sync.WaitGroup
 }
 
-func newCluster(t *testing.T, n int) *cluster {
+func newCluster(t testing.TB, n int) *cluster {
 	network, err := transport.New(settings.TLS{}, nil)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	c := &cluster{
--- a/control/measure_test.go
+++ b/control/measure_test.go
@@ -22,6 +22,7 @@
 	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
 	"github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1/jacinthplankv1connect"
 	"github.com/jacinthplank/jacinthplank/settings"
+	"github.com/jacinthplank/jacinthplank/submit"
 	"github.com/jacinthplank/jacinthplank/transport"
 )
 
@@ -323,6 +324,28 @@
 	}
 }
 
+// BenchmarkClaim measures a claim with its outcome, through three members.
+func BenchmarkClaim(b *testing.B) {
+	c := newCluster(b, 3)
+	c.leader()
+	records := claims(c.client())
+	var taken atomic.Int64
+	b.SetParallelism(8)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			claim := claimOf(fmt.Sprint(taken.Add(1)), "r1")
+			grant, err := records.Claim(b.Context(), claim)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if err := records.Record(b.Context(), claim, grant, &submit.Reply{Status: 201}, nil); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.ReportMetric(float64(taken.Load())/b.Elapsed().Seconds(), "claims/s")
+}
+
 // cpuTime is the processor time of this process, which runs every peer.
 func cpuTime() time.Duration {
 	var u syscall.Rusage
