rebalance: models and adapters where the configuration wants them

Cause: engines accept orders, and nothing ordered anything: a model short of endpoints stayed short. Ruled out: orders by entries (no fencing without a quorum, and each sees another past); unloading first (a model would be served by fewer for a while).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -156,6 +156,7 @@
 	duties := []supervise.Duty{}
 	if d.control != nil {
 		duties = append(duties, d.control.Duties()...)
+		duties = append(duties, newRebalancing(d))
 	}
 	if d.endpoint != nil {
 		duties = append(duties, d.endpoint.duties()...)
--- a/processes/fleet_test.go
+++ b/processes/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -148,7 +149,10 @@
 // endpoint starts an emulated engine and the process beside it.
 func (f *fleetOfProcesses) endpoint(name string, engineFlags ...string) *process {
 	f.engine[name] = freeAddress(f.t)
-	flags := append([]string{"--listen", f.engine[name], "--name", name, "--models", model}, engineFlags...)
+	flags := append([]string{"--listen", f.engine[name], "--name", name}, engineFlags...)
+	if !slices.Contains(engineFlags, "--models") {
+		flags = append(flags, "--models", model)
+	}
 	f.engines[name] = launch(f.t, "engine-emulator", flags...)
 	f.awaitOK("http://" + f.engine[name] + "/health")
 	return f.daemon(name, `"endpoint"`, fmt.Sprintf("[endpoint]\nkind = \"emulated\"\nengine = \"http://%s\"\nstall = \"2s\"\n", f.engine[name]))
--- /dev/null
+++ b/rebalance/rebalance_test.go
@@ -0,0 +1,146 @@
+package rebalance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthplank/jacinthplank/engine"
+	"github.com/jacinthplank/jacinthplank/rebalance"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func endpoint(name, domain string, models ...string) rebalance.Endpoint {
+	return rebalance.Endpoint{Name: name, FailureDomain: domain, Models: models}
+}
+
+func TestAShortageHasToLast(t *testing.T) {
+	g := NewWithT(t)
+	p := rebalance.New()
+	models := []rebalance.Model{{Name: "drafts", Want: 2}, {Name: "letters", Want: 1}}
+	fleet := []rebalance.Endpoint{endpoint("a", "north", "drafts"), endpoint("b", "north", "letters"), endpoint("c", "south", "letters")}
+	g.Expect(p.Next(at(0), models, fleet, 2)).To(BeEmpty())
+	g.Expect(p.Next(at(rebalance.ShortageTime-1), models, fleet, 2)).To(BeEmpty())
+	orders := p.Next(at(rebalance.ShortageTime), models, fleet, 2)
+	g.Expect(orders).To(HaveLen(1))
+	g.Expect(orders[0].Kind).To(Equal(engine.OrderLoadModel))
+	g.Expect(orders[0].Endpoint).To(Equal("c"), "the other failure domain")
+	g.Expect(p.Next(at(rebalance.ShortageTime+1), models, fleet, 2)).To(BeEmpty(), "the order is in progress")
+}
+
+func TestAShortRestartOrdersNothing(t *testing.T) {
+	g := NewWithT(t)
+	p := rebalance.New()
+	models := []rebalance.Model{{Name: "drafts", Want: 2}}
+	whole := []rebalance.Endpoint{endpoint("a", "n", "drafts"), endpoint("b", "n", "drafts"), endpoint("c", "n")}
+	for i := range 20 {
+		fleet := whole
+		if i%2 == 1 {
+			fleet = whole[1:]
+		}
+		g.Expect(p.Next(at(time.Duration(i)*rebalance.ShortageTime/2), models, fleet, 2)).To(BeEmpty())
+	}
+}
+
+func TestNoModelIsTakenBelowWhatItWants(t *testing.T) {
+	g := NewWithT(t)
+	p := rebalance.New()
+	models := []rebalance.Model{{Name: "drafts", Want: 2}, {Name: "letters", Want: 2}}
+	fleet := []rebalance.Endpoint{endpoint("a", "n", "drafts"), endpoint("b", "n", "letters"), endpoint("c", "n", "letters")}
+	p.Next(at(0), models, fleet, 2)
+	g.Expect(p.Next(at(time.Hour), models, fleet, 2)).To(BeEmpty())
+}
+
+func TestLoadsKeepWithinTheRoom(t *testing.T) {
+	g := NewWithT(t)
+	p := rebalance.New()
+	models := []rebalance.Model{{Name: "drafts", Want: 6}}
+	var fleet []rebalance.Endpoint
+	for i := range 6 {
+		fleet = append(fleet, endpoint(fmt.Sprint(i), "n"))
+	}
+	p.Next(at(0), models, fleet, 2)
+	g.Expect(p.Next(at(rebalance.ShortageTime), models, fleet, 2)).To(HaveLen(2))
+	g.Expect(p.Next(at(rebalance.ShortageTime), models, fleet, 2)).To(BeEmpty())
+	p.Done(at(rebalance.ShortageTime), "0")
+	g.Expect(p.Next(at(rebalance.ShortageTime), models, fleet, 2)).To(HaveLen(1))
+}
+
+func TestMissingAdaptersAreLoaded(t *testing.T) {
+	g := NewWithT(t)
+	p := rebalance.New()
+	models := []rebalance.Model{{Name: "drafts", Want: 1, Adapters: []string{"swahili"}}}
+	orders := p.Next(at(0), models, []rebalance.Endpoint{endpoint("a", "n", "drafts")}, 1)
+	g.Expect(orders).To(HaveLen(1))
+	g.Expect(orders[0].Target).To(Equal("swahili"))
+}
+
+// TestOrdersSettle carries out whatever is ordered, on any fleet, and expects
+// the orders to come to an end with no model below what it had or wanted.
+func TestOrdersSettle(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		names := []string{"m0", "m1", "m2"}
+		var models []rebalance.Model
+		for _, name := range names {
+			models = append(models, rebalance.Model{Name: name, Want: rapid.IntRange(0, 4).Draw(rt, "want")})
+		}
+		var fleet []rebalance.Endpoint
+		for i := range rapid.IntRange(1, 8).Draw(rt, "endpoints") {
+			model := rapid.SampledFrom(names).Draw(rt, "model")
+			fleet = append(fleet, endpoint(fmt.Sprint(i), fmt.Sprint(i%3), model))
+		}
+		before := serving(fleet)
+		p, now, last := rebalance.New(), start, 0
+		for step := range 600 {
+			now = now.Add(time.Second)
+			for _, o := range p.Next(now, models, fleet, 2) {
+				carryOut(fleet, o)
+				p.Done(now, o.Endpoint)
+				last = step
+			}
+		}
+		after := serving(fleet)
+		for _, m := range models {
+			if after[m.Name] < min(before[m.Name], m.Want) {
+				rt.Fatalf("%s fell from %d to %d, wants %d", m.Name, before[m.Name], after[m.Name], m.Want)
+			}
+		}
+		if last > 500 {
+			rt.Fatalf("still ordering after %d s", last)
+		}
+	})
+}
+
+func serving(fleet []rebalance.Endpoint) map[string]int {
+	n := map[string]int{}
+	for _, e := range fleet {
+		for _, m := range e.Models {
+			n[m]++
+		}
+	}
+	return n
+}
+
+func carryOut(fleet []rebalance.Endpoint, o rebalance.Order) {
+	for i := range fleet {
+		if fleet[i].Name != o.Endpoint {
+			continue
+		}
+		var models []string
+		for _, m := range fleet[i].Models {
+			if o.Kind != engine.OrderUnloadModel || m != o.Target {
+				models = append(models, m)
+			}
+		}
+		if o.Kind == engine.OrderLoadModel {
+			models = append(models, o.Target)
+		}
+		fleet[i].Models = models
+	}
+}
