gossip: seeds are known by name

Cause: BenchmarkIdleDaemon showed bytes growing with the fleet at rest: 3596, 4415, 6554, 11164 B/s a daemon at 25, 50, 100, 200 daemons, with no record changed. Ruled out: pings on connections left over from the start (closing them after 15 s changed nothing: 6604 B/s at 100; reverted); records applied (0 a second). Found by counting message bytes: 8484 B/s at 100 daemons, 2301 without the probes of seeds. A seed is known by its address, so nothing was known of what it has, and each probe told it every record. Change: a seed gets the name of the member at its address. TestSeedsAreNotToldEverythingAgain fails without the change.

--- a/capacity/fleet_test.go
+++ b/capacity/fleet_test.go
@@ -23,7 +23,7 @@
 
 // Times of one measurement.
 const (
-	settleTime  = 6 * time.Second
+	settleTime  = 20 * time.Second
 	measureTime = 10 * time.Second
 )
 
@@ -36,27 +36,40 @@
 type countedListener struct {
 	net.Listener
 	bytes *atomic.Int64
+	conns *atomic.Int64
 }
 
 func (l countedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	return countedConn{c, l.bytes}, err
+	if err != nil {
+		return nil, err
+	}
+	l.conns.Add(1)
+	return &countedConn{Conn: c, listener: l}, nil
 }
 
 type countedConn struct {
 	net.Conn
-	bytes *atomic.Int64
+	listener countedListener
+	closed   atomic.Bool
+}
+
+func (c *countedConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.listener.conns.Add(-1)
+	}
+	return c.Conn.Close()
 }
 
-func (c countedConn) Read(p []byte) (int, error) {
+func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
+	c.listener.bytes.Add(int64(n))
 	return n, err
 }
 
-func (c countedConn) Write(p []byte) (int, error) {
+func (c *countedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
+	c.listener.bytes.Add(int64(n))
 	return n, err
 }
 
@@ -79,6 +92,7 @@
 	b       *testing.B
 	g       *WithT
 	bytes   atomic.Int64
+	conns   atomic.Int64
 	daemons []*daemon.Daemon
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -122,7 +136,7 @@
 		Log:            slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Engine:         idle{},
 		Configuration:  &fleet.Configuration{Name: "capacity"},
-		Listener:       countedListener{l, &f.bytes},
+		Listener:       countedListener{l, &f.bytes, &f.conns},
 		CallerListener: callers,
 	})
 	f.g.Expect(err).NotTo(HaveOccurred())
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -12,6 +12,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/jacinthplank/jacinthplank/coord/membership"
 	"github.com/jacinthplank/jacinthplank/fleet"
@@ -31,6 +32,7 @@
 var (
 	exchanges       = metrics.NewCounter("jacinthplank_gossip_exchanges_total")
 	exchangesFailed = metrics.NewCounter("jacinthplank_gossip_exchanges_failed_total")
+	exchangedBytes  = metrics.NewCounter("jacinthplank_gossip_message_bytes_total")
 	recordsReceived = metrics.NewCounter("jacinthplank_gossip_records_received_total")
 )
 
@@ -192,16 +194,28 @@
 	return out
 }
 
+// seeds returns the seeds by the names of the members that have their addresses:
+// a member without a name is told everything each time. The caller holds the
+// lock.
 func (s *Service) seeds() []target {
 	var out []target
 	for _, address := range s.options.Seeds {
 		if address != s.options.Self.Address {
-			out = append(out, target{address: address})
+			out = append(out, target{s.nameOf(address), address})
 		}
 	}
 	return out
 }
 
+func (s *Service) nameOf(address string) string {
+	for _, r := range s.table.Members() {
+		if r.Address == address {
+			return r.Name
+		}
+	}
+	return ""
+}
+
 // lost returns one watcher that is dead, so that two sides of a mended cut find
 // each other again, or else one seed.
 func (s *Service) lost() []target {
@@ -234,6 +248,7 @@
 		exchangesFailed.Inc()
 		return
 	}
+	exchangedBytes.Add(proto.Size(request) + proto.Size(response.Msg))
 	m := responseFromProto(response.Msg)
 	s.mu.Lock()
 	s.apply(s.table.Receive(m, s.options.Now()))
--- /dev/null
+++ b/gossip/gossip_test.go
@@ -0,0 +1,72 @@
+package gossip_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/coord/membership"
+	"github.com/jacinthplank/jacinthplank/fleet"
+	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
+	"github.com/jacinthplank/jacinthplank/gossip"
+)
+
+// network joins services without sockets and counts the records in messages.
+type network struct {
+	services map[string]*gossip.Service
+	records  int
+}
+
+type link struct {
+	network *network
+	address string
+}
+
+func (l link) Exchange(ctx context.Context, r *connect.Request[pb.ExchangeRequest]) (*connect.Response[pb.ExchangeResponse], error) {
+	s := l.network.services[l.address]
+	if s == nil {
+		return nil, errors.New("nobody there")
+	}
+	reply, err := s.Exchange(ctx, r)
+	l.network.records += len(r.Msg.GetRecords()) + len(reply.Msg.GetRecords())
+	return reply, err
+}
+
+func (n *network) add(i int, seeds ...string) *gossip.Service {
+	address := fmt.Sprintf("127.0.0.1:%d", i)
+	s := gossip.New(gossip.Options{
+		Self:    membership.Record{Name: fmt.Sprintf("instance-%d", i), Address: address, Watcher: i < 5, Incarnation: 1},
+		Seeds:   seeds,
+		Dial:    func(a string) gossip.Peer { return link{n, a} },
+		Version: func() fleet.Version { return fleet.Version{} },
+	})
+	n.services[address] = s
+	return s
+}
+
+// TestSeedsAreNotToldEverythingAgain has a fleet at rest: a seed, known by its
+// address only, was once told every record at each probe.
+func TestSeedsAreNotToldEverythingAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := &network{services: map[string]*gossip.Service{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for i := range 12 {
+			go func(s *gossip.Service) { _ = s.Serve(ctx) }(n.add(i, "127.0.0.1:0"))
+		}
+		time.Sleep(20 * time.Second)
+		n.records = 0
+		time.Sleep(30 * time.Second)
+		g.Expect(n.records).To(BeZero())
+		g.Expect(n.services["127.0.0.1:7"].Members()).To(HaveLen(12))
+		cancel()
+		synctest.Wait()
+	})
+}
