processes: the kill waits until both endpoints are known

The test slept 1.5 s in place of waiting, and failed on a busy machine when the entry did not know the second endpoint yet.

--- a/processes/serving_test.go
+++ b/processes/serving_test.go
@@ -39,7 +39,8 @@
 	f.endpoint("endpoint-1")
 	f.endpoint("endpoint-2")
 	f.awaitServing(0)
-	time.Sleep(1500 * time.Millisecond) // both are announced
+	f.awaitEndpoint("entry-1", "endpoint-1")
+	f.awaitEndpoint("entry-1", "endpoint-2")
 	f.daemons["endpoint-1"].kill()
 	for i := range 10 {
 		status, body := f.complete(0, fmt.Sprintf("Letter %d", i), 3, "10s")
