--- a/distribution/gossip.go
+++ b/distribution/gossip.go
@@ -50,8 +50,9 @@
 	options Options
 	planner *Planner
 	news    *ring.Ring[item]
-	whole   bool // deltas did not fit: the next question is for the snapshot
-	spare   int  // peers that may still be told in place of some that failed
+	whole   bool             // deltas did not fit: the next question is for the snapshot
+	refused revision.Version // latest that could not be applied
+	spare   int              // peers that may still be told in place of some that failed
 	asking  sync.WaitGroup
 }
 
@@ -154,7 +155,7 @@
 	switch {
 	case n.update != nil:
 		if err := g.apply(ctx, *n.update, "control"); err != nil {
-			g.options.Log.Error("configuration not applied", "version", n.update.Version.String(), "error", err)
+			g.report(n.update.Version, "control", err)
 		}
 	case n.failed:
 		g.planner.Failed(time.Now(), n.address)
@@ -184,11 +185,20 @@
 	}
 	g.whole = false
 	if err != nil {
-		g.options.Log.Warn("configuration not applied", "version", version, "from", address, "error", err)
+		g.report(revision.Version(version), address, err)
 		g.planner.Failed(time.Now(), address)
 	}
 }
 
+// report logs the first failure to apply a version; it is tried again and again.
+func (g *Gossip) report(v revision.Version, from string, err error) {
+	if g.refused == v {
+		return
+	}
+	g.refused = v
+	g.options.Log.Error("configuration not applied", "version", v.String(), "from", from, "error", err)
+}
+
 // pull puts a question to one peer and hands the answer to the duty.
 func (g *Gossip) pull(ctx context.Context, address string, whole bool) {
 	reply, err := g.question(ctx, address, whole)
