placement: a segment leaves the memory that endpoints keep for short work

Cause: prompts of 0.9 to 0.95 of two endpoints' memory were spread over two, whose endpoints refuse above 0.9 (memory_reserved), even when idle.

--- a/placement/group.go
+++ b/placement/group.go
@@ -13,8 +13,9 @@
 const MaxGroup = 16
 
 // segmentFill is the part of an endpoint's longest prompt that a segment may
-// take; the rest is for the blocks that a segment's ends leave half empty.
-const segmentFill = 0.95
+// take: endpoints leave a tenth of their memory free of long work, and the ends
+// of a segment leave blocks half empty.
+const segmentFill = 0.85
 
 // Group chooses the endpoints that together hold a prompt that none of them can
 // hold alone: as few as will do, those with the shortest wait for long work.
