--- a/experiment/run_test.go
+++ b/experiment/run_test.go
@@ -83,3 +83,18 @@
 	}
 	return o
 }
+
+// Whatever fails, every outcome comes in time, no answer told as whole is not,
+// and no memory is left over.
+func TestNothingIsLostUnderFaults(t *testing.T) {
+	g := NewWithT(t)
+	for _, d := range experiment.Deployments {
+		const length = 30 * time.Second
+		r := measure(t, experiment.Options{
+			Deployment: d, Load: 1.5, Length: length, Seed: 11, Policy: experiment.PolicyCurrent,
+			Faults: experiment.StandardFaults(length), LoadLag: 2 * time.Second,
+		})
+		sound(g, r)
+		g.Expect(r.Whole).To(BeNumerically(">", r.Offered*8/10))
+	}
+}
