--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -165,6 +165,24 @@
 	g.Expect(p.Sample(now, []string{"a"}, 1)).To(Equal([]string{"a"}))
 }
 
+func TestNeighboursAreSwappedUntilEverybodyWasOne(t *testing.T) {
+	g := NewWithT(t)
+	p := distribution.NewPlanner(rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(0, 0)
+	var peers []string
+	for i := range 3 * distribution.Neighbours {
+		peers = append(peers, fmt.Sprint(i))
+	}
+	seen := map[string]bool{}
+	for range 200 {
+		for _, address := range p.Sample(now, peers, distribution.FanOut) {
+			seen[address] = true
+		}
+		now = now.Add(distribution.SwapPeriod)
+	}
+	g.Expect(seen).To(HaveLen(len(peers)))
+}
+
 func TestADaemonThatStartsAsksAsSoonAsItKnowsAPeer(t *testing.T) {
 	g := NewWithT(t)
 	p := distribution.NewPlanner(rand.New(rand.NewPCG(1, 1)))
--- a/distribution/store.go
+++ b/distribution/store.go
@@ -122,7 +122,8 @@
 
 // following returns the deltas after version have, all of them when it is not
 // among them. An update may have been made for an older version than the one
-// that is in force when it arrives.
+// that is in force when it arrives. Patches are idempotent, so that this only
+// saves work.
 func following(deltas []revision.Delta, have revision.Version) []revision.Delta {
 	for i, d := range deltas {
 		if d.Version == have {
