--- a/operator/fleetclient.go
+++ b/operator/fleetclient.go
@@ -23,6 +23,7 @@
 	transport *transport.Transport
 	timeout   time.Duration
 	seeds     []string
+	tlsHint   string   // what may be wrong when no daemon answers
 	expected  []member // daemons in the generated files
 }
 
@@ -52,6 +53,9 @@
 		return nil, exitWith(ExitBadInput, "%s", trace.UserMessage(err))
 	}
 	f := &fleetClient{transport: connections, timeout: o.Timeout, seeds: o.Daemons}
+	if !tls.Secure() {
+		f.tlsHint = "\nIf the fleet uses TLS, give --certificate, --key and --authority."
+	}
 	if len(f.seeds) > 0 {
 		return f, nil
 	}
@@ -60,6 +64,9 @@
 		return nil, err
 	}
 	for _, d := range made.daemons {
+		if d.TLS.Secure() && !tls.Secure() {
+			return nil, exitWith(ExitBadInput, "the daemons in %s use TLS: give --certificate, --key and --authority; `jacinthplank keys instance` makes them", o.Generated)
+		}
 		f.expect(d)
 	}
 	if len(f.seeds) == 0 {
@@ -117,7 +124,7 @@
 		}
 	}
 	if !answered {
-		return nil, exitWith(ExitUnreachable, "no daemon could be reached at %v: %w", f.seeds, last)
+		return nil, exitWith(ExitUnreachable, "no daemon could be reached at %v: %w%s", f.seeds, last, f.tlsHint)
 	}
 	members := make([]member, 0, len(known))
 	for _, m := range known {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -185,6 +185,23 @@
 	g.Expect(text).To(ContainSubstring("Whether it ran is not known."))
 }
 
+// Without a certificate a fleet that uses TLS is not asked at all.
+func TestAFleetWithTLSWantsACertificate(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeFleet(t)
+	f.run(initLine)
+	f.replace("answers.toml", "\nplain = true", "\nplain = false")
+	f.replace("answers.toml", `certificate = ""`, `certificate = "c"`)
+	f.replace("answers.toml", `key = ""`, `key = "k"`)
+	f.replace("answers.toml", `authority = ""`, `authority = "a"`)
+	code, text := f.run("plan answers.toml --output ./generated")
+	g.Expect(code).To(Equal(operator.ExitOK), text)
+	t.Setenv("JACINTHPLANK_DAEMONS", "")
+	code, text = f.run("status --generated ./generated")
+	g.Expect(code).To(Equal(operator.ExitBadInput), text)
+	g.Expect(text).To(ContainSubstring("use TLS"))
+}
+
 func TestAnOptionReplacesItsEnvironmentVariable(t *testing.T) {
 	g := NewWithT(t)
 	f := newFakeFleet(t)
