entry: short requests leave an engine that gives no token

Cause: a frozen engine is found by its endpoint after 20 s without progress, which is all the time that a short request has. With the mechanism off TestAShortRequestLeavesAnEngineThatGivesNoToken fails.

--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -33,7 +33,7 @@
 	cancel   context.CancelCauseFunc
 	group    []*directory.Member // members of a group; nil for one endpoint
 	sent     time.Time
-	started  bool         // a token came
+	started  atomic.Bool  // a token came
 	progress atomic.Int64 // unix nanoseconds of the last frame
 }
 
@@ -50,6 +50,22 @@
 	return time.Duration(now.UnixNano() - a.progress.Load())
 }
 
+// Time after which the first token of a short attempt is overdue: overdueFloor
+// and overdueTimes the time that was expected.
+const (
+	overdueFloor = 2 * time.Second
+	overdueTimes = 4
+)
+
+// overdue reports whether the first token of a short attempt should have come
+// long ago, as when the engine froze.
+func (a *attempt) overdue(now time.Time) bool {
+	if a.started.Load() || a.choice.Long {
+		return false
+	}
+	return a.idle(now) > overdueFloor+overdueTimes*a.choice.Cost
+}
+
 // stalled reports whether the attempt was given up for lack of progress.
 func (a *attempt) stalled() bool { return errors.Is(context.Cause(a.ctx), errStalled) }
 
@@ -75,14 +91,16 @@
 }
 
 // giveUp ends the attempts at endpoints that are gone from the directory, or
-// have started anew, and that made no progress for a lease.
+// have started anew, and that made no progress for a lease, and short attempts
+// whose first token is long overdue.
 func (s *attempts) giveUp(now time.Time, d *directory.Directory) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for a := range s.set {
 		m := d.Get(a.member.Name)
 		here := m != nil && m.Incarnation == a.member.Incarnation
-		if here || a.idle(now) < directory.DefaultLease {
+		gone := !here && a.idle(now) >= directory.DefaultLease
+		if !gone && !a.overdue(now) {
 			continue
 		}
 		stalls.Inc()
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -244,7 +244,7 @@
 	if err != nil || !taken {
 		return false, err
 	}
-	if !f.current.started && frame.Tokens > 0 {
+	if !f.current.started.Load() && frame.Tokens > 0 {
 		f.firstToken(now)
 	}
 	if f.frames.Complete() {
@@ -258,7 +258,7 @@
 // expected of its endpoint.
 func (f *flight) firstToken(now time.Time) {
 	a := f.current
-	a.started = true
+	a.started.Store(true)
 	if a.group == nil {
 		f.router.breakers.Measured(now, a.member.Name, now.Sub(a.sent), a.choice.Cost+latencyFloor)
 	}
--- a/entry/group.go
+++ b/entry/group.go
@@ -170,7 +170,7 @@
 // enterGroup makes the group's answer the current attempt.
 func (f *flight) enterGroup(members []*directory.Member) {
 	last := members[len(members)-1]
-	a := newAttempt(f.ctx, placement.Choice{Member: last})
+	a := newAttempt(f.ctx, placement.Choice{Member: last, Long: true})
 	a.group = members
 	a.answer = &groupAnswer{
 		router: f.router, request: f.outgoing(), members: members, deadline: f.deadline,
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -74,3 +74,23 @@
 		g.Expect(endpoints[0].submits).To(BeZero())
 	})
 }
+
+// An engine that froze behind a healthy endpoint process: heartbeats go on, but
+// the first token never comes.
+func TestAShortRequestLeavesAnEngineThatGivesNoToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		hang := func(submit.Request) ([]submit.Frame, error) { return []submit.Frame{}, nil }
+		r, _ := router(hang, whole)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = r.Serve(ctx) }()
+		start := time.Now()
+		a, err := r.Submit(ctx, request())
+		g.Expect(err).NotTo(HaveOccurred())
+		text, err := read(a)
+		g.Expect(err).To(Equal(io.EOF))
+		g.Expect(text).To(Equal("one two three"))
+		g.Expect(time.Since(start)).To(BeNumerically("<", 5*time.Second))
+	})
+}
