--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -78,8 +78,8 @@
 	return out
 }
 
-func requestToProto(m membership.Message) *pb.ExchangeRequest {
-	return &pb.ExchangeRequest{
+func messageToProto(m membership.Message) *pb.Heartbeat {
+	return &pb.Heartbeat{
 		From:     RecordToProto(m.From),
 		Table:    m.Table,
 		Head:     m.Head,
@@ -89,29 +89,7 @@
 	}
 }
 
-func requestFromProto(p *pb.ExchangeRequest) membership.Message {
-	return membership.Message{
-		From:     RecordFromProto(p.GetFrom()),
-		Table:    p.GetTable(),
-		Head:     p.GetHead(),
-		Records:  recordsFromProto(p.GetRecords()),
-		Ack:      p.GetAck(),
-		AckTable: p.GetAckTable(),
-	}
-}
-
-func responseToProto(m membership.Message) *pb.ExchangeResponse {
-	return &pb.ExchangeResponse{
-		From:     RecordToProto(m.From),
-		Table:    m.Table,
-		Head:     m.Head,
-		Records:  recordsToProto(m.Records),
-		Ack:      m.Ack,
-		AckTable: m.AckTable,
-	}
-}
-
-func responseFromProto(p *pb.ExchangeResponse) membership.Message {
+func messageFromProto(p *pb.Heartbeat) membership.Message {
 	return membership.Message{
 		From:     RecordFromProto(p.GetFrom()),
 		Table:    p.GetTable(),
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -136,18 +136,17 @@
 
 // Exchange implements the peer service's call.
 func (s *Service) Exchange(_ context.Context, r *connect.Request[pb.ExchangeRequest]) (*connect.Response[pb.ExchangeResponse], error) {
-	if r.Msg.GetFrom().GetName() == "" {
+	heartbeat := r.Msg.GetHeartbeat()
+	if heartbeat.GetFrom().GetName() == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, outcome.Refuse(outcome.CodeInvalidRequest, "gossip.exchange", "the sender has no name"))
 	}
-	m := requestFromProto(r.Msg)
+	m := messageFromProto(heartbeat)
 	s.mu.Lock()
 	s.apply(s.table.Receive(m, s.options.Now()))
-	answer := responseToProto(s.table.Prepare(m.From.Name))
+	answer := messageToProto(s.table.Prepare(m.From.Name))
 	s.mu.Unlock()
-	answer.Version = versionToProto(s.options.Version())
-	answer.Backlog = s.backlog()
-	s.tell(m.From, r.Msg.GetVersion(), r.Msg.GetBacklog())
-	return connect.NewResponse(answer), nil
+	s.tell(heartbeat)
+	return connect.NewResponse(&pb.ExchangeResponse{Heartbeat: s.laden(answer)}), nil
 }
 
 // gather waits a little, so that changes that come together go out together.
@@ -238,22 +237,27 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	s.mu.Lock()
-	request := requestToProto(s.table.Prepare(t.name))
+	request := messageToProto(s.table.Prepare(t.name))
 	s.mu.Unlock()
-	request.Version = versionToProto(s.options.Version())
-	request.Backlog = s.backlog()
 	exchanges.Inc()
-	response, err := s.options.Dial(t.address).Exchange(ctx, connect.NewRequest(request))
-	if err != nil || response.Msg.GetFrom().GetName() == "" {
+	response, err := s.options.Dial(t.address).Exchange(ctx, connect.NewRequest(&pb.ExchangeRequest{Heartbeat: s.laden(request)}))
+	if err != nil || response.Msg.GetHeartbeat().GetFrom().GetName() == "" {
 		exchangesFailed.Inc()
 		return
 	}
-	exchangedBytes.Add(proto.Size(request) + proto.Size(response.Msg))
-	m := responseFromProto(response.Msg)
+	answer := response.Msg.GetHeartbeat()
+	exchangedBytes.Add(proto.Size(request) + proto.Size(answer))
 	s.mu.Lock()
-	s.apply(s.table.Receive(m, s.options.Now()))
+	s.apply(s.table.Receive(messageFromProto(answer), s.options.Now()))
 	s.mu.Unlock()
-	s.tell(m.From, response.Msg.GetVersion(), response.Msg.GetBacklog())
+	s.tell(answer)
+}
+
+// laden puts what rides on a heartbeat into it.
+func (s *Service) laden(h *pb.Heartbeat) *pb.Heartbeat {
+	h.Version = versionToProto(s.options.Version())
+	h.Backlog = s.backlog()
+	return h
 }
 
 // apply hands changes of members on in the order in which they were made. The
@@ -270,14 +274,14 @@
 	}
 }
 
-// tell hands on what rode on a message.
-func (s *Service) tell(from membership.Record, v *pb.Version, b *pb.Backlog) {
-	version := fleet.Version{Epoch: v.GetEpoch(), Revision: v.GetRevision()}
+// tell hands on what rode on a heartbeat.
+func (s *Service) tell(h *pb.Heartbeat) {
+	version := fleet.Version{Epoch: h.GetVersion().GetEpoch(), Revision: h.GetVersion().GetRevision()}
 	if s.options.OnVersion != nil && s.options.Version().Less(version) {
-		s.options.OnVersion(from.Address, version)
+		s.options.OnVersion(h.GetFrom().GetAddress(), version)
 	}
-	if s.options.OnBacklog != nil && b != nil {
-		s.options.OnBacklog(backlogFromProto(b), from.Incarnation)
+	if s.options.OnBacklog != nil && h.GetBacklog() != nil {
+		s.options.OnBacklog(backlogFromProto(h.GetBacklog()), h.GetFrom().GetIncarnation())
 	}
 }
 
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -34,7 +34,7 @@
 		return nil, errors.New("nobody there")
 	}
 	reply, err := s.Exchange(ctx, r)
-	l.network.records += len(r.Msg.GetRecords()) + len(reply.Msg.GetRecords())
+	l.network.records += len(r.Msg.GetHeartbeat().GetRecords()) + len(reply.Msg.GetHeartbeat().GetRecords())
 	return reply, err
 }
 
