entry: a refusal is not retried at the endpoint that refused

The events showed one attempt and no retry; the account's retry budget was empty. It had been used up at the start, when the only endpoint known refused each request (its engine was not met yet) and was asked up to four times at once. Ruled out: the second endpoint unknown to the entry (it stood in its status); retries for requests without any endpoint (there are none). Change: after a refusal another attempt needs an endpoint that was not tried yet.

--- a/entry/flight.go
+++ b/entry/flight.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,7 +87,7 @@
 	if f.ctx.Err() != nil {
 		return f.ended(err)
 	}
-	if f.failed >= retry.MaxAttempts || !retry.Sensible(err) || !f.router.retries.Spend(f.request.Account) {
+	if f.failed >= retry.MaxAttempts || !retry.Sensible(err) || !f.hopeful(err) || !f.router.retries.Spend(f.request.Account) {
 		return err
 	}
 	pause := time.NewTimer(retry.Delay(f.failed, f.router.draw()))
@@ -100,6 +101,17 @@
 	return nil
 }
 
+// hopeful reports whether another attempt may do better. After a refusal that
+// takes an endpoint that was not tried yet: asking the same one again at once
+// would only use up the budget.
+func (f *flight) hopeful(err *outcome.Error) bool {
+	if err.State != outcome.NotRun || f.router.needsGroup(&f.request) {
+		return true
+	}
+	choice, none := f.router.place(&f.request, f.avoid)
+	return none == nil && !slices.Contains(f.avoid, choice.Member.Name)
+}
+
 // try makes one attempt.
 func (f *flight) try() error {
 	f.request.Attempt++
