control: a configuration that no daemon could use is refused by the quorum

Cause: the quorum took any JSON object as a configuration; only the operators' command checked it whole, so another client could put a faulty one in force. Change: the member that proposes checks the document (unknown keys, every fault). The tests' configurations are valid ones now, which the check asks for. Proof: TestAConfigurationThatNoDaemonCouldUseIsRefused (accepted before).

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -18,7 +18,27 @@
 	"github.com/jacinthplank/jacinthplank/submit"
 )
 
-func configuration(name string) *fleet.Configuration { return &fleet.Configuration{Name: name} }
+// configuration is a small valid configuration.
+func configuration(name string) *fleet.Configuration {
+	return &fleet.Configuration{
+		Name:           name,
+		FailureDomains: []fleet.FailureDomain{{Name: "north", Region: "coast"}},
+		Models:         []fleet.Model{{Name: "drafts", Endpoints: 1, MaxPrompt: 1000}},
+		Limits:         fleet.DefaultLimits(),
+	}
+}
+
+func TestAConfigurationThatNoDaemonCouldUseIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(t, 1)
+	c.leader()
+	faulty := configuration("faulty")
+	faulty.Accounts = []fleet.Account{{Name: "a", Share: 0, Models: []string{"letters"}}}
+	_, err := c.client().Accept(t.Context(), control.Change{ID: "faulty", Configuration: faulty})
+	g.Expect(outcome.From(err).Code).To(Equal(outcome.CodeInvalidRequest))
+	g.Expect(outcome.From(err).State).To(Equal(outcome.NotRun))
+	g.Expect(err.Error()).To(ContainSubstring("accounts[1].share"))
+}
 
 func claimOf(key, request string) services.Claim {
 	return services.Claim{Account: "a", Service: "s", Key: key, Digest: "d", Request: request, Remaining: time.Minute}
--- a/control/measure_test.go
+++ b/control/measure_test.go
@@ -142,7 +142,7 @@
 }
 
 func fleetOf(accounts int) *fleet.Configuration {
-	c := &fleet.Configuration{Name: "fleet"}
+	c := configuration("fleet")
 	for i := range accounts {
 		c.Accounts = append(c.Accounts, fleet.Account{
 			Name: fmt.Sprintf("account-%04d", i), Share: 1, ShortTokens: 100_000, LongTokens: 1_000_000,
--- a/control/server.go
+++ b/control/server.go
@@ -50,6 +50,9 @@
 	if err != nil {
 		return errorResult(err), nil
 	}
+	if err := checkCommand(c); err != nil {
+		return errorResult(err), nil
+	}
 	text, err = s.machine.Stamp(c).Encode()
 	if err != nil {
 		return errorResult(err), nil
