--- a/processes/fleet_test.go
+++ b/processes/fleet_test.go
@@ -33,6 +33,7 @@
 	callers []string // addresses for callers, one for each entry
 	daemons map[string]*process
 	address map[string]string // of daemons, for other processes
+	relays  map[string]*relay // that daemons advertise in place of their address
 	engines map[string]*process
 	engine  map[string]string // addresses of engines
 }
@@ -65,6 +66,7 @@
 		folder:  t.TempDir(),
 		daemons: map[string]*process{},
 		address: map[string]string{},
+		relays:  map[string]*relay{},
 		engines: map[string]*process{},
 		engine:  map[string]string{},
 	}
@@ -89,15 +91,21 @@
 	for i, seed := range f.seeds {
 		quoted[i] = fmt.Sprintf("%q", seed)
 	}
+	advertise := address
+	if r := f.relays[name]; r != nil {
+		r.target = address
+		advertise = r.address()
+	}
 	text := fmt.Sprintf(`[instance]
 name = %q
 failure_domain = "north"
 duties = [%s]
 listen = %q
+advertise = %q
 seeds = [%s]
 configuration = %q
 
-%s`, name, duties, address, strings.Join(quoted, ", "), f.config, lines)
+%s`, name, duties, address, advertise, strings.Join(quoted, ", "), f.config, lines)
 	f.address[name] = address
 	f.daemons[name] = launch(f.t, "jacinthplankd", "run", f.write(name+".toml", text))
 	return f.daemons[name]
--- a/processes/relay_test.go
+++ b/processes/relay_test.go
@@ -23,10 +23,11 @@
 	closed  bool
 }
 
-func newRelay(t *testing.T, target string) *relay {
+// newRelay listens; its target is set before the first connection.
+func newRelay(t *testing.T) *relay {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	r := &relay{listener: l, target: target, forth: true, back: true, open: map[net.Conn]bool{}}
+	r := &relay{listener: l, forth: true, back: true, open: map[net.Conn]bool{}}
 	r.changed = sync.NewCond(&r.mu)
 	go r.serve()
 	t.Cleanup(r.close)
@@ -43,20 +44,13 @@
 	r.changed.Broadcast()
 }
 
-// reset breaks every connection.
-func (r *relay) reset() {
+func (r *relay) close() {
+	_ = r.listener.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.open {
 		_ = c.Close()
 	}
-}
-
-func (r *relay) close() {
-	_ = r.listener.Close()
-	r.reset()
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.closed = true
 	r.changed.Broadcast()
 }
