--- a/processes/fleet_test.go
+++ b/processes/fleet_test.go
@@ -93,7 +93,7 @@
 	}
 	advertise := address
 	if r := f.relays[name]; r != nil {
-		r.target = address
+		r.setTarget(address)
 		advertise = r.address()
 	}
 	text := fmt.Sprintf(`[instance]
--- a/processes/relay_test.go
+++ b/processes/relay_test.go
@@ -23,7 +23,7 @@
 	closed  bool
 }
 
-// newRelay listens; its target is set before the first connection.
+// newRelay listens; setTarget is called before the first connection.
 func newRelay(t *testing.T) *relay {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
@@ -34,6 +34,12 @@
 	return r
 }
 
+func (r *relay) setTarget(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = address
+}
+
 func (r *relay) address() string { return r.listener.Addr().String() }
 
 // pass sets which ways are open.
@@ -66,7 +72,10 @@
 }
 
 func (r *relay) connect(caller net.Conn) {
-	target, err := net.Dial("tcp", r.target)
+	r.mu.Lock()
+	address := r.target
+	r.mu.Unlock()
+	target, err := net.Dial("tcp", address)
 	if err != nil {
 		_ = caller.Close()
 		return
