--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,7 +21,7 @@
 // network joins services without sockets and counts the records in messages.
 type network struct {
 	services map[string]*gossip.Service
-	records  int
+	records  atomic.Int64
 }
 
 type link struct {
@@ -34,11 +35,12 @@
 		return nil, errors.New("nobody there")
 	}
 	reply, err := s.Exchange(ctx, r)
-	l.network.records += len(r.Msg.GetHeartbeat().GetRecords()) + len(reply.Msg.GetHeartbeat().GetRecords())
+	sent := len(r.Msg.GetHeartbeat().GetRecords()) + len(reply.Msg.GetHeartbeat().GetRecords())
+	l.network.records.Add(int64(sent))
 	return reply, err
 }
 
-func (n *network) add(i int, seeds ...string) *gossip.Service {
+func (n *network) add(i int, seeds ...string) {
 	address := fmt.Sprintf("127.0.0.1:%d", i)
 	s := gossip.New(gossip.Options{
 		Self:    membership.Record{Name: fmt.Sprintf("instance-%d", i), Address: address, Watcher: i < 5, Incarnation: 1},
@@ -47,7 +49,6 @@
 		Version: func() fleet.Version { return fleet.Version{} },
 	})
 	n.services[address] = s
-	return s
 }
 
 // TestSeedsAreNotToldEverythingAgain has a fleet at rest: a seed, known by its
@@ -59,12 +60,15 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		for i := range 12 {
-			go func(s *gossip.Service) { _ = s.Serve(ctx) }(n.add(i, "127.0.0.1:0"))
+			n.add(i, "127.0.0.1:0")
+		}
+		for _, s := range n.services {
+			go func() { _ = s.Serve(ctx) }()
 		}
 		time.Sleep(20 * time.Second)
-		n.records = 0
+		n.records.Store(0)
 		time.Sleep(30 * time.Second)
-		g.Expect(n.records).To(BeZero())
+		g.Expect(n.records.Load()).To(BeZero())
 		g.Expect(n.services["127.0.0.1:7"].Members()).To(HaveLen(12))
 		cancel()
 		synctest.Wait()
