--- a/cmd/jacinthplankd/main.go
+++ b/cmd/jacinthplankd/main.go
@@ -36,10 +36,13 @@
 	Listen string `arg:"--listen" default:"127.0.0.1:8080" help:"address for callers, IP:port"`
 }
 
+type gatewayCommand struct{}
+
 type arguments struct {
-	Run   *runCommand   `arg:"subcommand:run" help:"run the daemon"`
-	Check *checkCommand `arg:"subcommand:check" help:"check a settings file and list every fault"`
-	Demo  *demoCommand  `arg:"subcommand:demo" help:"run one of each duty and an emulated engine in one process"`
+	Gateway *gatewayCommand `arg:"subcommand:gateway" help:"run an entry on the users' platform, with the platform's settings file"`
+	Run     *runCommand     `arg:"subcommand:run" help:"run the daemon"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file and list every fault"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"run one of each duty and an emulated engine in one process"`
 }
 
 // Description implements arg.Described.
@@ -59,12 +62,20 @@
 		parser.WriteHelp(os.Stderr)
 		os.Exit(exitBadInput)
 	}
+	if args.Gateway != nil {
+		exit(serveGateway())
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := run(ctx, args); err != nil {
+	exit(run(ctx, args))
+}
+
+func exit(err error) {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCode(err))
 	}
+	os.Exit(0)
 }
 
 func run(ctx context.Context, args arguments) error {
--- a/control/control.go
+++ b/control/control.go
@@ -43,7 +43,7 @@
 	options Options
 	machine *state.Machine
 	node    *quorum.Node
-	mesh    *mesh
+	mesh    *Mesh
 	server  *server
 }
 
@@ -58,13 +58,13 @@
 	started := time.Now()
 	m := &Member{options: o}
 	m.machine = state.New(o.Name, func() time.Duration { return time.Since(started) })
-	m.mesh = newMesh(o.Name, m.quorumClient)
+	m.mesh = NewMesh(o.Name, m.quorumClient)
 	node, err := quorum.Start(quorum.Options{
 		Name: o.Name, Address: o.Address, Members: firstMembers(o.Members), Folder: o.Folder,
 		Machine: m.machine, Transport: m.mesh, Logger: o.Log, Repair: true,
 	})
 	if err != nil {
-		m.mesh.close()
+		m.mesh.Close()
 		return nil, trace.Wrap(err)
 	}
 	m.node = node
@@ -158,7 +158,7 @@
 // Stop ends the member, after it has handed over when it leads.
 func (m *Member) Stop() {
 	m.node.Stop()
-	m.mesh.close()
+	m.mesh.Close()
 }
 
 func statusToProto(s quorum.Status) *pb.QuorumStatus {
--- a/control/mesh.go
+++ b/control/mesh.go
@@ -27,9 +27,9 @@
 	meshDropped = metrics.NewCounter("jacinthplank_control_mesh_messages_dropped_total")
 )
 
-// mesh is the transport between the members of the quorum: a ring and a
+// Mesh is the transport between the members of the quorum: a ring and a
 // goroutine for each of the others. It implements quorum.Transport.
-type mesh struct {
+type Mesh struct {
 	from string
 	dial func(address string) jacinthplankv1connect.QuorumServiceClient
 
@@ -42,14 +42,16 @@
 	closed bool
 }
 
-func newMesh(from string, dial func(address string) jacinthplankv1connect.QuorumServiceClient) *mesh {
-	m := &mesh{from: from, dial: dial, lanes: make(map[quorum.Member]*ring.Ring[[]byte])}
+// NewMesh returns a mesh of the member named from. dial makes the client of a
+// member at an address.
+func NewMesh(from string, dial func(address string) jacinthplankv1connect.QuorumServiceClient) *Mesh {
+	m := &Mesh{from: from, dial: dial, lanes: make(map[quorum.Member]*ring.Ring[[]byte])}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	return m
 }
 
 // Send implements quorum.Transport.
-func (m *mesh) Send(to quorum.Member, messages [][]byte) {
+func (m *Mesh) Send(to quorum.Member, messages [][]byte) {
 	lane := m.lane(to)
 	if lane == nil {
 		return
@@ -62,7 +64,7 @@
 }
 
 // lane returns the ring to a member, nil once the mesh is closed.
-func (m *mesh) lane(to quorum.Member) *ring.Ring[[]byte] {
+func (m *Mesh) lane(to quorum.Member) *ring.Ring[[]byte] {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	lane, known := m.lanes[to]
@@ -77,7 +79,7 @@
 }
 
 // serve sends what waits for one member, all at once.
-func (m *mesh) serve(to quorum.Member, lane *ring.Ring[[]byte], client jacinthplankv1connect.QuorumServiceClient) {
+func (m *Mesh) serve(to quorum.Member, lane *ring.Ring[[]byte], client jacinthplankv1connect.QuorumServiceClient) {
 	for {
 		first, ok := lane.Get(m.ctx)
 		if !ok {
@@ -106,15 +108,15 @@
 	return batch
 }
 
-func (m *mesh) call(to quorum.Member, client jacinthplankv1connect.QuorumServiceClient, batch [][]byte) error {
+func (m *Mesh) call(to quorum.Member, client jacinthplankv1connect.QuorumServiceClient, batch [][]byte) error {
 	ctx, cancel := context.WithTimeout(m.ctx, sendTimeout)
 	defer cancel()
 	_, err := client.Send(ctx, connect.NewRequest(&pb.SendRequest{From: m.from, To: to.Name, Messages: batch}))
 	return err
 }
 
-// close ends every lane.
-func (m *mesh) close() {
+// Close ends every lane.
+func (m *Mesh) Close() {
 	m.mu.Lock()
 	m.closed = true
 	m.mu.Unlock()
--- /dev/null
+++ b/mesh/core.go
@@ -0,0 +1,481 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/jacinthplank/jacinthplank/coord/document"
+	"github.com/jacinthplank/jacinthplank/coord/membership"
+	"github.com/jacinthplank/jacinthplank/coord/quorum"
+	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
+	"github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1/jacinthplankv1connect"
+)
+
+// Times of the quorum's upkeep.
+const (
+	corePeriod   = 100 * time.Millisecond  // between two looks
+	foundAfter   = 2500 * time.Millisecond // all entries start within a third of a second; two rounds of membership follow
+	restartPause = 500 * time.Millisecond  // after the disk failed
+	identityFile = "identity"              // of package quorum: there once a disk was used
+)
+
+// core is this entry's part in the quorum that keeps the document: a member's,
+// when it has a disk. It is a duty.
+type core struct {
+	mesh     *Mesh
+	log      *slog.Logger
+	register *document.Register
+
+	mu       sync.Mutex
+	node     *quorum.Node
+	founders []quorum.Member
+	leader   string // address, as last heard
+	stopped  bool
+	lastLead string
+}
+
+func newCore(m *Mesh) *core {
+	return &core{mesh: m, log: m.log, register: document.New()}
+}
+
+// Name implements supervise.Duty.
+func (c *core) Name() string { return "core" }
+
+// Serve implements supervise.Duty.
+func (c *core) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(corePeriod)
+	defer ticker.Stop()
+	go c.mesh.confirm(ctx)
+	k := newKeeper(c)
+	var retryAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.register.Changed():
+		case <-ticker.C:
+		}
+		now := time.Now()
+		c.found(now)
+		if c.mesh.options.DataFolder != "" && now.After(retryAt) && !c.ensureNode() {
+			retryAt = now.Add(restartPause)
+		}
+		c.offer()
+		c.noteLeader()
+		k.tend(ctx, now)
+	}
+}
+
+// offer puts what the quorum has decided in force here. A restored log may be
+// behind: an entry that starts asks the quorum first.
+func (c *core) offer() {
+	d := c.register.Current()
+	c.mesh.mu.Lock()
+	may := c.mesh.mayTakeUnconfirmed()
+	c.mesh.mu.Unlock()
+	if d.Number > 0 && may {
+		c.mesh.offer(d, false)
+	}
+}
+
+func (c *core) noteLeader() {
+	node := c.current()
+	if node == nil {
+		return
+	}
+	s := node.Status()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.LeaderAddress != "" {
+		c.leader = s.LeaderAddress
+	}
+	if s.Leader != c.lastLead {
+		c.log.Info("leader", "step", "mesh.leader", "name", s.Leader, "term", s.Term, "before", c.lastLead)
+		c.lastLead = s.Leader
+	}
+}
+
+func (c *core) current() *quorum.Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.node
+}
+
+func (c *core) stop() {
+	c.mu.Lock()
+	node := c.node
+	c.node, c.stopped = nil, true
+	c.mu.Unlock()
+	if node != nil {
+		node.Stop()
+	}
+}
+
+// found makes the list of the first members, on the one entry that all take for
+// this: the first by address of the seeds, which are the same everywhere when a
+// fleet starts for the first time.
+func (c *core) found(now time.Time) {
+	o := c.mesh.options
+	if !o.FirstStart || len(o.Seeds) == 0 || slices.Min(o.Seeds) != o.Address || now.Sub(c.mesh.started) < foundAfter {
+		return
+	}
+	c.mu.Lock()
+	known := len(c.founders) > 0
+	c.mu.Unlock()
+	if known {
+		return
+	}
+	founders := c.disks()
+	if len(founders) == 0 {
+		return
+	}
+	c.mu.Lock()
+	c.founders = founders
+	c.mu.Unlock()
+	c.log.Info("first members chosen", "step", "mesh.found", "members", len(founders))
+	c.mesh.wake()
+}
+
+// disks returns the entries with a disk that are there.
+func (c *core) disks() []quorum.Member {
+	var out []quorum.Member
+	for _, r := range c.mesh.gossip.Members() {
+		if !r.State.Gone() && hasDisk(r) {
+			out = append(out, quorum.Member{Name: r.Name, Address: r.Address})
+		}
+	}
+	return out
+}
+
+// ensureNode starts the member on its disk when it can, and again after its
+// disk has failed. It reports false when a try failed.
+func (c *core) ensureNode() bool {
+	node := c.current()
+	if node != nil {
+		err := node.Status().Err
+		if err == nil {
+			return true
+		}
+		c.log.Error("quorum member failed", "step", "mesh.core", "error", err.Error())
+		node.Stop()
+		c.mu.Lock()
+		c.node = nil
+		c.mu.Unlock()
+	}
+	members, ready := c.firstMembers()
+	if !ready {
+		return true
+	}
+	return c.startNode(members)
+}
+
+// firstMembers returns whom a member is to know at its start. A blank disk that
+// was not there at the founding must not found: it waits to be added by those
+// that vote.
+func (c *core) firstMembers() (members []quorum.Member, ready bool) {
+	o := c.mesh.options
+	if _, err := os.Stat(filepath.Join(o.DataFolder, identityFile)); err == nil {
+		return c.joinList(), true
+	}
+	c.mu.Lock()
+	founders := c.founders
+	c.mu.Unlock()
+	isFounder := slices.ContainsFunc(founders, func(m quorum.Member) bool { return m.Name == o.Name })
+	if o.FirstStart && isFounder {
+		return founders, true
+	}
+	voters := c.joinList()
+	return voters, len(voters) > 1
+}
+
+// joinList is the voters as the others know them, behind a name that no member
+// has: the first by name is the one that may found a quorum.
+func (c *core) joinList() []quorum.Member {
+	list := []quorum.Member{{Name: noFounder}}
+	for _, v := range c.knownVoters() {
+		if v.Name != c.mesh.options.Name {
+			list = append(list, quorum.Member{Name: v.Name, Address: v.Address})
+		}
+	}
+	return list
+}
+
+// noFounder sorts before every name.
+const noFounder = ""
+
+// knownVoters are the voters as told by the entries.
+func (c *core) knownVoters() []quorum.Member {
+	if node := c.current(); node != nil {
+		if voters := node.Status().Voters; len(voters) > 0 {
+			return voters
+		}
+	}
+	c.mesh.mu.Lock()
+	defer c.mesh.mu.Unlock()
+	var latest *peer
+	for _, p := range c.mesh.peers {
+		if len(p.facts.Voters) > 0 && (latest == nil || p.answered.After(latest.answered)) {
+			latest = p
+		}
+	}
+	if latest == nil {
+		return nil
+	}
+	return latest.facts.Voters
+}
+
+func (c *core) startNode(members []quorum.Member) bool {
+	o := c.mesh.options
+	node, err := quorum.Start(quorum.Options{
+		Name: o.Name, Address: o.Address, Members: members, Folder: o.DataFolder,
+		Machine: c.register, Transport: c.mesh.transport, Logger: c.log, Repair: true,
+	})
+	if err != nil {
+		c.log.Error("quorum member does not start", "step", "mesh.core", "error", err.Error())
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		go node.Stop()
+		return true
+	}
+	c.node = node
+	c.log.Info("quorum member started", "step", "mesh.core", "disk", node.Status().DiskIdentity, "members", len(members))
+	return true
+}
+
+// facts are what this entry tells of the quorum.
+func (c *core) facts() facts {
+	c.mu.Lock()
+	node, f := c.node, facts{Founders: c.founders, Leader: c.leader}
+	c.mu.Unlock()
+	if node != nil {
+		s := node.Status()
+		f.Disk, f.Voters = s.DiskIdentity, s.Voters
+	}
+	return f
+}
+
+// learn takes what another entry tells of the quorum.
+func (c *core) learn(f facts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.founders) == 0 {
+		c.founders = f.Founders
+	}
+	if c.node == nil && f.Leader != "" {
+		c.leader = f.Leader
+	}
+}
+
+func hasDisk(r membership.Record) bool {
+	return slices.Contains(factsOf(r), dutyControl)
+}
+
+// quorumService takes the messages of other members.
+type quorumService struct {
+	jacinthplankv1connect.UnimplementedQuorumServiceHandler
+	core *core
+}
+
+// Send implements the service.
+func (s *quorumService) Send(_ context.Context, r *connect.Request[pb.SendRequest]) (*connect.Response[pb.SendResponse], error) {
+	if node := s.core.current(); node != nil {
+		for _, message := range r.Msg.GetMessages() {
+			node.Step(r.Msg.GetFrom(), message)
+		}
+	}
+	return connect.NewResponse(&pb.SendResponse{}), nil
+}
+
+// errNoQuorum means that no member could decide in time.
+var errNoQuorum = errors.New("no quorum answers")
+
+// ErrUnknown means that a put may or may not take effect.
+var ErrUnknown = errors.New("the outcome of the change is unknown")
+
+// tryTimeout bounds one question to one member: an election takes as long.
+const tryTimeout = 700 * time.Millisecond
+
+// Put asks the quorum to put a document in force. It returns once a majority
+// has it on its disks. The same document may be put again.
+func (m *Mesh) Put(ctx context.Context, d document.Document) (document.Answer, error) {
+	var answer *document.Answer
+	unknown := false
+	err := m.core.ask(ctx, func(ctx context.Context, address string) (string, error) {
+		a, err := m.putAt(ctx, address, &putRequest{Document: d})
+		if err != nil {
+			unknown = true
+			return "", err
+		}
+		unknown = unknown || a.Unknown
+		answer = a.Answer
+		if answer != nil {
+			return "", nil
+		}
+		return a.Leader, errors.New(a.Failure)
+	})
+	if err != nil && unknown {
+		return document.Answer{}, errors.Join(ErrUnknown, err)
+	}
+	if err != nil {
+		return document.Answer{}, err
+	}
+	return *answer, nil
+}
+
+func (m *Mesh) putAt(ctx context.Context, address string, q *putRequest) (*putResponse, error) {
+	if address == m.options.Address {
+		return m.core.servePut(ctx, q)
+	}
+	return call[putRequest, putResponse](ctx, m.client, address, procedurePut, q)
+}
+
+// Read returns the newest document, as a majority confirms it.
+func (m *Mesh) Read(ctx context.Context) (document.Document, error) {
+	have := m.Document()
+	var read *document.Document
+	err := m.core.ask(ctx, func(ctx context.Context, address string) (string, error) {
+		a, err := m.readAt(ctx, address, &readRequest{Have: have.Number})
+		if err != nil {
+			return "", err
+		}
+		read = a.Document
+		if read != nil {
+			return "", nil
+		}
+		return a.Leader, errors.New(a.Failure)
+	})
+	if err != nil {
+		return document.Document{}, err
+	}
+	if read.Number == have.Number {
+		return have, nil
+	}
+	return *read, nil
+}
+
+func (m *Mesh) readAt(ctx context.Context, address string, q *readRequest) (*readResponse, error) {
+	if address == m.options.Address {
+		return m.core.serveRead(ctx, q)
+	}
+	return call[readRequest, readResponse](ctx, m.client, address, procedureRead, q)
+}
+
+// ask tries the members, the leader first, until one answers or ctx ends. try
+// returns the leader's address when the one asked does not lead.
+func (c *core) ask(ctx context.Context, try func(ctx context.Context, address string) (string, error)) error {
+	last := errNoQuorum
+	for ctx.Err() == nil {
+		asked := map[string]bool{}
+		next := c.addresses()
+		for len(next) > 0 && ctx.Err() == nil {
+			address := next[0]
+			next = next[1:]
+			if asked[address] {
+				continue
+			}
+			asked[address] = true
+			one, cancel := context.WithTimeout(ctx, tryTimeout)
+			leader, err := try(one, address)
+			cancel()
+			if err == nil {
+				c.noteAnswer(address)
+				return nil
+			}
+			last = err
+			if leader != "" && !asked[leader] {
+				next = append([]string{leader}, next...)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(corePeriod / 2):
+		}
+	}
+	return errors.Join(errNoQuorum, last)
+}
+
+func (c *core) noteAnswer(address string) {
+	c.mu.Lock()
+	c.leader = address
+	c.mu.Unlock()
+}
+
+// addresses are those of the members, the likely leader first.
+func (c *core) addresses() []string {
+	c.mu.Lock()
+	leader := c.leader
+	c.mu.Unlock()
+	var out []string
+	if leader != "" {
+		out = append(out, leader)
+	}
+	for _, v := range c.knownVoters() {
+		if v.Address != leader && v.Address != "" {
+			out = append(out, v.Address)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	for _, d := range c.disks() {
+		out = append(out, d.Address)
+	}
+	slices.SortFunc(out, strings.Compare)
+	return out
+}
+
+func (c *core) servePut(ctx context.Context, q *putRequest) (*putResponse, error) {
+	node := c.current()
+	if node == nil {
+		return &putResponse{Failure: "not a member of the quorum"}, nil
+	}
+	command, err := document.EncodePut(q.Document)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	result, err := node.Propose(ctx, command)
+	if err != nil {
+		return &putResponse{Leader: leaderOf(err), Unknown: !quorum.IsNotRun(err), Failure: err.Error()}, nil
+	}
+	answer, err := document.DecodeAnswer(result)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	c.offer()
+	return &putResponse{Answer: &answer}, nil
+}
+
+func (c *core) serveRead(ctx context.Context, q *readRequest) (*readResponse, error) {
+	node := c.current()
+	if node == nil {
+		return &readResponse{Failure: "not a member of the quorum"}, nil
+	}
+	if err := node.ReadIndex(ctx); err != nil {
+		return &readResponse{Leader: leaderOf(err), Failure: err.Error()}, nil
+	}
+	d := c.register.Current()
+	if d.Number == q.Have {
+		d.Body = nil
+	}
+	return &readResponse{Document: &d}, nil
+}
+
+func leaderOf(err error) string {
+	var other *quorum.ErrNotLeader
+	if errors.As(err, &other) {
+		return other.Address
+	}
+	return ""
+}
--- /dev/null
+++ b/schedule/figures.go
@@ -0,0 +1,47 @@
+// Package schedule decides where the prompts of an engine service are read and
+// answered: which endpoint writes, which others help to read, who waits and who
+// is refused. It works on a model of the engines and does no I/O; time is an
+// argument.
+package schedule
+
+import "time"
+
+// Figures are what is known of one service's engines.
+type Figures struct {
+	Slots          int           // requests that an engine works on at once
+	MemoryTokens   int           // tokens of context that an engine holds
+	StepsPerPass   int           // token steps of a pass with writers
+	Step           time.Duration // one token step
+	StepPerWriter  time.Duration // more for each request that is writing
+	StepPerContext time.Duration // more for each 1,000 tokens of the writers' context
+	ReadPerSecond  float64       // prompt tokens read per second
+	PairsPerM      time.Duration // more for each million pairs of a token and an earlier one
+	ChunkTokens    int           // most prompt tokens read in one step
+	UsualPrompt    int           // mean tokens of a prompt
+	UsualAnswer    int           // mean tokens of an answer
+	Hop            time.Duration // more for each step with context on other engines
+}
+
+// ReadTime returns how long one of parts even parts of a prompt takes to read.
+func (f *Figures) ReadTime(prompt, parts int) time.Duration {
+	n := float64(prompt)
+	linear := n / max(f.ReadPerSecond, 1) * float64(time.Second)
+	pairs := n * n / 2 / 1e6 * float64(f.PairsPerM)
+	return time.Duration((linear + pairs) / float64(parts))
+}
+
+// PassTime returns how long a pass of writers takes, without reading.
+func (f *Figures) PassTime(writers, context int) time.Duration {
+	if writers == 0 {
+		return 0
+	}
+	step := f.Step + time.Duration(writers)*f.StepPerWriter + f.contextTime(context)
+	return time.Duration(f.StepsPerPass) * step
+}
+
+func (f *Figures) contextTime(context int) time.Duration {
+	return time.Duration(float64(context) / 1000 * float64(f.StepPerContext))
+}
+
+// passReadTokens is the most that is read in one pass of writers.
+func (f *Figures) passReadTokens() int { return f.StepsPerPass * f.ChunkTokens }
--- /dev/null
+++ b/schedule/scheduler.go
@@ -0,0 +1,186 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Endpoint is an engine that takes work.
+type Endpoint struct {
+	ID            string
+	Address       string
+	FailureDomain string
+}
+
+// running is a job at its endpoint.
+type running struct {
+	job       *Job
+	endpoint  string
+	helpers   []string
+	read      time.Duration // of each part
+	placed    time.Time
+	isWriting bool
+}
+
+// engine is what the model holds of one endpoint.
+type engine struct {
+	Endpoint
+	writers   map[string]*running // jobs whose answers come from here
+	parts     []part              // reading, in order
+	headSince time.Time           // when the first part came to the head
+	blocked   bool
+}
+
+// part is a piece of reading.
+type part struct {
+	job  string
+	cost time.Duration
+}
+
+// waiting is a job without an endpoint.
+type waiting struct {
+	job     *Job
+	arrived time.Time
+}
+
+// Scheduler places the jobs of one service. It is not safe for concurrent use.
+type Scheduler struct {
+	figures Figures
+	engines map[string]*engine
+	order   []*engine // by id
+	jobs    map[string]*running
+	queue   []*waiting
+}
+
+// New returns a scheduler without endpoints.
+func New(f Figures) *Scheduler {
+	return &Scheduler{figures: f, engines: map[string]*engine{}, jobs: map[string]*running{}}
+}
+
+// SetFigures replaces the figures of the engines.
+func (s *Scheduler) SetFigures(f Figures) { s.figures = f }
+
+// SetEndpoints replaces the endpoints that take work. blocked tells of those
+// that are to be avoided while others are there.
+func (s *Scheduler) SetEndpoints(all []Endpoint, blocked func(id string) bool) {
+	next := make(map[string]*engine, len(all))
+	s.order = s.order[:0]
+	for _, e := range all {
+		known := s.engines[e.ID]
+		if known == nil {
+			known = &engine{writers: map[string]*running{}}
+		}
+		known.Endpoint = e
+		known.blocked = blocked(e.ID)
+		next[e.ID] = known
+		s.order = append(s.order, known)
+	}
+	s.engines = next
+	slices.SortFunc(s.order, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Submit takes a job and returns the decisions that follow: of this job at once
+// unless it waits.
+func (s *Scheduler) Submit(j Job, now time.Time) []Decision {
+	if j.Prompt > s.figures.MemoryTokens && s.figures.MemoryTokens > 0 {
+		return []Decision{s.refuse(&j, "prompt exceeds the memory of an engine", 0)}
+	}
+	if d, ok := s.place(&j, now); ok {
+		return []Decision{d}
+	}
+	wait := s.predictWait(now)
+	if wait > s.patience(&j) {
+		return []Decision{s.refuse(&j, "no engine has room in time", wait)}
+	}
+	s.queue = append(s.queue, &waiting{job: &j, arrived: now})
+	return nil
+}
+
+// Started tells that a job's first event has come.
+func (s *Scheduler) Started(job string, now time.Time) []Decision {
+	if r := s.jobs[job]; r != nil && !r.isWriting {
+		r.isWriting = true
+		s.dropParts(r, now)
+	}
+	return s.retryQueue(now)
+}
+
+// Ended tells that a job is over, placed or not.
+func (s *Scheduler) Ended(job string, now time.Time) []Decision {
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool { return w.job.ID == job })
+	if r := s.jobs[job]; r != nil {
+		s.dropParts(r, now)
+		if e := s.engines[r.endpoint]; e != nil {
+			delete(e.writers, job)
+		}
+		delete(s.jobs, job)
+	}
+	return s.retryQueue(now)
+}
+
+// Tick refuses what can't be served any more and places what can.
+func (s *Scheduler) Tick(now time.Time) []Decision {
+	out := s.retryQueue(now)
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool {
+		waited := now.Sub(w.arrived)
+		if waited < s.patience(w.job) {
+			return false
+		}
+		out = append(out, s.refuse(w.job, "no engine had room in time", s.predictWait(now)))
+		return true
+	})
+	return out
+}
+
+// Waiting is the number of jobs without an endpoint.
+func (s *Scheduler) Waiting() int { return len(s.queue) }
+
+// patienceShare is the part of the goal that a job may wait for a place: what is
+// left has to do for reading it.
+const patienceShare = 0.5
+
+// patience is how long a job may wait for a place.
+func (s *Scheduler) patience(j *Job) time.Duration {
+	return max(time.Duration(float64(j.Goal)*patienceShare), 0)
+}
+
+func (s *Scheduler) refuse(j *Job, reason string, comeBack time.Duration) Decision {
+	return Decision{Job: j.ID, Reason: reason, ComeBack: comeBack, Endpoints: len(s.order)}
+}
+
+// retryQueue places what waits, the most urgent first.
+func (s *Scheduler) retryQueue(now time.Time) []Decision {
+	if len(s.queue) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(s.queue, func(a, b *waiting) int {
+		return cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), a.dueAt().Compare(b.dueAt()))
+	})
+	var out []Decision
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool {
+		j := *w.job
+		j.Goal -= now.Sub(w.arrived)
+		j.Left -= now.Sub(w.arrived)
+		d, ok := s.place(&j, now)
+		if ok {
+			out = append(out, d)
+		}
+		return ok
+	})
+	return out
+}
+
+func (w *waiting) dueAt() time.Time { return w.arrived.Add(w.job.Goal) }
+
+// predictWait is the shortest time until some engine has read what it has.
+func (s *Scheduler) predictWait(now time.Time) time.Duration {
+	least := time.Duration(-1)
+	for _, e := range s.order {
+		wait := e.backlog(now) + s.figures.PassTime(len(e.writers), e.context())
+		if least < 0 || wait < least {
+			least = wait
+		}
+	}
+	return max(least, 0)
+}
