gateway, schedule: one coordinator places the jobs of all entries

Change: the leader of the quorum sees the jobs of all entries and places for them; entries fall back on what they know themselves when it does not answer, and tell a new coordinator what runs.

--- /dev/null
+++ b/gateway/coordinator.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/jacinthplank/jacinthplank/mesh"
+	"github.com/jacinthplank/jacinthplank/schedule"
+)
+
+// Procedures of the coordinator.
+const (
+	procedurePlace  = "/jacinthplank.mesh.v1.CoordinatorService/Place"
+	procedureReport = "/jacinthplank.mesh.v1.CoordinatorService/Report"
+	procedureAdopt  = "/jacinthplank.mesh.v1.CoordinatorService/Adopt"
+)
+
+// report is a step of a job: its first event, or its end.
+type report struct {
+	Job     string       `json:"job"`
+	Started bool         `json:"started,omitempty"`
+	End     schedule.End `json:"end,omitempty"`
+}
+
+type placeRequest struct {
+	Job schedule.Job `json:"job"`
+}
+
+type placeResponse struct {
+	Decision       schedule.Decision `json:"decision"`
+	NotCoordinator bool              `json:"not_coordinator,omitempty"`
+}
+
+type reportRequest struct {
+	Reports []report `json:"reports"`
+}
+
+type adoptRequest struct {
+	Owner   string             `json:"owner"`
+	Running []schedule.Running `json:"running"`
+}
+
+type coordinatorResponse struct {
+	NotCoordinator bool `json:"not_coordinator,omitempty"`
+}
+
+// coordinatorCalls are the questions to a coordinator.
+type coordinatorCalls interface {
+	place(ctx context.Context, address string, j schedule.Job) (schedule.Decision, error)
+	adopt(ctx context.Context, address, owner string, running []schedule.Running) error
+	report(ctx context.Context, address string, reports []report) error
+}
+
+// meshCalls asks over the mesh.
+type meshCalls struct{ mesh func() *mesh.Mesh }
+
+func (c meshCalls) place(ctx context.Context, address string, j schedule.Job) (schedule.Decision, error) {
+	a, err := mesh.Call[placeRequest, placeResponse](ctx, c.mesh(), address, procedurePlace, &placeRequest{Job: j})
+	if err != nil {
+		return schedule.Decision{}, err
+	}
+	if a.NotCoordinator {
+		return schedule.Decision{}, errNotCoordinator
+	}
+	return a.Decision, nil
+}
+
+func (c meshCalls) adopt(ctx context.Context, address, owner string, running []schedule.Running) error {
+	q := &adoptRequest{Owner: owner, Running: running}
+	a, err := mesh.Call[adoptRequest, coordinatorResponse](ctx, c.mesh(), address, procedureAdopt, q)
+	return coordinatorError(a, err)
+}
+
+func (c meshCalls) report(ctx context.Context, address string, reports []report) error {
+	a, err := mesh.Call[reportRequest, coordinatorResponse](ctx, c.mesh(), address, procedureReport, &reportRequest{Reports: reports})
+	return coordinatorError(a, err)
+}
+
+func coordinatorError(a *coordinatorResponse, err error) error {
+	if err != nil {
+		return err
+	}
+	if a.NotCoordinator {
+		return errNotCoordinator
+	}
+	return nil
+}
+
+// registerCoordinator serves the questions of other entries.
+func (p *placer) registerCoordinator(m *mesh.Mesh, isCoordinator func() bool) {
+	mesh.Handle(m, procedurePlace, func(ctx context.Context, q *placeRequest) (*placeResponse, error) {
+		if !isCoordinator() {
+			return &placeResponse{NotCoordinator: true}, nil
+		}
+		d, err := p.placeHere(ctx, q.Job)
+		if err != nil {
+			return nil, err
+		}
+		return &placeResponse{Decision: d}, nil
+	})
+	mesh.Handle(m, procedureReport, func(_ context.Context, q *reportRequest) (*coordinatorResponse, error) {
+		for _, r := range q.Reports {
+			if r.Started {
+				p.startHere(r.Job)
+			} else {
+				p.endHere(r.Job, r.End)
+			}
+		}
+		return &coordinatorResponse{NotCoordinator: !isCoordinator()}, nil
+	})
+	mesh.Handle(m, procedureAdopt, func(_ context.Context, q *adoptRequest) (*coordinatorResponse, error) {
+		if !isCoordinator() {
+			return &coordinatorResponse{NotCoordinator: true}, nil
+		}
+		p.adoptAll(q.Owner, q.Running)
+		return &coordinatorResponse{}, nil
+	})
+}
+
+// adoptAll replaces what is known of another entry's jobs.
+func (p *placer) adoptAll(owner string, running []schedule.Running) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for _, s := range p.schedulers {
+		p.deliver(s.DropOwner(owner, now))
+	}
+	for _, r := range running {
+		if s := p.schedulers[r.Job.Service]; s != nil {
+			p.service[r.Job.ID] = r.Job.Service
+			s.Adopt(r, now)
+		}
+	}
+}
+
+// dropEntry forgets the jobs of an entry that is gone.
+func (p *placer) dropEntry(owner string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.schedulers {
+		p.deliver(s.DropOwner(owner, time.Now()))
+	}
+}
+
+// report tells the coordinator of a step, with others that come at the same time.
+func (p *placer) report(r report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.coordinator == "" || !p.adopted {
+		return // a coordinator that comes is told the jobs that run then
+	}
+	p.reports = append(p.reports, r)
+	if !p.reporting {
+		p.reporting = true
+		time.AfterFunc(reportDelay, p.sendReports)
+	}
+}
+
+// sendReports sends what waits until nothing does. After a failure the
+// coordinator is told everything anew.
+func (p *placer) sendReports() {
+	for {
+		p.mu.Lock()
+		address, reports := p.coordinator, p.reports
+		p.reports = nil
+		if len(reports) == 0 || address == "" {
+			p.reporting = false
+			p.mu.Unlock()
+			return
+		}
+		p.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), reportWait)
+		err := p.calls.report(ctx, address, reports)
+		cancel()
+		if err != nil {
+			p.mu.Lock()
+			p.adopted, p.reporting = false, false
+			p.mu.Unlock()
+			p.doubt(address, err)
+			return
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,15 +82,16 @@
 		client: forward.NewClient(d), breakers: breaker.NewSet(),
 		budgets: map[string]*retry.Window{}, plain: newPlainPicker(),
 	}
-	g.placer = newPlacer(g.breakers)
+	g.placer = newPlacer(s.Name, g.breakers, meshCalls{func() *mesh.Mesh { return g.mesh }}, g.log)
 	g.breakers.OnChange = func(endpoint string, state breaker.State, reason string) {
 		g.log.Warn("breaker", "step", "gateway.breaker", "endpoint", endpoint, "state", state.String(), "reason", reason)
 	}
 	g.mesh = mesh.New(mesh.Options{
 		Name: s.Name, Address: s.Listen.Peers, FailureDomain: s.FailureDomain, Seeds: s.Seeds,
 		DataFolder: s.DataFolder, FirstStart: s.FirstStart, Log: g.log,
-		OnDocument: g.apply, OnAnnounced: g.refresh,
+		OnDocument: g.apply, OnAnnounced: g.refresh, OnGone: g.placer.dropEntry,
 	})
+	g.placer.registerCoordinator(g.mesh, g.mesh.Leads)
 	return g
 }
 
@@ -241,6 +242,8 @@
 			seen = announced
 			p.g.refresh()
 		}
+		leader, isSelf := p.g.mesh.Leader()
+		p.g.placer.setCoordinator(leader, isSelf)
 		p.g.placer.tick(time.Now())
 	}
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -2,32 +2,64 @@
 
 import (
 	"context"
+	"errors"
+	"log/slog"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/jacinthplank/jacinthplank/announce"
 	"github.com/jacinthplank/jacinthplank/breaker"
 	"github.com/jacinthplank/jacinthplank/route"
 	"github.com/jacinthplank/jacinthplank/schedule"
 )
 
-// placePeriod is how often waiting jobs are looked at, also when no other ends.
-const placePeriod = 50 * time.Millisecond
+// Times of placing.
+const (
+	placePeriod  = 50 * time.Millisecond  // between two looks at jobs that wait
+	placeReserve = 250 * time.Millisecond // for a question to the coordinator, besides the time that a job may wait there
+	distrust     = time.Second            // for which a coordinator that did not answer is not asked
+	reportDelay  = 5 * time.Millisecond   // gathers what ended together into one call
+	reportWait   = 500 * time.Millisecond
+)
+
+var (
+	placedCentrally = metrics.NewCounter("jacinthplank_placer_decisions_by_coordinator_total")
+	placedAlone     = metrics.NewCounter("jacinthplank_placer_decisions_alone_total")
+	placeFailed     = metrics.NewCounter("jacinthplank_placer_questions_failed_total")
+)
+
+// errNotCoordinator is the answer of an entry that is not, or no longer, the one
+// that places for all.
+var errNotCoordinator = errors.New("this entry is not the coordinator")
 
-// placer runs the schedulers of the engine services: one for each.
+// placer places jobs. One entry, the coordinator, sees the jobs of all entries
+// and places for them. An entry that can't reach it places its own jobs by what
+// it knows of them; a wrong guess costs time, as endpoints refuse what they have
+// no room for.
 type placer struct {
+	self     string
 	breakers *breaker.Set
+	calls    coordinatorCalls
+	log      *slog.Logger
 
-	mu         sync.Mutex
-	schedulers map[string]*schedule.Scheduler // by service
-	waiting    map[string]chan schedule.Decision
-	service    map[string]string // of each job
+	mu          sync.Mutex
+	schedulers  map[string]*schedule.Scheduler // by service
+	waiting     map[string]chan schedule.Decision
+	service     map[string]string // of each job known here
+	coordinator string            // address; empty for none, or this entry itself
+	adopted     bool              // the coordinator knows this entry's jobs
+	distrusted  time.Time         // until when the coordinator is not asked
+	giveUp      chan struct{}     // closed when the coordinator is no longer waited for
+	reports     []report
+	reporting   bool
 }
 
-func newPlacer(b *breaker.Set) *placer {
+func newPlacer(self string, b *breaker.Set, calls coordinatorCalls, log *slog.Logger) *placer {
 	return &placer{
-		breakers: b, schedulers: map[string]*schedule.Scheduler{},
-		waiting: map[string]chan schedule.Decision{}, service: map[string]string{},
+		self: self, breakers: b, calls: calls, log: log, schedulers: map[string]*schedule.Scheduler{},
+		waiting: map[string]chan schedule.Decision{}, service: map[string]string{}, giveUp: make(chan struct{}),
 	}
 }
 
@@ -67,9 +99,130 @@
 	}
 }
 
+// setCoordinator notes which entry places for all, by its address.
+func (p *placer) setCoordinator(address string, isSelf bool) {
+	if isSelf {
+		address = ""
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if address == p.coordinator {
+		return
+	}
+	p.log.Info("coordinator", "step", "gateway.coordinator", "address", address, "self", isSelf, "before", p.coordinator)
+	p.coordinator, p.adopted, p.distrusted = address, false, time.Time{}
+	p.abandonQuestions()
+	if !isSelf {
+		for _, s := range p.schedulers {
+			s.KeepOwner(p.self)
+		}
+	}
+}
+
+// abandonQuestions lets every job that waits for the coordinator be placed here.
+// The caller holds the lock.
+func (p *placer) abandonQuestions() {
+	close(p.giveUp)
+	p.giveUp = make(chan struct{})
+}
+
 // place returns the decision on a job, at once or when there is room. When ctx
 // ends first, the job is withdrawn.
 func (p *placer) place(ctx context.Context, j schedule.Job) (schedule.Decision, error) {
+	j.Owner = p.self
+	p.mu.Lock()
+	address, giveUp := p.coordinator, p.giveUp
+	if time.Now().Before(p.distrusted) {
+		address = ""
+	}
+	p.mu.Unlock()
+	if address == "" {
+		return p.placeHere(ctx, j)
+	}
+	d, err := p.ask(ctx, address, giveUp, j)
+	if err == nil {
+		placedCentrally.Inc()
+		p.record(j, d)
+		return d, nil
+	}
+	if ctx.Err() != nil {
+		return schedule.Decision{}, context.Cause(ctx)
+	}
+	p.doubt(address, err)
+	return p.placeHere(ctx, j)
+}
+
+// ask puts a job to the coordinator.
+func (p *placer) ask(ctx context.Context, address string, giveUp chan struct{}, j schedule.Job) (schedule.Decision, error) {
+	ctx, cancel := context.WithTimeout(ctx, j.Patience()+placeReserve)
+	defer cancel()
+	go func() {
+		select {
+		case <-giveUp:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if err := p.adopt(ctx, address); err != nil {
+		return schedule.Decision{}, err
+	}
+	return p.calls.place(ctx, address, j)
+}
+
+// adopt tells a new coordinator the jobs of this entry that are under way.
+func (p *placer) adopt(ctx context.Context, address string) error {
+	p.mu.Lock()
+	if p.adopted {
+		p.mu.Unlock()
+		return nil
+	}
+	var running []schedule.Running
+	for _, s := range p.schedulers {
+		running = append(running, s.Running(p.self)...)
+	}
+	p.reports = nil
+	p.adopted = true
+	p.mu.Unlock()
+	err := p.calls.adopt(ctx, address, p.self, running)
+	if err != nil {
+		p.mu.Lock()
+		p.adopted = false
+		p.mu.Unlock()
+	}
+	return err
+}
+
+// doubt stops asking a coordinator that did not answer, for a while.
+func (p *placer) doubt(address string, err error) {
+	placeFailed.Inc()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.coordinator != address || time.Now().Before(p.distrusted) {
+		return
+	}
+	p.distrusted = time.Now().Add(distrust)
+	p.adopted = false
+	p.abandonQuestions()
+	p.log.Warn("coordinator does not answer", "step", "gateway.place", "address", address, "error", err.Error())
+}
+
+// record keeps a decision of the coordinator, for the time when there is none.
+func (p *placer) record(j schedule.Job, d schedule.Decision) {
+	if d.Refused() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.schedulers[j.Service]; s != nil {
+		p.service[j.ID] = j.Service
+		s.Adopt(schedule.Running{Job: j, Decision: d}, time.Now())
+	}
+}
+
+// placeHere places by what this entry knows: everything, when it is the
+// coordinator.
+func (p *placer) placeHere(ctx context.Context, j schedule.Job) (schedule.Decision, error) {
+	placedAlone.Inc()
 	decided := make(chan schedule.Decision, 1)
 	p.mu.Lock()
 	s := p.schedulers[j.Service]
@@ -85,7 +238,7 @@
 	case d := <-decided:
 		return d, nil
 	case <-ctx.Done():
-		p.ended(j.ID, schedule.Done)
+		p.endHere(j.ID, schedule.Done)
 		return schedule.Decision{}, context.Cause(ctx)
 	}
 }
@@ -105,6 +258,17 @@
 
 // started tells that the first event of a job has come.
 func (p *placer) started(job string) {
+	p.startHere(job)
+	p.report(report{Job: job, Started: true})
+}
+
+// ended tells that a job is over at its endpoint.
+func (p *placer) ended(job string, end schedule.End) {
+	p.endHere(job, end)
+	p.report(report{Job: job, End: end})
+}
+
+func (p *placer) startHere(job string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.schedulers[p.service[job]]; s != nil {
@@ -112,12 +276,11 @@
 	}
 }
 
-// ended tells that a job is over at its endpoint.
-func (p *placer) ended(job string, _ schedule.End) {
+func (p *placer) endHere(job string, end schedule.End) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.schedulers[p.service[job]]; s != nil {
-		p.deliver(s.Ended(job, time.Now()))
+		p.deliver(s.Ended(job, end, time.Now()))
 	}
 	delete(p.service, job)
 	delete(p.waiting, job)
--- a/mesh/core.go
+++ b/mesh/core.go
@@ -104,6 +104,23 @@
 	}
 }
 
+// leading returns the leader's address, and whether this entry leads.
+func (c *core) leading() (address string, isSelf bool) {
+	if node := c.current(); node != nil {
+		s := node.Status()
+		if s.IsLeader && s.HasQuorum {
+			return c.mesh.options.Address, true
+		}
+		if s.LeaderAddress != c.mesh.options.Address {
+			return s.LeaderAddress, false
+		}
+		return "", false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader, false
+}
+
 func (c *core) current() *quorum.Node {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -273,7 +290,7 @@
 	if len(c.founders) == 0 {
 		c.founders = f.Founders
 	}
-	if c.node == nil && f.Leader != "" {
+	if c.node == nil && f.Leader != "" && f.Disk != "" {
 		c.leader = f.Leader
 	}
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -34,6 +34,9 @@
 	OnDocument func(document.Document)
 	// OnAnnounced is called after endpoints changed.
 	OnAnnounced func()
+	// OnGone is called with the name of an entry that stopped, or that started
+	// anew. It must not call the Mesh.
+	OnGone func(name string)
 }
 
 // Mesh is the part of an entry that speaks with the others. It is safe for
@@ -182,6 +185,10 @@
 	if p.state != c.After.State || p.since.IsZero() {
 		p.since = time.Now()
 	}
+	started := p.incarnation != 0 && p.incarnation != c.After.Incarnation
+	if (started || c.After.State.Gone()) && m.options.OnGone != nil {
+		m.options.OnGone(p.name)
+	}
 	if p.address != c.After.Address || p.incarnation != c.After.Incarnation {
 		p.told, p.next, p.failures = 0, time.Time{}, 0
 	}
@@ -224,3 +231,13 @@
 	}
 	return n
 }
+
+// Leader returns the address of the entry that leads the quorum, as far as it is
+// known, and whether this entry is it. The address is empty when none is known.
+func (m *Mesh) Leader() (address string, isSelf bool) { return m.core.leading() }
+
+// Leads reports whether this entry leads the quorum.
+func (m *Mesh) Leads() bool {
+	_, isSelf := m.core.leading()
+	return isSelf
+}
--- a/schedule/engine.go
+++ b/schedule/engine.go
@@ -82,3 +82,12 @@
 		}
 	}
 }
+
+// addParts puts a job's reading behind that of its endpoints.
+func (s *Scheduler) addParts(r *running, now time.Time) {
+	for _, id := range append([]string{r.endpoint}, r.helpers...) {
+		if e := s.engines[id]; e != nil {
+			e.add(part{r.job.ID, r.read}, now)
+		}
+	}
+}
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -5,6 +5,7 @@
 // Job is one request for an engine.
 type Job struct {
 	ID        string        `json:"id"`
+	Owner     string        `json:"owner"` // entry that holds the caller
 	Service   string        `json:"service"`
 	Domain    string        `json:"domain"` // failure domain of the entry that holds the caller
 	Prompt    int           `json:"prompt"` // tokens
@@ -47,6 +48,23 @@
 	Broken              // the endpoint failed
 )
 
+// Running is a job with its decision.
+type Running struct {
+	Job      Job           `json:"job"`
+	Decision Decision      `json:"decision"`
+	Since    time.Duration `json:"since"` // time since it was placed
+	Writing  bool          `json:"writing"`
+}
+
+// patienceShare is the part of the goal that a job may wait for a place: what is
+// left has to do for reading it.
+const patienceShare = 0.5
+
+// Patience is how long a job may wait for a place.
+func (j *Job) Patience() time.Duration {
+	return max(time.Duration(float64(j.Goal)*patienceShare), 0)
+}
+
 // Weight of a prompt for users, against the mean request: long prompts are
 // worth more, though less than in proportion to the engine time that they take.
 const weightTokens = 10_000
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -37,13 +37,13 @@
 	}
 	r := &running{job: j, endpoint: best.main.ID, read: best.read, placed: now}
 	d := Decision{Job: j.ID, Endpoint: best.main.ID, Expected: best.expected, Endpoints: len(s.order)}
-	best.main.writers[j.ID] = r
-	best.main.add(part{j.ID, best.read}, now)
 	for _, h := range best.helpers {
 		r.helpers = append(r.helpers, h.ID)
-		h.add(part{j.ID, best.read}, now)
 		d.Helpers = append(d.Helpers, Helper{ID: h.ID, Address: h.Address})
 	}
+	r.decision = d
+	best.main.writers[j.ID] = r
+	s.addParts(r, now)
 	s.jobs[j.ID] = r
 	return d, true
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -18,6 +18,7 @@
 	job       *Job
 	endpoint  string
 	helpers   []string
+	decision  Decision
 	read      time.Duration // of each part
 	placed    time.Time
 	isWriting bool
@@ -90,7 +91,7 @@
 		return []Decision{d}
 	}
 	wait := s.predictWait(now)
-	if wait > s.patience(&j) {
+	if wait > j.Patience() {
 		return []Decision{s.refuse(&j, "no engine has room in time", wait)}
 	}
 	s.queue = append(s.queue, &waiting{job: &j, arrived: now})
@@ -107,14 +108,72 @@
 }
 
 // Ended tells that a job is over, placed or not.
-func (s *Scheduler) Ended(job string, now time.Time) []Decision {
+func (s *Scheduler) Ended(job string, _ End, now time.Time) []Decision {
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool { return w.job.ID == job })
 	if r := s.jobs[job]; r != nil {
-		s.dropParts(r, now)
-		if e := s.engines[r.endpoint]; e != nil {
-			delete(e.writers, job)
+		s.remove(r, now)
+	}
+	return s.retryQueue(now)
+}
+
+func (s *Scheduler) remove(r *running, now time.Time) {
+	s.dropParts(r, now)
+	if e := s.engines[r.endpoint]; e != nil {
+		delete(e.writers, r.job.ID)
+	}
+	delete(s.jobs, r.job.ID)
+}
+
+// Adopt takes a job that was placed elsewhere.
+func (s *Scheduler) Adopt(a Running, now time.Time) {
+	j := a.Job
+	if old := s.jobs[j.ID]; old != nil {
+		s.remove(old, now)
+	}
+	r := &running{
+		job: &j, endpoint: a.Decision.Endpoint, decision: a.Decision, placed: now.Add(-a.Since), isWriting: a.Writing,
+		read: s.figures.ReadTime(j.Prompt, 1+len(a.Decision.Helpers)),
+	}
+	for _, h := range a.Decision.Helpers {
+		r.helpers = append(r.helpers, h.ID)
+	}
+	s.jobs[j.ID] = r
+	if e := s.engines[r.endpoint]; e != nil {
+		e.writers[j.ID] = r
+	}
+	if !a.Writing {
+		s.addParts(r, now)
+	}
+}
+
+// Running returns the jobs of an owner that are under way.
+func (s *Scheduler) Running(owner string) []Running {
+	var out []Running
+	for _, r := range s.jobs {
+		if r.job.Owner == owner {
+			out = append(out, Running{Job: *r.job, Decision: r.decision, Since: time.Since(r.placed), Writing: r.isWriting})
+		}
+	}
+	return out
+}
+
+// DropOwner forgets the jobs of an owner.
+func (s *Scheduler) DropOwner(owner string, now time.Time) []Decision {
+	return s.dropWhere(now, func(j *Job) bool { return j.Owner == owner })
+}
+
+// KeepOwner forgets the jobs of all but one owner.
+func (s *Scheduler) KeepOwner(owner string) {
+	// Whoever waits for a decision asks the next coordinator.
+	_ = s.dropWhere(time.Now(), func(j *Job) bool { return j.Owner != owner })
+}
+
+func (s *Scheduler) dropWhere(now time.Time, drop func(*Job) bool) []Decision {
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool { return drop(w.job) })
+	for _, r := range s.jobs {
+		if drop(r.job) {
+			s.remove(r, now)
 		}
-		delete(s.jobs, job)
 	}
 	return s.retryQueue(now)
 }
@@ -124,7 +183,7 @@
 	out := s.retryQueue(now)
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool {
 		waited := now.Sub(w.arrived)
-		if waited < s.patience(w.job) {
+		if waited < w.job.Patience() {
 			return false
 		}
 		out = append(out, s.refuse(w.job, "no engine had room in time", s.predictWait(now)))
@@ -136,15 +195,6 @@
 // Waiting is the number of jobs without an endpoint.
 func (s *Scheduler) Waiting() int { return len(s.queue) }
 
-// patienceShare is the part of the goal that a job may wait for a place: what is
-// left has to do for reading it.
-const patienceShare = 0.5
-
-// patience is how long a job may wait for a place.
-func (s *Scheduler) patience(j *Job) time.Duration {
-	return max(time.Duration(float64(j.Goal)*patienceShare), 0)
-}
-
 func (s *Scheduler) refuse(j *Job, reason string, comeBack time.Duration) Decision {
 	return Decision{Job: j.ID, Reason: reason, ComeBack: comeBack, Endpoints: len(s.order)}
 }
