schedule: short requests are packed, the first event counts at the end of its pass

Cause: short requests stood on every engine, so that each reading of an archive paused some of them for over a second; the prediction of the first event was 63 ms short in the median. Change: engines with writers of short answers are preferred for more of them, long answers are spread by memory; the prediction counts the pass that is under way and the one in which the prompt is read.

--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -40,6 +40,9 @@
 	headSent bool
 	lastID   string // id of the last event that the caller was sent
 	events   int
+	waited   time.Duration // for an endpoint
+	pause    time.Duration // the longest between two events
+	lastAt   time.Time     // of the last event
 }
 
 // mostTries bounds the endpoints that are tried without being reached.
@@ -118,7 +121,9 @@
 
 func (f *flight) chooseEngine() (announce.Heard, *outcome.Error) {
 	const step = "gateway.choose"
+	asked := time.Now()
 	d, err := f.g.placer.place(f.ctx, f.job())
+	f.waited += time.Since(asked)
 	f.placed = d
 	switch {
 	case err != nil:
@@ -342,6 +347,7 @@
 		"request", f.request.ID, "step", "gateway.end", "outcome", end, "service", f.service, "endpoint", f.endpoint,
 		"prompt", f.request.Prompt, "helpers", len(f.placed.Helpers), "expected_ms", f.placed.Expected.Milliseconds(),
 		"first_ms", f.first.Milliseconds(), "total_ms", time.Since(f.arrived).Milliseconds(), "sends", f.sends, "events", f.events,
+		"pause_ms", f.pause.Milliseconds(), "waited_ms", f.waited.Milliseconds(),
 	}
 	if f.table != nil {
 		attributes = append(attributes, "configuration", f.table.Version)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -57,9 +57,6 @@
 func (f *flight) relayStream(reply *forward.Reply) *outcome.Error {
 	events := forward.NewEventReader(reply)
 	flush := http.NewResponseController(f.w)
-	if f.isEngine() {
-		defer func() { f.placed.Helpers = nil }()
-	}
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -80,6 +77,7 @@
 		if err := flush.Flush(); err != nil {
 			return f.broken(err)
 		}
+		f.notePause()
 		f.events++
 		if event.ID != "" {
 			f.lastID = event.ID
@@ -87,6 +85,15 @@
 	}
 }
 
+// notePause keeps the longest time between two events.
+func (f *flight) notePause() {
+	now := time.Now()
+	if f.events > 0 {
+		f.pause = max(f.pause, now.Sub(f.lastAt))
+	}
+	f.lastAt = now
+}
+
 func (f *flight) endStream(reply *forward.Reply) *outcome.Error {
 	if !f.headSent {
 		f.startStream(reply)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -12,7 +12,9 @@
 	goalMargin  = 0.85 // part of the goal that a prediction may use up
 	domainCost  = 0.01 // of leaving the failure domain: bytes between domains
 	readerCost  = 0.02 // of each helper: one more endpoint that may fail
-	crowdCost   = 0.03 // of each request that an engine already has
+	packGain    = 0.30 // of joining writers of the same kind: it leaves other engines free for long reading
+	packFull    = 12   // writers of an engine from which on joining gains nothing more
+	contextCost = 0.20 // of a full memory at the engine that writes a long answer
 	mostHelpers = 16   // that an engine takes for one prompt
 	helpFrom    = 20_000
 )
@@ -124,7 +126,7 @@
 	}
 	o.score = j.value()*s.timeliness(j, main, o.expected, now) - harm
 	o.score -= readerCost * float64(len(helpers))
-	o.score -= crowdCost * float64(len(main.writers))
+	o.score += s.company(j, main)
 	if main.FailureDomain != j.Domain {
 		o.score -= domainCost
 	}
@@ -132,9 +134,30 @@
 	return o
 }
 
-// wait is the time until an engine begins to read something new.
+// company is what the other requests at an engine make it worth. Short requests
+// are packed: a few more writers hardly slow a step. Long ones are spread, since
+// each step costs all their contexts.
+func (s *Scheduler) company(j *Job, e *engine) float64 {
+	if j.Prompt >= helpFrom {
+		return -contextCost * float64(e.memory()) / float64(max(s.figures.MemoryTokens, 1))
+	}
+	kin := 0
+	for _, r := range e.writers {
+		if r.job.Prompt < helpFrom {
+			kin++
+		}
+	}
+	if kin > packFull {
+		kin = 2*packFull - kin
+	}
+	return packGain * float64(kin) / packFull
+}
+
+// wait is the time until what an engine begins to read now can have an effect,
+// besides the reading: the pass under way ends, and a first token comes at the
+// end of the pass in which the prompt is read.
 func (s *Scheduler) wait(e *engine, now time.Time) time.Duration {
-	return e.backlog(now) + s.figures.PassTime(e.writing(), e.context())/2
+	return e.backlog(now) + s.figures.PassTime(e.writing(), e.context())*3/2
 }
 
 // timeliness is the part of a job's worth that a prediction leaves it.
