--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -345,7 +345,7 @@
 	}
 	attributes := []any{
 		"request", f.request.ID, "step", "gateway.end", "outcome", end, "service", f.service, "endpoint", f.endpoint,
-		"prompt", f.request.Prompt, "helpers", len(f.placed.Helpers), "expected_ms", f.placed.Expected.Milliseconds(),
+		"prompt", f.request.Prompt, "answer", f.request.MaxAnswer, "hint", f.request.Answer, "helpers", helperIDs(f.placed.Helpers), "expected_ms", f.placed.Expected.Milliseconds(),
 		"first_ms", f.first.Milliseconds(), "total_ms", time.Since(f.arrived).Milliseconds(), "sends", f.sends, "events", f.events,
 		"pause_ms", f.pause.Milliseconds(), "waited_ms", f.waited.Milliseconds(),
 	}
@@ -360,3 +360,11 @@
 	}
 	f.g.log.Info("request", attributes...)
 }
+
+func helperIDs(helpers []schedule.Helper) []string {
+	out := make([]string, 0, len(helpers))
+	for _, h := range helpers {
+		out = append(out, h.ID)
+	}
+	return out
+}
--- a/schedule/engine.go
+++ b/schedule/engine.go
@@ -17,41 +17,24 @@
 	return max(total, 0)
 }
 
-// context is the number of tokens that the writers keep in memory.
-func (e *engine) context() int {
-	n := 0
-	for _, r := range e.writers {
-		if r.isWriting {
-			n += r.job.Prompt
-		}
-	}
-	return n
-}
-
-// memory is the number of tokens that the jobs here may come to need.
-func (e *engine) memory() int {
-	n := 0
-	for _, r := range e.writers {
-		n += r.job.Prompt + r.job.Answer
-	}
-	return n
-}
-
-func (e *engine) writing() int {
-	n := 0
-	for _, r := range e.writers {
-		if r.isWriting {
-			n++
-		}
+// add puts reading for an answer from this engine behind all other, and reading
+// for an answer from elsewhere before all other: the order of the engines.
+func (e *engine) add(p part, helps bool, now time.Time) {
+	e.settle(now)
+	if helps {
+		e.parts = slices.Insert(e.parts, 0, p)
+		return
 	}
-	return n
+	e.parts = append(e.parts, p)
 }
 
-func (e *engine) add(p part, now time.Time) {
-	if len(e.parts) == 0 {
-		e.headSince = now
+// settle takes what was read since off the first part.
+func (e *engine) settle(now time.Time) {
+	e.expire(now)
+	if len(e.parts) > 0 {
+		e.parts[0].cost -= min(now.Sub(e.headSince), e.parts[0].cost)
 	}
-	e.parts = append(e.parts, p)
+	e.headSince = now
 }
 
 // drop removes the parts of a job.
@@ -59,11 +42,22 @@
 	if len(e.parts) == 0 {
 		return
 	}
-	wasHead := e.parts[0].job == job
+	e.settle(now)
 	e.parts = slices.DeleteFunc(e.parts, func(p part) bool { return p.job == job })
-	if wasHead {
-		e.headSince = now
-	}
+}
+
+// Learning how fast an engine is.
+const (
+	paceShare    = 0.3                   // weight of a new measurement in the moving average
+	paceMost     = 10                    // no engine is taken for slower than that
+	paceGrace    = 60 * time.Millisecond // a pass; within it a prediction counts as met
+	overdueGrace = 150 * time.Millisecond
+)
+
+// learn takes the time to a first event and the time that was expected.
+func (e *engine) learn(took, expected time.Duration) {
+	ratio := float64(took) / float64(expected+paceGrace)
+	e.pace = min(max(e.pace+paceShare*(ratio-e.pace), 1), paceMost)
 }
 
 // expire drops parts that are read by the model: a helper does not tell when it
@@ -85,9 +79,12 @@
 
 // addParts puts a job's reading behind that of its endpoints.
 func (s *Scheduler) addParts(r *running, now time.Time) {
-	for _, id := range append([]string{r.endpoint}, r.helpers...) {
+	if e := s.engines[r.endpoint]; e != nil {
+		e.add(part{r.job.ID, r.read}, false, now)
+	}
+	for _, id := range r.helpers {
 		if e := s.engines[id]; e != nil {
-			e.add(part{r.job.ID, r.read}, now)
+			e.add(part{r.job.ID, r.read}, true, now)
 		}
 	}
 }
--- a/schedule/figures.go
+++ b/schedule/figures.go
@@ -22,12 +22,14 @@
 	Hop            time.Duration // more for each step with context on other engines
 }
 
-// ReadTime returns how long one of parts even parts of a prompt takes to read.
+// ReadTime returns how long one of parts even parts of a prompt takes to read:
+// tokens and pairs, and a token step for each chunk.
 func (f *Figures) ReadTime(prompt, parts int) time.Duration {
 	n := float64(prompt)
 	linear := n / max(f.ReadPerSecond, 1) * float64(time.Second)
 	pairs := n * n / 2 / 1e6 * float64(f.PairsPerM)
-	return time.Duration((linear + pairs) / float64(parts))
+	steps := n / float64(max(f.ChunkTokens, 1)) * float64(f.Step)
+	return time.Duration((linear + pairs + steps) / float64(parts))
 }
 
 // PassTime returns how long a pass of writers takes, without reading.
@@ -42,6 +44,3 @@
 func (f *Figures) contextTime(context int) time.Duration {
 	return time.Duration(float64(context) / 1000 * float64(f.StepPerContext))
 }
-
-// passReadTokens is the most that is read in one pass of writers.
-func (f *Figures) passReadTokens() int { return f.StepsPerPass * f.ChunkTokens }
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -56,13 +56,22 @@
 	Writing  bool          `json:"writing"`
 }
 
-// patienceShare is the part of the goal that a job may wait for a place: what is
-// left has to do for reading it.
-const patienceShare = 0.5
+// Callers give a silent stream up after the longest of these, counted from its
+// start or its last event (the platform's contract with its callers).
+const (
+	patienceLeast  = 2 * time.Second
+	patienceGoals  = 4 // times the goal for the first event
+	patiencePauses = 8 // times the goal for a pause
+)
+
+// waitShare is the part of a caller's patience that a job may wait for a place;
+// the rest is for reading it.
+const waitShare = 0.5
 
 // Patience is how long a job may wait for a place.
 func (j *Job) Patience() time.Duration {
-	return max(time.Duration(float64(j.Goal)*patienceShare), 0)
+	silent := max(patienceLeast, patienceGoals*j.Goal, patiencePauses*j.PauseGoal)
+	return max(min(time.Duration(waitShare*float64(silent)), j.Left/2), 0)
 }
 
 // Weight of a prompt for users, against the mean request: long prompts are
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -6,23 +6,57 @@
 	"time"
 )
 
-// Shares of an answer's worth that a choice may cost.
+// Shares of an answer's worth that a choice may cost. A timely answer of the
+// least prompt is worth 1.
 const (
-	lateLoss    = 0.75 // of a late answer, by the sheets of the deployments
-	goalMargin  = 0.85 // part of the goal that a prediction may use up
-	domainCost  = 0.01 // of leaving the failure domain: bytes between domains
-	readerCost  = 0.02 // of each helper: one more endpoint that may fail
-	packGain    = 0.30 // of joining writers of the same kind: it leaves other engines free for long reading
-	packFull    = 12   // writers of an engine from which on joining gains nothing more
-	contextCost = 0.20 // of a full memory at the engine that writes a long answer
-	mostHelpers = 16   // that an engine takes for one prompt
-	helpFrom    = 20_000
+	lateLoss   = 0.75   // of a late answer, by the sheets of the deployments
+	goalMargin = 0.85   // part of the goal that a prediction may use up
+	harmFrom   = 0.7    // part of a limit from which on more reading may overrun it
+	harmFull   = 1.1    // part of a limit at which it surely does
+	domainCost = 0.01   // of leaving the failure domain: bytes between domains
+	readerCost = 0.10   // of each helper: one more endpoint that may fail
+	blockCost  = 10.0   // of a second of reading in one piece: nothing else gets in between
+	hasteCost  = 0.10   // of a first event at the goal against one at once: predictions err
+	packGain   = 0.30   // of joining writers of the same kind: it leaves other engines free for long reading
+	packFull   = 12     // writers of an engine from which on joining gains nothing more
+	memoryGain = 0.30   // of a full memory at the engine that writes a long answer: like packGain, for long answers
+	helpFrom   = 20_000 // tokens from which on helpers read along
+	// memoryShare of an engine is given away: guesses of answers' lengths are often
+	// short, and a request without room holds up all behind it.
+	memoryShare = 0.85
 )
 
+// helperCounts are the numbers of helpers that are weighed; an engine takes 16 at
+// most.
+var helperCounts = [...]int{0, 1, 2, 3, 4, 6, 8, 11, 16}
+
+// goalLeast stands in for the goal of a request that is already late.
+const goalLeast = 100 * time.Millisecond
+
+// view is what a decision needs of one engine, worked out once.
+type view struct {
+	engine  *engine
+	ready   time.Duration // until reading for an answer from here can have an effect
+	helping time.Duration // until reading for an answer from elsewhere can: its parts go first
+	pass    time.Duration // the next pass with what is to be read already
+	claims  []claim
+	harm    float64 // of a usual part, to order helpers by
+	isKin   int     // writers of short prompts
+	memory  int
+	isUsual bool // neither blocked nor excluded
+}
+
+// claim is a job at an engine with what more reading there would cost it.
+type claim struct {
+	takes time.Duration // until its next event, or its part is read, as things are
+	limit time.Duration
+	value float64
+}
+
 // option is one way to place a job.
 type option struct {
-	main     *engine
-	helpers  []*engine
+	main     *view
+	helpers  []*view
 	expected time.Duration
 	score    float64
 	read     time.Duration
@@ -30,138 +64,224 @@
 
 // place puts a job at the endpoint with the best score, when one has room.
 func (s *Scheduler) place(j *Job, now time.Time) (Decision, bool) {
-	for _, e := range s.order {
-		e.expire(now)
-	}
 	best, found := s.best(j, now)
-	if !found {
+	if !found || (best.score < 0 && len(s.jobs) > 0) {
 		return Decision{}, false
 	}
-	r := &running{job: j, endpoint: best.main.ID, read: best.read, placed: now}
-	d := Decision{Job: j.ID, Endpoint: best.main.ID, Expected: best.expected, Endpoints: len(s.order)}
+	main := best.main.engine
+	r := &running{job: j, endpoint: main.ID, read: best.read, placed: now, expected: best.expected}
+	d := Decision{Job: j.ID, Endpoint: main.ID, Expected: best.expected, Endpoints: len(s.order)}
 	for _, h := range best.helpers {
-		r.helpers = append(r.helpers, h.ID)
-		d.Helpers = append(d.Helpers, Helper{ID: h.ID, Address: h.Address})
+		r.helpers = append(r.helpers, h.engine.ID)
+		d.Helpers = append(d.Helpers, Helper{ID: h.engine.ID, Address: h.engine.Address})
 	}
 	r.decision = d
-	best.main.writers[j.ID] = r
+	main.writers[j.ID] = r
 	s.addParts(r, now)
 	s.jobs[j.ID] = r
 	return d, true
 }
 
 func (s *Scheduler) best(j *Job, now time.Time) (option, bool) {
+	views := s.views(j, now)
+	var helpers []*view
+	if j.Prompt >= helpFrom {
+		helpers = s.helpersFor(j, views)
+	}
 	var best option
 	found := false
-	for _, avoidBlocked := range []bool{true, false} {
-		for _, e := range s.order {
-			if (avoidBlocked && e.blocked) || slices.Contains(j.Exclude, e.ID) || !s.hasRoom(e, j) {
+	for _, usual := range []bool{true, false} {
+		for i := range views {
+			v := &views[i]
+			if v.isUsual != usual || slices.Contains(j.Exclude, v.engine.ID) || !s.hasRoom(v, j) {
 				continue
 			}
-			for _, o := range s.options(j, e, now) {
-				if !found || o.score > best.score {
+			for _, k := range helperCounts {
+				if k > len(helpers) {
+					break
+				}
+				if o := s.weigh(j, v, helpers, k); !found || o.score > best.score {
 					best, found = o, true
 				}
 			}
 		}
 		if found {
-			return best, true
+			break
 		}
 	}
+	best.helpers = slices.Clone(best.helpers)
 	return best, found
 }
 
-// hasRoom reports whether an engine can begin a job without pushing another out.
-func (s *Scheduler) hasRoom(e *engine, j *Job) bool {
-	return len(e.writers) < s.figures.Slots && e.memory()+j.Prompt+j.Answer <= s.figures.MemoryTokens
+// views prepares what is needed of every engine.
+func (s *Scheduler) views(j *Job, now time.Time) []view {
+	if cap(s.scratch) < len(s.order) {
+		s.scratch = make([]view, len(s.order))
+	}
+	views := s.scratch[:len(s.order)]
+	for i, e := range s.order {
+		s.look(&views[i], e, j, now)
+	}
+	return views
 }
 
-// options are the ways to read a job with its answer written at e.
-func (s *Scheduler) options(j *Job, e *engine, now time.Time) []option {
-	out := []option{s.weigh(j, e, nil, now)}
-	if j.Prompt < helpFrom {
-		return out
+func (s *Scheduler) look(v *view, e *engine, j *Job, now time.Time) {
+	e.expire(now)
+	claims := v.claims[:0]
+	*v = view{engine: e, isUsual: !e.blocked && !slices.Contains(j.Exclude, e.ID)}
+	writing, context := 0, 0
+	overdue := time.Duration(0)
+	for _, r := range e.writers {
+		v.memory += r.job.Prompt + r.job.Answer
+		if r.job.Prompt < helpFrom {
+			v.isKin++
+		}
+		if r.isWriting {
+			writing++
+			context += r.job.Prompt
+		} else {
+			overdue = max(overdue, now.Sub(r.placed)-r.expected-overdueGrace)
+		}
 	}
-	helpers := s.helpersFor(j, e, now)
-	for k := 1; k <= len(helpers); k++ {
-		out = append(out, s.weigh(j, e, helpers[:k], now))
+	pass, backlog := s.figures.PassTime(writing, context), e.backlog(now)
+	v.pass = time.Duration(float64(pass+backlog) * e.pace)
+	// The pass under way ends, and a first token comes at the end of the pass in
+	// which its prompt is read.
+	v.ready = time.Duration(float64(backlog+pass*3/2)*e.pace) + overdue
+	v.helping = time.Duration(float64(pass*3/2) * e.pace)
+	v.claims = s.claims(claims, v, now)
+}
+
+// claims are the jobs that more reading at an engine delays: those that write
+// there, wait there to be read, or have a part read there.
+func (s *Scheduler) claims(claims []claim, v *view, now time.Time) []claim {
+	e := v.engine
+	for _, r := range e.writers {
+		limit := r.job.PauseGoal
+		if !r.isWriting {
+			limit = max(r.job.Goal-now.Sub(r.placed), goalLeast)
+		}
+		claims = append(claims, claim{v.pass, limit, r.job.value()})
 	}
-	return out
+	takes := time.Duration(0)
+	for i, p := range e.parts {
+		takes += v.paced(p.cost)
+		if i == 0 {
+			takes -= min(now.Sub(e.headSince), takes)
+		}
+		if r := s.jobs[p.job]; r != nil && r.endpoint != e.ID {
+			claims = append(claims, claim{takes, max(r.job.Goal-now.Sub(r.placed), goalLeast), r.job.value()})
+		}
+	}
+	return claims
+}
+
+// hasRoom reports whether an engine can begin a job without pushing another out.
+func (s *Scheduler) hasRoom(v *view, j *Job) bool {
+	if len(v.engine.writers) >= s.figures.Slots {
+		return false
+	}
+	if len(v.engine.writers) == 0 {
+		return j.Prompt+j.Answer <= s.figures.MemoryTokens
+	}
+	return v.memory+j.Prompt+j.Answer <= int(memoryShare*float64(s.figures.MemoryTokens))
 }
 
-// helpersFor returns the endpoints that could read along, those first where
+// usualParts is the number of parts by which helpers are compared.
+const usualParts = 8
+
+// helpersFor returns the engines that could read along, those first where
 // reading hurts least.
-func (s *Scheduler) helpersFor(j *Job, main *engine, now time.Time) []*engine {
-	read := s.figures.ReadTime(j.Prompt, 8)
-	type candidate struct {
-		engine *engine
-		harm   float64
-		wait   time.Duration
-	}
-	var all []candidate
-	for _, e := range s.order {
-		if e == main || e.blocked || slices.Contains(j.Exclude, e.ID) {
-			continue
+func (s *Scheduler) helpersFor(j *Job, views []view) []*view {
+	read := s.figures.ReadTime(j.Prompt, usualParts)
+	out := s.helping[:0]
+	for i := range views {
+		v := &views[i]
+		if v.isUsual {
+			v.harm = v.harmOf(read)
+			out = append(out, v)
 		}
-		all = append(all, candidate{e, s.harm(e, read, now), e.backlog(now)})
 	}
-	slices.SortStableFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.harm, b.harm), cmp.Compare(a.wait, b.wait))
+	slices.SortStableFunc(out, func(a, b *view) int {
+		return cmp.Or(cmp.Compare(a.harm, b.harm), cmp.Compare(a.pass, b.pass))
 	})
-	out := make([]*engine, 0, mostHelpers)
-	for _, c := range all[:min(len(all), mostHelpers)] {
-		out = append(out, c.engine)
-	}
+	s.helping = out
 	return out
 }
 
-// weigh predicts one way to place a job.
-func (s *Scheduler) weigh(j *Job, main *engine, helpers []*engine, now time.Time) option {
-	o := option{main: main, helpers: helpers, read: s.figures.ReadTime(j.Prompt, 1+len(helpers))}
-	o.expected = s.wait(main, now) + o.read
-	harm := s.harm(main, o.read, now)
-	for _, h := range helpers {
-		o.expected = max(o.expected, s.wait(h, now)+o.read)
-		harm += s.harm(h, o.read, now)
+// weigh predicts one way to place a job: with the first k helpers that are not
+// the engine itself.
+func (s *Scheduler) weigh(j *Job, main *view, helpers []*view, k int) option {
+	o := option{main: main, read: s.figures.ReadTime(j.Prompt, 1+k)}
+	o.expected = main.ready + main.paced(o.read)
+	harm := main.harmOf(o.read)
+	chosen := helpers[:min(k, len(helpers))]
+	if at := slices.Index(chosen, main); at >= 0 {
+		// The main engine reads its own part: the next one takes its place.
+		if k+1 > len(helpers) {
+			o.score = -1
+			return o
+		}
+		chosen = slices.Delete(slices.Clone(helpers[:k+1]), at, at+1)
+	}
+	for _, h := range chosen {
+		o.expected = max(o.expected, h.helping+h.paced(o.read))
+		harm += h.harmOf(o.read)
 	}
-	o.score = j.value()*s.timeliness(j, main, o.expected, now) - harm
-	o.score -= readerCost * float64(len(helpers))
-	o.score += s.company(j, main)
-	if main.FailureDomain != j.Domain {
+	o.helpers = chosen
+	o.score = j.value()*j.timeliness(o.expected) - harm + s.company(j, main)
+	o.score -= readerCost * float64(k)
+	o.score -= blockCost * o.read.Seconds()
+	o.score -= hasteCost * j.value() * float64(o.expected) / float64(max(j.Goal, goalLeast))
+	if main.engine.FailureDomain != j.Domain {
 		o.score -= domainCost
 	}
-	o.score -= float64(o.expected) / float64(10*time.Second)
 	return o
 }
 
-// company is what the other requests at an engine make it worth. Short requests
-// are packed: a few more writers hardly slow a step. Long ones are spread, since
-// each step costs all their contexts.
-func (s *Scheduler) company(j *Job, e *engine) float64 {
-	if j.Prompt >= helpFrom {
-		return -contextCost * float64(e.memory()) / float64(max(s.figures.MemoryTokens, 1))
+func (v *view) paced(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * v.engine.pace)
+}
+
+// harmOf is what more reading costs the jobs that an engine has.
+func (v *view) harmOf(read time.Duration) float64 {
+	more := v.paced(read)
+	total := 0.0
+	for _, c := range v.claims {
+		total += c.value * (overrun(c.takes+more, c.limit) - overrun(c.takes, c.limit))
 	}
-	kin := 0
-	for _, r := range e.writers {
-		if r.job.Prompt < helpFrom {
-			kin++
-		}
+	return total
+}
+
+// overrun is the part of a job's worth lost when something takes that long.
+func overrun(takes, limit time.Duration) float64 {
+	use := float64(takes) / float64(limit)
+	switch {
+	case use <= harmFrom:
+		return 0
+	case use >= harmFull:
+		return lateLoss
+	default:
+		return lateLoss * (use - harmFrom) / (harmFull - harmFrom)
+	}
+}
+
+// company is what the other requests at an engine make it worth. Writers are
+// packed, within what harmOf allows: a few more hardly slow a step, and engines
+// without writers read in short passes.
+func (s *Scheduler) company(j *Job, v *view) float64 {
+	if j.Prompt >= helpFrom {
+		return memoryGain * float64(v.memory) / float64(max(s.figures.MemoryTokens, 1))
 	}
+	kin := v.isKin
 	if kin > packFull {
 		kin = 2*packFull - kin
 	}
 	return packGain * float64(kin) / packFull
 }
 
-// wait is the time until what an engine begins to read now can have an effect,
-// besides the reading: the pass under way ends, and a first token comes at the
-// end of the pass in which the prompt is read.
-func (s *Scheduler) wait(e *engine, now time.Time) time.Duration {
-	return e.backlog(now) + s.figures.PassTime(e.writing(), e.context())*3/2
-}
-
 // timeliness is the part of a job's worth that a prediction leaves it.
-func (s *Scheduler) timeliness(j *Job, main *engine, expected time.Duration, now time.Time) float64 {
+func (j *Job) timeliness(expected time.Duration) float64 {
 	if expected > j.Left {
 		return 0
 	}
@@ -173,38 +293,3 @@
 	}
 	return 1
 }
-
-// harm is what more reading at an engine costs the jobs that it has.
-func (s *Scheduler) harm(e *engine, read time.Duration, now time.Time) float64 {
-	if len(e.writers) == 0 {
-		return 0
-	}
-	backlog := e.backlog(now)
-	pass := s.figures.PassTime(e.writing(), e.context())
-	before, after := pass+backlog, pass+backlog+read
-	total := 0.0
-	for _, r := range e.writers {
-		limit := r.job.PauseGoal
-		if !r.isWriting {
-			limit = r.job.Goal - now.Sub(r.placed)
-		}
-		if limit <= 0 {
-			continue
-		}
-		total += r.job.value() * (overrun(after, limit) - overrun(before, limit))
-	}
-	return total
-}
-
-// overrun is the part of a job's worth lost when something takes that long.
-func overrun(takes, limit time.Duration) float64 {
-	use := float64(takes) / float64(limit)
-	switch {
-	case use <= 0.6:
-		return 0
-	case use >= 1.1:
-		return lateLoss
-	default:
-		return lateLoss * (use - 0.6) / 0.5
-	}
-}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -21,6 +21,7 @@
 	decision  Decision
 	read      time.Duration // of each part
 	placed    time.Time
+	expected  time.Duration // to the first event
 	isWriting bool
 }
 
@@ -31,6 +32,7 @@
 	parts     []part              // reading, in order
 	headSince time.Time           // when the first part came to the head
 	blocked   bool
+	pace      float64 // how much longer first events take than the model says; 1 or more
 }
 
 // part is a piece of reading.
@@ -52,6 +54,8 @@
 	order   []*engine // by id
 	jobs    map[string]*running
 	queue   []*waiting
+	scratch []view  // of the decision under way
+	helping []*view // of the decision under way
 }
 
 // New returns a scheduler without endpoints.
@@ -70,7 +74,7 @@
 	for _, e := range all {
 		known := s.engines[e.ID]
 		if known == nil {
-			known = &engine{writers: map[string]*running{}}
+			known = &engine{writers: map[string]*running{}, pace: 1}
 		}
 		known.Endpoint = e
 		known.blocked = blocked(e.ID)
@@ -102,6 +106,9 @@
 func (s *Scheduler) Started(job string, now time.Time) []Decision {
 	if r := s.jobs[job]; r != nil && !r.isWriting {
 		r.isWriting = true
+		if e := s.engines[r.endpoint]; e != nil {
+			e.learn(now.Sub(r.placed), r.expected)
+		}
 		s.dropParts(r, now)
 	}
 	return s.retryQueue(now)
@@ -132,7 +139,7 @@
 	}
 	r := &running{
 		job: &j, endpoint: a.Decision.Endpoint, decision: a.Decision, placed: now.Add(-a.Since), isWriting: a.Writing,
-		read: s.figures.ReadTime(j.Prompt, 1+len(a.Decision.Helpers)),
+		read: s.figures.ReadTime(j.Prompt, 1+len(a.Decision.Helpers)), expected: a.Decision.Expected,
 	}
 	for _, h := range a.Decision.Helpers {
 		r.helpers = append(r.helpers, h.ID)
@@ -205,7 +212,7 @@
 		return nil
 	}
 	slices.SortStableFunc(s.queue, func(a, b *waiting) int {
-		return cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), a.dueAt().Compare(b.dueAt()))
+		return cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), compareBool(a.isLate(now), b.isLate(now)), a.dueAt().Compare(b.dueAt()))
 	})
 	var out []Decision
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool {
@@ -223,11 +230,26 @@
 
 func (w *waiting) dueAt() time.Time { return w.arrived.Add(w.job.Goal) }
 
+// isLate reports whether a job can no longer be on time: those that can go first.
+func (w *waiting) isLate(now time.Time) bool { return now.After(w.dueAt()) }
+
+// compareBool puts false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // predictWait is the shortest time until some engine has read what it has.
 func (s *Scheduler) predictWait(now time.Time) time.Duration {
 	least := time.Duration(-1)
 	for _, e := range s.order {
-		wait := e.backlog(now) + s.figures.PassTime(len(e.writers), e.context())
+		wait := e.backlog(now) + s.figures.PassTime(len(e.writers), s.figures.UsualPrompt*len(e.writers))
 		if least < 0 || wait < least {
 			least = wait
 		}
