gateway, schedule, mesh, quorum: nothing left at the coordinator, a quicker restart

After a restart of all machines the first answer took 1.2 s longer than the election: diskless entries looked for the others once a second, and requests were refused while the configuration was on its way. Change: an id for each attempt; every entry tells the coordinator all its jobs each second; requests of a starting entry wait up to 1.5 s for the first configuration; entries ask the seeds until they know others; a member that starts waits a quarter of the election timeout (pre-votes keep it from disturbing a leader).

--- a/coord/quorum/core.go
+++ b/coord/quorum/core.go
@@ -122,12 +122,19 @@
 	c.handed = c.log.lastIndex()
 	c.synced = c.handed
 	c.resetTimeout()
+	// Nobody may lead after all members were stopped together. Where somebody
+	// does, the other members refuse the pre-vote.
+	c.timeout = c.config.ElectionTicks/startDivisor + c.rand.IntN(c.config.JitterTicks)
 	if c.isVoter() && len(c.Configuration().Voters) == 1 {
 		c.elapsed = c.timeout
 	}
 	return c
 }
 
+// startDivisor of the election timeout is how long a member that starts waits for
+// a leader, plus jitter.
+const startDivisor = 4
+
 // Found makes a blank disk the first member of a new quorum. The configuration
 // must have the disks of all first members, each of which has promised to
 // follow this founder only.
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -66,7 +66,7 @@
 // admit finds the route and the account of a request and reads its body.
 func (f *flight) admit() *outcome.Error {
 	const step = "gateway.admit"
-	f.table = f.g.table.Load()
+	f.table = f.g.awaitTable(f.r.Context())
 	if f.table == nil {
 		e := outcome.Refuse(outcome.CodeNoQuorum, step, "no configuration is known yet")
 		e.RetryAfter = noTableBack
@@ -97,6 +97,25 @@
 	return nil
 }
 
+// startHold is how long a request waits for the first configuration of an entry
+// that has just started: an election and two round trips are over by then.
+const startHold = 1500 * time.Millisecond
+
+// awaitTable returns the routing table, nil when there is none in time.
+func (g *Gateway) awaitTable(ctx context.Context) *route.Table {
+	if t := g.table.Load(); t != nil {
+		return t
+	}
+	timer := time.NewTimer(startHold)
+	defer timer.Stop()
+	select {
+	case <-g.configured:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return g.table.Load()
+}
+
 func (f *flight) readBody() *outcome.Error {
 	const step = "gateway.body"
 	if f.r.ContentLength == 0 {
--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -112,24 +112,23 @@
 		if !isCoordinator() {
 			return &coordinatorResponse{NotCoordinator: true}, nil
 		}
-		p.adoptAll(q.Owner, q.Running)
+		p.reconcile(q.Owner, q.Running)
 		return &coordinatorResponse{}, nil
 	})
 }
 
-// adoptAll replaces what is known of another entry's jobs.
-func (p *placer) adoptAll(owner string, running []schedule.Running) {
+// reconcile brings what is known of another entry's jobs in step with its word.
+func (p *placer) reconcile(owner string, running []schedule.Running) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for _, s := range p.schedulers {
-		p.deliver(s.DropOwner(owner, now))
-	}
+	byService := map[string][]schedule.Running{}
 	for _, r := range running {
-		if s := p.schedulers[r.Job.Service]; s != nil {
-			p.service[r.Job.ID] = r.Job.Service
-			s.Adopt(r, now)
-		}
+		p.service[r.Job.ID] = r.Job.Service
+		byService[r.Job.Service] = append(byService[r.Job.Service], r)
+	}
+	for name, s := range p.schedulers {
+		p.deliver(s.Reconcile(owner, byService[name], now))
 	}
 }
 
--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -32,6 +32,7 @@
 	deadline time.Time
 
 	exclude  []string // endpoints that failed this request
+	attempts int      // to place it
 	sends    int      // that may have reached an endpoint
 	ran      bool     // some endpoint may have run it
 	endpoint string   // the last one
@@ -122,6 +123,7 @@
 func (f *flight) chooseEngine() (announce.Heard, *outcome.Error) {
 	const step = "gateway.choose"
 	asked := time.Now()
+	f.attempts++
 	d, err := f.g.placer.place(f.ctx, f.job())
 	f.waited += time.Since(asked)
 	f.placed = d
@@ -133,21 +135,17 @@
 		e.RetryAfter = max(d.ComeBack, comeBackLeast)
 		return announce.Heard{}, e
 	}
-	for _, h := range f.g.heard(f.service) {
-		if h.ID == d.Endpoint {
-			return h, nil
-		}
-	}
-	f.g.placer.ended(f.request.ID, schedule.Rejected)
-	e := outcome.Refuse(outcome.CodeLeaving, step, "endpoint %s left meanwhile", d.Endpoint)
-	e.RetryAfter = comeBackLeast
-	return announce.Heard{}, e
+	// The coordinator may know an endpoint that this entry has not heard of yet.
+	return announce.Heard{Endpoint: announce.Endpoint{ID: d.Endpoint, Address: d.Address, Service: f.service}}, nil
 }
 
+// jobID names one attempt: reports on the one before may still be on their way.
+func (f *flight) jobID() string { return f.request.ID + "/" + strconv.Itoa(f.attempts) }
+
 func (f *flight) job() schedule.Job {
 	elapsed := time.Since(f.arrived)
 	j := schedule.Job{
-		ID: f.request.ID, Service: f.service, Domain: f.g.settings.FailureDomain,
+		ID: f.jobID(), Service: f.service, Domain: f.g.settings.FailureDomain,
 		Prompt: f.request.Prompt, Answer: f.request.MaxAnswer, Goal: f.route.Goal - elapsed,
 		PauseGoal: f.route.PauseGoal, Left: f.left(), Priority: f.route.Priority, Exclude: f.exclude,
 	}
@@ -163,7 +161,7 @@
 	f.endpoint = h.ID
 	end := schedule.Done
 	defer func() { f.release(h, end) }()
-	if !f.g.mesh.Takes(h.ID) {
+	if f.g.mesh.IsLeaving(h.ID) {
 		f.exclude = append(f.exclude, h.ID)
 		return outcome.Refuse(outcome.CodeLeaving, "gateway.attempt", "endpoint %s left meanwhile", h.ID)
 	}
@@ -201,7 +199,7 @@
 
 func (f *flight) release(h announce.Heard, end schedule.End) {
 	if f.isEngine() {
-		f.g.placer.ended(f.request.ID, end)
+		f.g.placer.ended(f.jobID(), end)
 		return
 	}
 	f.g.plain.done(h.ID)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,9 +65,10 @@
 	placer   *placer
 	plain    *plainPicker
 
-	table    atomic.Pointer[route.Table]
-	stopping atomic.Bool
-	running  atomic.Int64
+	table      atomic.Pointer[route.Table]
+	configured chan struct{} // closed once there is a table
+	stopping   atomic.Bool
+	running    atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window // by service
@@ -80,7 +81,7 @@
 		settings: s, dialect: d, lines: lines,
 		log:    lines.Logger(slog.LevelInfo).With("instance", s.Name),
 		client: forward.NewClient(d), breakers: breaker.NewSet(),
-		budgets: map[string]*retry.Window{}, plain: newPlainPicker(),
+		budgets: map[string]*retry.Window{}, plain: newPlainPicker(), configured: make(chan struct{}),
 	}
 	g.placer = newPlacer(s.Name, g.breakers, meshCalls{func() *mesh.Mesh { return g.mesh }}, g.log)
 	g.breakers.OnChange = func(endpoint string, state breaker.State, reason string) {
@@ -103,7 +104,9 @@
 		return
 	}
 	g.placer.configure(table)
-	g.table.Store(table)
+	if g.table.Swap(table) == nil {
+		close(g.configured)
+	}
 	go g.refresh()
 }
 
@@ -244,6 +247,9 @@
 		}
 		leader, isSelf := p.g.mesh.Leader()
 		p.g.placer.setCoordinator(leader, isSelf)
+		if n%int(reconcilePeriod/placePeriod) == 0 {
+			go p.g.placer.remind(ctx)
+		}
 		p.g.placer.tick(time.Now())
 	}
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -146,6 +146,8 @@
 		return d, nil
 	}
 	if ctx.Err() != nil {
+		// The decision may be on its way all the same.
+		p.report(report{Job: j.ID, End: schedule.Done})
 		return schedule.Decision{}, context.Cause(ctx)
 	}
 	p.doubt(address, err)
@@ -176,14 +178,10 @@
 		p.mu.Unlock()
 		return nil
 	}
-	var running []schedule.Running
-	for _, s := range p.schedulers {
-		running = append(running, s.Running(p.self)...)
-	}
 	p.reports = nil
 	p.adopted = true
 	p.mu.Unlock()
-	err := p.calls.adopt(ctx, address, p.self, running)
+	err := p.calls.adopt(ctx, address, p.self, p.running())
 	if err != nil {
 		p.mu.Lock()
 		p.adopted = false
@@ -286,6 +284,36 @@
 	delete(p.waiting, job)
 }
 
+// reconcilePeriod is how often the coordinator is told all jobs of this entry:
+// what a lost message left wrong there is mended by then.
+const reconcilePeriod = time.Second
+
+// remind tells the coordinator every job of this entry.
+func (p *placer) remind(ctx context.Context) {
+	p.mu.Lock()
+	address, due := p.coordinator, p.coordinator != "" && p.adopted
+	p.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportWait)
+	defer cancel()
+	if err := p.calls.adopt(ctx, address, p.self, p.running()); err != nil {
+		p.doubt(address, err)
+	}
+}
+
+// running are the jobs of this entry.
+func (p *placer) running() []schedule.Running {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []schedule.Running
+	for _, s := range p.schedulers {
+		out = append(out, s.Running(p.self)...)
+	}
+	return out
+}
+
 func (p *placer) tick(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -110,7 +110,7 @@
 	f.headSent = true
 	f.w.WriteHeader(reply.Status)
 	if f.isEngine() {
-		f.g.placer.started(f.request.ID)
+		f.g.placer.started(f.jobID())
 	}
 }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -26,6 +26,7 @@
 	interval        = time.Second            // between two heartbeats to one partner
 	exchangeTimeout = 900 * time.Millisecond // of one heartbeat
 	pokeDelay       = 20 * time.Millisecond  // gathers changes before they are passed on
+	seekInterval    = 150 * time.Millisecond // between two calls to the seeds while no other member is known
 	probeEvery      = 5                      // heartbeats between two probes of members that are gone
 )
 
@@ -91,10 +92,20 @@
 			s.gather(ctx)
 		}
 		s.beat(ctx, beat%probeEvery == 0)
-		timer.Reset(jitter(interval))
+		timer.Reset(jitter(s.pause()))
 	}
 }
 
+// pause is the time until the next heartbeats.
+func (s *Service) pause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.table.Partners()) == 0 && len(s.options.Seeds) > 0 {
+		return seekInterval
+	}
+	return interval
+}
+
 // Poke sends the next heartbeats at once, after a change.
 func (s *Service) Poke() {
 	select {
--- a/mesh/core.go
+++ b/mesh/core.go
@@ -423,6 +423,12 @@
 	return errors.Join(errNoQuorum, last)
 }
 
+func (c *core) knownLeader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
 func (c *core) noteAnswer(address string) {
 	c.mu.Lock()
 	c.leader = address
@@ -450,13 +456,17 @@
 		out = append(out, d.Address)
 	}
 	slices.SortFunc(out, strings.Compare)
+	if len(out) == 0 {
+		// Nobody is known yet: the seeds know who leads.
+		out = append(out, c.mesh.options.Seeds...)
+	}
 	return out
 }
 
 func (c *core) servePut(ctx context.Context, q *putRequest) (*putResponse, error) {
 	node := c.current()
 	if node == nil {
-		return &putResponse{Failure: "not a member of the quorum"}, nil
+		return &putResponse{Leader: c.knownLeader(), Failure: "not a member of the quorum"}, nil
 	}
 	command, err := document.EncodePut(q.Document)
 	if err != nil {
@@ -477,7 +487,7 @@
 func (c *core) serveRead(ctx context.Context, q *readRequest) (*readResponse, error) {
 	node := c.current()
 	if node == nil {
-		return &readResponse{Failure: "not a member of the quorum"}, nil
+		return &readResponse{Leader: c.knownLeader(), Failure: "not a member of the quorum"}, nil
 	}
 	if err := node.ReadIndex(ctx); err != nil {
 		return &readResponse{Leader: leaderOf(err), Failure: err.Error()}, nil
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -216,12 +216,12 @@
 	return m.registry.Ready(service)
 }
 
-// Takes reports whether an endpoint still takes work.
-func (m *Mesh) Takes(id string) bool {
+// IsLeaving reports whether an endpoint is known to take no more work.
+func (m *Mesh) IsLeaving(id string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	h, known := m.registry.Get(id)
-	return known && h.State == announce.Ready
+	return known && h.State != announce.Ready
 }
 
 // Announced grows with every change of the endpoints.
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -28,6 +28,7 @@
 type Decision struct {
 	Job       string        `json:"job"`
 	Endpoint  string        `json:"endpoint"` // id; empty for a refusal
+	Address   string        `json:"address"`
 	Helpers   []Helper      `json:"helpers,omitempty"`
 	Expected  time.Duration `json:"expected"` // time to the first event
 	ComeBack  time.Duration `json:"come_back"`
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -70,7 +70,7 @@
 	}
 	main := best.main.engine
 	r := &running{job: j, endpoint: main.ID, read: best.read, placed: now, expected: best.expected}
-	d := Decision{Job: j.ID, Endpoint: main.ID, Expected: best.expected, Endpoints: len(s.order)}
+	d := Decision{Job: j.ID, Endpoint: main.ID, Address: main.Address, Expected: best.expected, Endpoints: len(s.order)}
 	for _, h := range best.helpers {
 		r.helpers = append(r.helpers, h.engine.ID)
 		d.Helpers = append(d.Helpers, Helper{ID: h.engine.ID, Address: h.engine.Address})
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -88,6 +88,9 @@
 // Submit takes a job and returns the decisions that follow: of this job at once
 // unless it waits.
 func (s *Scheduler) Submit(j Job, now time.Time) []Decision {
+	if old := s.jobs[j.ID]; old != nil {
+		s.remove(old, now)
+	}
 	if j.Prompt > s.figures.MemoryTokens && s.figures.MemoryTokens > 0 {
 		return []Decision{s.refuse(&j, "prompt exceeds the memory of an engine", 0)}
 	}
@@ -164,7 +167,28 @@
 	return out
 }
 
-// DropOwner forgets the jobs of an owner.
+// settleTime is how long a decision may be on its way to the owner of its job.
+const settleTime = time.Second
+
+// Reconcile brings the jobs of an owner in step with what the owner says runs.
+// Decisions that may still be on their way to the owner stand.
+func (s *Scheduler) Reconcile(owner string, running []Running, now time.Time) []Decision {
+	there := make(map[string]bool, len(running))
+	for _, a := range running {
+		there[a.Job.ID] = true
+		if old := s.jobs[a.Job.ID]; old == nil || old.endpoint != a.Decision.Endpoint {
+			s.Adopt(a, now)
+		}
+	}
+	for id, r := range s.jobs {
+		if r.job.Owner == owner && !there[id] && now.Sub(r.placed) > settleTime {
+			s.remove(r, now)
+		}
+	}
+	return s.retryQueue(now)
+}
+
+// DropOwner forgets the jobs of an owner that is gone.
 func (s *Scheduler) DropOwner(owner string, now time.Time) []Decision {
 	return s.dropWhere(now, func(j *Job) bool { return j.Owner == owner })
 }
