--- a/forward/client.go
+++ b/forward/client.go
@@ -70,6 +70,7 @@
 	Host      string
 	Header    http.Header
 	Body      []byte
+	NoID      bool // the call carries no id, and neither does its answer
 	Fresh     bool // on a connection of its own: nothing late may be taken for its answer
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -90,6 +90,9 @@
 // kept connection.
 func (x *exchange) isForeign(r *http.Response) bool {
 	id := x.dialect.RequestOf(r.Header)
+	if x.call.NoID {
+		return id != ""
+	}
 	if id == "" {
 		// An endpoint that refuses early may not know the id. A success always
 		// names it.
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -47,6 +47,10 @@
 	// Failed puts the id of a request and when to come back into the headers of
 	// an answer of the gateway's own; comeBack is 0 for none.
 	Failed(to http.Header, request string, comeBack time.Duration)
+	// Reserve and Release return the calls that set memory aside at an endpoint
+	// under a name, or set it aside for longer, and that free it.
+	Reserve(endpoint, name string, tokens int, hold time.Duration) *forward.Call
+	Release(endpoint, name string) *forward.Call
 	// Blamed returns the address of another endpoint that an answer names as
 	// the cause of its failure; empty for none.
 	Blamed(h http.Header) string
--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -140,7 +140,7 @@
 }
 
 // jobID names one attempt: reports on the one before may still be on their way.
-func (f *flight) jobID() string { return f.request.ID + "/" + strconv.Itoa(f.attempts) }
+func (f *flight) jobID() string { return f.request.ID + "." + strconv.Itoa(f.attempts) }
 
 func (f *flight) job() schedule.Job {
 	elapsed := time.Since(f.arrived)
@@ -165,6 +165,13 @@
 		f.exclude = append(f.exclude, h.ID)
 		return outcome.Refuse(outcome.CodeLeaving, "gateway.attempt", "endpoint %s left meanwhile", h.ID)
 	}
+	held, failed := f.g.reserve(f.ctx, f.jobID(), f.placed.Helpers)
+	if failed != nil {
+		f.exclude = append(f.exclude, failed.Peer)
+		end = schedule.Rejected
+		return failed
+	}
+	defer held.end()
 	reply, err := f.g.client.Send(f.ctx, f.target(h), f.call(h))
 	if err != nil {
 		e := f.ended(outcome.From(err))
--- a/schedule/engine.go
+++ b/schedule/engine.go
@@ -88,3 +88,14 @@
 		}
 	}
 }
+
+// settleMemory notes which engines keep a job's tokens.
+func (s *Scheduler) settleMemory(r *running) {
+	r.keeps = r.job.Prompt + r.job.Answer
+	for _, h := range r.decision.Helpers {
+		r.keeps -= h.Tokens
+		if e := s.engines[h.ID]; e != nil && h.Tokens > 0 {
+			e.held[r.job.ID] = h.Tokens
+		}
+	}
+}
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -21,7 +21,8 @@
 type Helper struct {
 	ID          string `json:"id"`
 	Address     string `json:"address"`
-	Reservation string `json:"reservation,omitempty"` // memory set aside there for the prompt
+	Tokens      int    `json:"tokens,omitempty"`      // memory to set aside there for the prompt
+	Reservation string `json:"reservation,omitempty"` // name of what was set aside
 }
 
 // Decision is what becomes of a job.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -71,11 +71,15 @@
 	main := best.main.engine
 	r := &running{job: j, endpoint: main.ID, read: best.read, placed: now, expected: best.expected}
 	d := Decision{Job: j.ID, Endpoint: main.ID, Address: main.Address, Expected: best.expected, Endpoints: len(s.order)}
+	elsewhere := s.excess(j, best.main)
 	for _, h := range best.helpers {
 		r.helpers = append(r.helpers, h.engine.ID)
-		d.Helpers = append(d.Helpers, Helper{ID: h.engine.ID, Address: h.engine.Address})
+		holds := min(elsewhere, s.free(h))
+		elsewhere -= holds
+		d.Helpers = append(d.Helpers, Helper{ID: h.engine.ID, Address: h.engine.Address, Tokens: holds})
 	}
 	r.decision = d
+	s.settleMemory(r)
 	main.writers[j.ID] = r
 	s.addParts(r, now)
 	s.jobs[j.ID] = r
@@ -131,8 +135,11 @@
 	*v = view{engine: e, isUsual: !e.blocked && !slices.Contains(j.Exclude, e.ID)}
 	writing, context := 0, 0
 	overdue := time.Duration(0)
+	for _, tokens := range e.held {
+		v.memory += tokens
+	}
 	for _, r := range e.writers {
-		v.memory += r.job.Prompt + r.job.Answer
+		v.memory += r.keeps
 		if r.job.Prompt < helpFrom {
 			v.isKin++
 		}
@@ -177,14 +184,34 @@
 }
 
 // hasRoom reports whether an engine can begin a job without pushing another out.
+// A prompt that no engine holds alone may be held by helpers in part.
 func (s *Scheduler) hasRoom(v *view, j *Job) bool {
 	if len(v.engine.writers) >= s.figures.Slots {
 		return false
 	}
-	if len(v.engine.writers) == 0 {
-		return j.Prompt+j.Answer <= s.figures.MemoryTokens
+	need := j.Prompt + j.Answer
+	if need > s.figures.MemoryTokens {
+		return s.free(v) >= s.figures.MemoryTokens/2
+	}
+	if len(v.engine.writers) == 0 && v.memory == 0 {
+		return true
+	}
+	return need <= s.free(v)
+}
+
+// free is the memory of an engine that may be given away, in tokens.
+func (s *Scheduler) free(v *view) int {
+	return max(int(memoryShare*float64(s.figures.MemoryTokens))-v.memory, 0)
+}
+
+// excess is the part of a job that an engine does not hold, in tokens. Only a
+// prompt beyond a whole memory is spread.
+func (s *Scheduler) excess(j *Job, main *view) int {
+	need := j.Prompt + j.Answer
+	if need <= s.figures.MemoryTokens {
+		return 0
 	}
-	return v.memory+j.Prompt+j.Answer <= int(memoryShare*float64(s.figures.MemoryTokens))
+	return need - s.free(main)
 }
 
 // usualParts is the number of parts by which helpers are compared.
@@ -229,6 +256,10 @@
 		harm += h.harmOf(o.read)
 	}
 	o.helpers = chosen
+	if !s.holds(j, main, chosen) {
+		o.score = -1
+		return o
+	}
 	o.score = j.value()*j.timeliness(o.expected) - harm + s.company(j, main)
 	o.score -= readerCost * float64(k)
 	o.score -= blockCost * o.read.Seconds()
@@ -239,6 +270,15 @@
 	return o
 }
 
+// holds reports whether an engine and its helpers have the memory for a job.
+func (s *Scheduler) holds(j *Job, main *view, helpers []*view) bool {
+	excess := s.excess(j, main)
+	for _, h := range helpers {
+		excess -= s.free(h)
+	}
+	return excess <= 0
+}
+
 func (v *view) paced(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * v.engine.pace)
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -19,6 +19,7 @@
 	endpoint  string
 	helpers   []string
 	decision  Decision
+	keeps     int           // tokens in the memory of its own endpoint
 	read      time.Duration // of each part
 	placed    time.Time
 	expected  time.Duration // to the first event
@@ -31,6 +32,7 @@
 	writers   map[string]*running // jobs whose answers come from here
 	parts     []part              // reading, in order
 	headSince time.Time           // when the first part came to the head
+	held      map[string]int      // tokens set aside for prompts that are answered elsewhere, by job
 	blocked   bool
 	pace      float64 // how much longer first events take than the model says; 1 or more
 }
@@ -74,7 +76,7 @@
 	for _, e := range all {
 		known := s.engines[e.ID]
 		if known == nil {
-			known = &engine{writers: map[string]*running{}, pace: 1}
+			known = &engine{writers: map[string]*running{}, held: map[string]int{}, pace: 1}
 		}
 		known.Endpoint = e
 		known.blocked = blocked(e.ID)
@@ -91,8 +93,8 @@
 	if old := s.jobs[j.ID]; old != nil {
 		s.remove(old, now)
 	}
-	if j.Prompt > s.figures.MemoryTokens && s.figures.MemoryTokens > 0 {
-		return []Decision{s.refuse(&j, "prompt exceeds the memory of an engine", 0)}
+	if j.Prompt+j.Answer > s.fleetMemory() {
+		return []Decision{s.refuse(&j, "the prompt exceeds the memory of all engines that may read it", 0)}
 	}
 	if d, ok := s.place(&j, now); ok {
 		return []Decision{d}
@@ -131,6 +133,11 @@
 	if e := s.engines[r.endpoint]; e != nil {
 		delete(e.writers, r.job.ID)
 	}
+	for _, id := range r.helpers {
+		if e := s.engines[id]; e != nil {
+			delete(e.held, r.job.ID)
+		}
+	}
 	delete(s.jobs, r.job.ID)
 }
 
@@ -148,6 +155,7 @@
 		r.helpers = append(r.helpers, h.ID)
 	}
 	s.jobs[j.ID] = r
+	s.settleMemory(r)
 	if e := s.engines[r.endpoint]; e != nil {
 		e.writers[j.ID] = r
 	}
@@ -226,6 +234,12 @@
 // Waiting is the number of jobs without an endpoint.
 func (s *Scheduler) Waiting() int { return len(s.queue) }
 
+// fleetMemory is the most tokens that the memories of one prompt's engines hold.
+func (s *Scheduler) fleetMemory() int {
+	engines := min(len(s.order), 1+helperCounts[len(helperCounts)-1])
+	return int(memoryShare * float64(s.figures.MemoryTokens*engines))
+}
+
 func (s *Scheduler) refuse(j *Job, reason string, comeBack time.Duration) Decision {
 	return Decision{Job: j.ID, Reason: reason, ComeBack: comeBack, Endpoints: len(s.order)}
 }
