schedule, gateway: harm beyond lateness, shorter waits, come-back times spread

Prompts waited 6 s and were refused then. Change: the pace counts for first events only; what is late can get worse until callers leave; jobs wait a quarter of their callers' patience; refused callers come back spread over their time; long prompts wait for the next coordinator when one fails.

--- a/coord/quorum/core.go
+++ b/coord/quorum/core.go
@@ -122,9 +122,11 @@
 	c.handed = c.log.lastIndex()
 	c.synced = c.handed
 	c.resetTimeout()
-	// Nobody may lead after all members were stopped together. Where somebody
-	// does, the other members refuse the pre-vote.
-	c.timeout = c.config.ElectionTicks/startDivisor + c.rand.IntN(c.config.JitterTicks)
+	if c.isVoter() {
+		// Nobody may lead after all members were stopped together. Where somebody
+		// does, the other members refuse the pre-vote.
+		c.timeout = c.config.ElectionTicks/startDivisor + c.rand.IntN(c.config.JitterTicks)
+	}
 	if c.isVoter() && len(c.Configuration().Voters) == 1 {
 		c.elapsed = c.timeout
 	}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -151,9 +151,42 @@
 		return schedule.Decision{}, context.Cause(ctx)
 	}
 	p.doubt(address, err)
+	if next, ok := p.awaitCoordinator(ctx, address, j); ok {
+		return p.place(ctx, next)
+	}
 	return p.placeHere(ctx, j)
 }
 
+// Long prompts take many engines for long: an entry that sees its own requests
+// only would put them where they hurt most.
+const (
+	patientGoal = time.Second // of jobs that wait for the next coordinator
+	electWait   = time.Second // an election takes less
+	electPoll   = placePeriod
+)
+
+// awaitCoordinator waits for another coordinator than the one that failed, where
+// the job has the time. It returns the job with what is left of its times.
+func (p *placer) awaitCoordinator(ctx context.Context, failed string, j schedule.Job) (schedule.Job, bool) {
+	if j.Goal < patientGoal {
+		return j, false
+	}
+	started := time.Now()
+	for time.Since(started) < electWait && ctx.Err() == nil {
+		time.Sleep(electPoll)
+		p.mu.Lock()
+		changed := p.coordinator != failed
+		p.mu.Unlock()
+		if changed {
+			waited := time.Since(started)
+			j.Goal -= waited
+			j.Left -= waited
+			return j, true
+		}
+	}
+	return j, false
+}
+
 // ask puts a job to the coordinator.
 func (p *placer) ask(ctx context.Context, address string, giveUp chan struct{}, j schedule.Job) (schedule.Decision, error) {
 	ctx, cancel := context.WithTimeout(ctx, j.Patience()+placeReserve)
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -68,7 +68,7 @@
 
 // waitShare is the part of a caller's patience that a job may wait for a place;
 // the rest is for reading it.
-const waitShare = 0.5
+const waitShare = 0.25
 
 // Patience is how long a job may wait for a place.
 func (j *Job) Patience() time.Duration {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -12,10 +12,11 @@
 	lateLoss   = 0.75   // of a late answer, by the sheets of the deployments
 	goalMargin = 0.85   // part of the goal that a prediction may use up
 	harmFrom   = 0.7    // part of a limit from which on more reading may overrun it
+	harmLost   = 4      // times a limit at which callers go away
 	harmFull   = 1.1    // part of a limit at which it surely does
 	domainCost = 0.01   // of leaving the failure domain: bytes between domains
 	readerCost = 0.10   // of each helper: one more endpoint that may fail
-	blockCost  = 10.0   // of a second of reading in one piece: nothing else gets in between
+	blockCost  = 20.0   // of a second of reading in one piece: nothing else gets in between
 	hasteCost  = 0.10   // of a first event at the goal against one at once: predictions err
 	packGain   = 0.30   // of joining writers of the same kind: it leaves other engines free for long reading
 	packFull   = 12     // writers of an engine from which on joining gains nothing more
@@ -151,7 +152,9 @@
 		}
 	}
 	pass, backlog := s.figures.PassTime(writing, context), e.backlog(now)
-	v.pass = time.Duration(float64(pass+backlog) * e.pace)
+	// A pace learnt from late first events must not make writers look late already:
+	// more reading would seem to cost them nothing.
+	v.pass = pass + backlog
 	// The pass under way ends, and a first token comes at the end of the pass in
 	// which its prompt is read.
 	v.ready = time.Duration(float64(backlog+pass*3/2)*e.pace) + overdue
@@ -172,7 +175,7 @@
 	}
 	takes := time.Duration(0)
 	for i, p := range e.parts {
-		takes += v.paced(p.cost)
+		takes += p.cost
 		if i == 0 {
 			takes -= min(now.Sub(e.headSince), takes)
 		}
@@ -285,10 +288,9 @@
 
 // harmOf is what more reading costs the jobs that an engine has.
 func (v *view) harmOf(read time.Duration) float64 {
-	more := v.paced(read)
 	total := 0.0
 	for _, c := range v.claims {
-		total += c.value * (overrun(c.takes+more, c.limit) - overrun(c.takes, c.limit))
+		total += c.value * (overrun(c.takes+read, c.limit) - overrun(c.takes, c.limit))
 	}
 	return total
 }
@@ -300,7 +302,7 @@
 	case use <= harmFrom:
 		return 0
 	case use >= harmFull:
-		return lateLoss
+		return lateLoss + (1-lateLoss)*min((use-harmFull)/(harmLost-harmFull), 1)
 	default:
 		return lateLoss * (use - harmFrom) / (harmFull - harmFrom)
 	}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Endpoint is an engine that takes work.
@@ -241,7 +243,20 @@
 }
 
 func (s *Scheduler) refuse(j *Job, reason string, comeBack time.Duration) Decision {
-	return Decision{Job: j.ID, Reason: reason, ComeBack: comeBack, Endpoints: len(s.order)}
+	return Decision{Job: j.ID, Reason: reason, ComeBack: max(comeBack, j.spread()), Endpoints: len(s.order)}
+}
+
+// Callers that are refused together come back spread over this part of the time
+// that they have left, and follow no more than a third of it.
+const (
+	comeBackFrom  = 0.05
+	comeBackRange = 0.20
+)
+
+// spread is a time to come back that differs from job to job.
+func (j *Job) spread() time.Duration {
+	part := float64(xxhash.Sum64String(j.ID)%1024) / 1024
+	return time.Duration((comeBackFrom + comeBackRange*part) * float64(j.Left))
 }
 
 // retryQueue places what waits, the most urgent first.
