--- a/api/completion.go
+++ b/api/completion.go
@@ -102,6 +102,9 @@
 	if len(body.Messages) == 0 {
 		return submit.Request{}, options{}, badField("messages", "messages must have at least one message")
 	}
+	if err := body.check(); err != nil {
+		return submit.Request{}, options{}, err
+	}
 	request, err := x.request(body.options, body.text())
 	return request, body.options, err
 }
--- a/api/errors.go
+++ b/api/errors.go
@@ -48,6 +48,7 @@
 var statuses = map[outcome.Code]int{
 	outcome.CodeInvalidRequest:   http.StatusBadRequest,
 	outcome.CodePromptTooLong:    http.StatusBadRequest,
+	outcome.CodeBodyTooLarge:     http.StatusRequestEntityTooLarge,
 	outcome.CodeUnsupported:      http.StatusBadRequest,
 	outcome.CodeInvalidKey:       http.StatusUnauthorized,
 	outcome.CodeModelNotFound:    http.StatusNotFound,
@@ -73,11 +74,13 @@
 
 // errorTypes are the OpenAI types of statuses; others are "server_error".
 var errorTypes = map[int]string{
-	http.StatusBadRequest:      "invalid_request_error",
-	http.StatusNotFound:        "invalid_request_error",
-	http.StatusConflict:        "invalid_request_error",
-	http.StatusUnauthorized:    "authentication_error",
-	http.StatusTooManyRequests: "rate_limit_error",
+	http.StatusBadRequest: "invalid_request_error",
+
+	http.StatusRequestEntityTooLarge: "invalid_request_error",
+	http.StatusNotFound:              "invalid_request_error",
+	http.StatusConflict:              "invalid_request_error",
+	http.StatusUnauthorized:          "authentication_error",
+	http.StatusTooManyRequests:       "rate_limit_error",
 }
 
 // fail writes the final answer of a request that failed before any byte of an
--- a/api/request.go
+++ b/api/request.go
@@ -105,6 +105,19 @@
 	return nil
 }
 
+// roles that a message may have.
+var roles = []string{"assistant", "developer", "function", "system", "tool", "user"}
+
+// check refuses messages with a role that nobody has.
+func (c chatRequest) check() error {
+	for i, m := range c.Messages {
+		if !slices.Contains(roles, m.Role) {
+			return badField(fmt.Sprintf("messages[%d].role", i), "role %q is not one of %s", m.Role, strings.Join(roles, ", "))
+		}
+	}
+	return nil
+}
+
 // text joins the messages of a chat to the prompt given to the engine.
 func (c chatRequest) text() string {
 	var b strings.Builder
@@ -127,7 +140,7 @@
 	data, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, int64(limit)))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return outcome.Refuse(outcome.CodePromptTooLong, "entry.read", "the body is over the limit of %d bytes", limit)
+		return outcome.Refuse(outcome.CodeBodyTooLarge, "entry.read", "the body is over the limit of %d bytes", limit)
 	}
 	if err != nil {
 		return outcome.Refuse(outcome.CodeInvalidRequest, "entry.read", "the body could not be read")
--- a/endpoint/agent.go
+++ b/endpoint/agent.go
@@ -11,6 +11,7 @@
 
 	"github.com/jacinthplank/jacinthplank/admission"
 	"github.com/jacinthplank/jacinthplank/engine"
+	"github.com/jacinthplank/jacinthplank/expect"
 	"github.com/jacinthplank/jacinthplank/ledger"
 	"github.com/jacinthplank/jacinthplank/outcome"
 	"github.com/jacinthplank/jacinthplank/submit"
@@ -38,6 +39,7 @@
 	leaving     bool
 	description engine.Description
 	rates       work.Rates
+	lengths     *expect.Lengths
 	ledger      *ledger.Ledger
 	queue       *admission.Queue
 	attempts    map[engine.Key]*attempt
@@ -57,6 +59,7 @@
 		cfg:      cfg,
 		expiry:   make(chan struct{}, 1),
 		tidy:     make(chan struct{}, 1),
+		lengths:  expect.New(),
 		attempts: make(map[engine.Key]*attempt),
 		cache:    newCacheView(),
 		turns:    newTurns(cfg.ChunkTime, cfg.MaxPause),
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -23,7 +23,8 @@
 // admit decides, before anything is sent, whether the fleet can do the request
 // in its time and whether its account may use it now.
 func (r *Router) admit(req *submit.Request, choice placement.Choice) error {
-	slack := req.Remaining - bareTime(choice.Member, req, choice.Cached)
+	expected := r.lengths.Expect(req.Model, req.Account, req.MaxTokens)
+	slack := req.Remaining - bareTime(choice.Member, req, choice.Cached, expected)
 	if slack <= 0 {
 		return outcome.Refuse(outcome.CodeDeadline, stepAdmit,
 			"the request needs %v on an idle endpoint and has %v",
@@ -33,7 +34,7 @@
 	pressure := limits.Pressure{Wait: choice.Wait, Most: mostWait(choice, req, slack)}
 	configuration := r.configuration()
 	now := time.Now()
-	tokens := max(req.Prompt.Tokens-choice.Cached, 0) + req.MaxTokens
+	tokens := max(req.Prompt.Tokens-choice.Cached, 0) + expected
 	if err := r.limiter.Admit(now, req.Account, sharesOf(configuration), kind, tokens, pressure); err != nil {
 		return err
 	}
@@ -43,13 +44,14 @@
 	return nil
 }
 
-// bareTime returns the time that the request takes on an idle endpoint.
-func bareTime(m *directory.Member, req *submit.Request, cached int) time.Duration {
+// bareTime returns the time that the request takes on an idle endpoint with an
+// answer of the expected tokens.
+func bareTime(m *directory.Member, req *submit.Request, cached, expected int) time.Duration {
 	speed := m.DecodePerSec
 	if speed <= 0 {
 		speed = defaultDecode
 	}
-	decode := time.Duration(float64(req.MaxTokens-req.Offset) / speed * float64(time.Second))
+	decode := time.Duration(float64(max(expected-req.Offset, 0)) / speed * float64(time.Second))
 	return placement.PrefillTime(m, cached, req.Prompt.Tokens) + decode
 }
 
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -324,6 +324,7 @@
 // finish ends a complete answer.
 func (f *flight) finish() {
 	f.done = io.EOF
+	f.router.lengths.Learn(f.request.Model, f.request.Account, f.frames.Offset())
 	f.event(timeline.KindFinished, f.current.member.Name, "")
 	f.release()
 	f.cancel()
--- a/entry/router.go
+++ b/entry/router.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthplank/jacinthplank/breaker"
 	"github.com/jacinthplank/jacinthplank/directory"
+	"github.com/jacinthplank/jacinthplank/expect"
 	"github.com/jacinthplank/jacinthplank/fleet"
 	"github.com/jacinthplank/jacinthplank/limits"
 	"github.com/jacinthplank/jacinthplank/outcome"
@@ -47,6 +48,7 @@
 	limiter       *limits.Limiter
 	breakers      *breaker.Set
 	retries       *retry.Budgets
+	lengths       *expect.Lengths
 	distances     distances
 	attempts      attempts
 
@@ -91,6 +93,7 @@
 		limiter:       o.Limiter,
 		breakers:      breaker.NewSet(),
 		retries:       retry.NewBudgets(),
+		lengths:       expect.New(),
 		random:        rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		endpoints:     map[string]dialed{},
 	}
--- a/explain/codes.go
+++ b/explain/codes.go
@@ -6,6 +6,7 @@
 	outcome.CodeInvalidRequest:   "the request was not well formed",
 	outcome.CodeInvalidKey:       "the API key belongs to no client account",
 	outcome.CodeModelNotFound:    "the model is not in the configuration, or not open to the client account",
+	outcome.CodeBodyTooLarge:     "the body was over the limit of the configuration",
 	outcome.CodePromptTooLong:    "the prompt is longer than the model takes",
 	outcome.CodeDeadline:         "the work could not be done within the time left",
 	outcome.CodeDeadlinePassed:   "the time was over",
--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,358 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/outcome"
+)
+
+type testDialect struct{}
+
+func (testDialect) RequestOf(h http.Header) string { return h.Get("X-Id") }
+
+func (testDialect) PromisesNotRun(_ int, h http.Header) bool { return h.Get("X-Not-Run") != "" }
+
+// endpoint answers each request on each connection by a script.
+type endpoint struct {
+	listener    net.Listener
+	connections atomic.Int64
+	requests    atomic.Int64
+}
+
+// serve starts an endpoint. answer gets the number of the request, from 1, and
+// writes what it likes; false closes the connection.
+func serve(t *testing.T, answer func(n int64, r *http.Request, w net.Conn) bool) (*endpoint, Target) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &endpoint{listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e.connections.Add(1)
+			go e.connection(c, answer)
+		}
+	}()
+	return e, Target{ID: "e", Address: l.Addr().String()}
+}
+
+func (e *endpoint) connection(c net.Conn, answer func(int64, *http.Request, net.Conn) bool) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if !answer(e.requests.Add(1), r, c) {
+			return
+		}
+	}
+}
+
+func say(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n"))
+	return err == nil
+}
+
+func ok(c net.Conn, id, body string) bool {
+	return say(c, "HTTP/1.1 200 OK\nX-Id: "+id+"\nContent-Length: "+itoa(len(body))+"\n\n"+body)
+}
+
+func itoa(n int) string { return string(rune('0' + n)) }
+
+func send(t *testing.T, c *Client, target Target, id string, fresh bool) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	reply, err := c.Send(ctx, target, &Call{RequestID: id, Method: "GET", URI: "/x", Host: "h", Header: http.Header{}, Fresh: fresh})
+	if err != nil {
+		return "", err
+	}
+	defer reply.Close()
+	body, err := reply.ReadAll()
+	return string(body), err
+}
+
+func TestAConnectionIsKeptAndReused(t *testing.T) {
+	g := NewWithT(t)
+	e, target := serve(t, func(_ int64, _ *http.Request, c net.Conn) bool { return ok(c, "a", "hi") })
+	c := NewClient(testDialect{})
+	for range 3 {
+		body, err := send(t, c, target, "a", false)
+		g.Expect(err).ToNot(HaveOccurred())
+		g.Expect(body).To(Equal("hi"))
+	}
+	g.Expect(e.connections.Load()).To(Equal(int64(1)))
+}
+
+func TestANonIdempotentCallHasAConnectionOfItsOwn(t *testing.T) {
+	g := NewWithT(t)
+	e, target := serve(t, func(_ int64, _ *http.Request, c net.Conn) bool { return ok(c, "a", "hi") })
+	c := NewClient(testDialect{})
+	for range 2 {
+		_, err := send(t, c, target, "a", true)
+		g.Expect(err).ToNot(HaveOccurred())
+	}
+	g.Expect(e.connections.Load()).To(Equal(int64(2)))
+}
+
+// TestNothingIsSentTwice: a connection that dies before its answer is never
+// tried again by the client itself, not even for a GET on a kept connection.
+func TestNothingIsSentTwice(t *testing.T) {
+	g := NewWithT(t)
+	e, target := serve(t, func(n int64, _ *http.Request, c net.Conn) bool { return n == 1 && ok(c, "a", "hi") })
+	c := NewClient(testDialect{})
+	_, err := send(t, c, target, "a", false)
+	g.Expect(err).ToNot(HaveOccurred())
+	_, err = send(t, c, target, "a", false)
+	g.Expect(outcome.StateOf(err)).To(Equal(outcome.Unknown))
+	g.Expect(e.requests.Load()).To(Equal(int64(2)))
+}
+
+func TestOnlyAFailedConnectionPromisesNotRun(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).ToNot(HaveOccurred())
+	address := l.Addr().String()
+	g.Expect(l.Close()).To(Succeed())
+	_, err = send(t, NewClient(testDialect{}), Target{ID: "e", Address: address}, "a", false)
+	g.Expect(outcome.StateOf(err)).To(Equal(outcome.NotRun))
+	g.Expect(outcome.From(err).Peer).To(Equal("e"))
+}
+
+// TestALateAnswerIsNotTakenForTheNext: after the first answer comes a second one
+// to the same request.
+func TestALateAnswerIsNotTakenForTheNext(t *testing.T) {
+	g := NewWithT(t)
+	e, target := serve(t, func(n int64, r *http.Request, c net.Conn) bool {
+		id := r.Header.Get("X-Id")
+		if n == 1 {
+			return ok(c, id, "one") && ok(c, id, "two")
+		}
+		return ok(c, id, "own")
+	})
+	c := NewClient(testDialect{})
+	call := func(id string) string {
+		h := http.Header{}
+		h.Set("X-Id", id)
+		reply, err := c.Send(t.Context(), target, &Call{RequestID: id, Method: "GET", URI: "/", Host: "h", Header: h})
+		g.Expect(err).ToNot(HaveOccurred())
+		defer reply.Close()
+		body, err := reply.ReadAll()
+		g.Expect(err).ToNot(HaveOccurred())
+		return string(body)
+	}
+	g.Expect(call("a")).To(Equal("one"))
+	time.Sleep(20 * time.Millisecond) // the second answer arrives
+	g.Expect(call("b")).To(Equal("own"))
+	g.Expect(e.connections.Load()).To(Equal(int64(2)), "the unclean connection is given up")
+}
+
+// TestAForeignAnswerIsSkipped: the late answer comes after the next request left.
+func TestAForeignAnswerIsSkipped(t *testing.T) {
+	g := NewWithT(t)
+	_, target := serve(t, func(n int64, _ *http.Request, c net.Conn) bool {
+		if n == 1 {
+			return ok(c, "a", "one")
+		}
+		return ok(c, "a", "late") && ok(c, "b", "own")
+	})
+	c := NewClient(testDialect{})
+	_, err := send(t, c, target, "a", false)
+	g.Expect(err).ToNot(HaveOccurred())
+	body, err := send(t, c, target, "b", false)
+	g.Expect(err).ToNot(HaveOccurred())
+	g.Expect(body).To(Equal("own"))
+}
+
+func TestASuccessWithoutIdIsNoAnswer(t *testing.T) {
+	g := NewWithT(t)
+	_, target := serve(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		return say(c, "HTTP/1.1 200 OK\nContent-Length: 2\n\nhi")
+	})
+	_, err := send(t, NewClient(testDialect{}), target, "a", false)
+	g.Expect(outcome.StateOf(err)).To(Equal(outcome.Unknown))
+}
+
+func TestAShortAnswerIsNotWhole(t *testing.T) {
+	g := NewWithT(t)
+	_, target := serve(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		say(c, "HTTP/1.1 200 OK\nX-Id: a\nContent-Length: 9\n\nhi")
+		return false
+	})
+	_, err := send(t, NewClient(testDialect{}), target, "a", false)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(errors.Is(err, io.ErrUnexpectedEOF)).To(BeTrue())
+}
+
+func TestARefusalKeepsItsPromise(t *testing.T) {
+	g := NewWithT(t)
+	_, target := serve(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		return say(c, "HTTP/1.1 503 Service Unavailable\nX-Not-Run: 1\nContent-Length: 0\n\n")
+	})
+	reply, err := NewClient(testDialect{}).Send(t.Context(), target, &Call{RequestID: "a", Method: "GET", URI: "/", Host: "h"})
+	g.Expect(err).ToNot(HaveOccurred())
+	defer reply.Close()
+	g.Expect(reply.NotRun).To(BeTrue())
+}
+
+// TestAnAnswerBeforeTheBodyGivesTheConnectionUp: an endpoint that refuses a long
+// body would read what is left of it as the next request.
+func TestAnAnswerBeforeTheBodyGivesTheConnectionUp(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).ToNot(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := c.Read(make([]byte, 64)); err != nil {
+			return
+		}
+		say(c, "HTTP/1.1 503 Service Unavailable\nX-Not-Run: 1\nX-Id: a\nContent-Length: 0\n\n")
+	}()
+	c := NewClient(testDialect{})
+	target := Target{ID: "e", Address: l.Addr().String()}
+	reply, err := c.Send(t.Context(), target, &Call{RequestID: "a", Method: "POST", URI: "/", Host: "h", Body: make([]byte, 16<<20)})
+	g.Expect(err).ToNot(HaveOccurred())
+	g.Expect(reply.NotRun).To(BeTrue())
+	_, err = reply.ReadAll()
+	g.Expect(err).ToNot(HaveOccurred())
+	reply.Close()
+	g.Expect(c.pool(target.Address).pop()).To(BeNil())
+}
+
+func TestACallerThatLeavesEndsTheCall(t *testing.T) {
+	g := NewWithT(t)
+	closed := make(chan struct{})
+	_, target := serve(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		_, err := c.Read(make([]byte, 1))
+		if err != nil {
+			close(closed)
+		}
+		return false
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err := NewClient(testDialect{}).Send(ctx, target, &Call{RequestID: "a", Method: "GET", URI: "/", Host: "h"})
+	g.Expect(outcome.From(err).Code).To(Equal(outcome.CodeCanceled))
+	g.Eventually(closed).Should(BeClosed())
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	hold := make(chan struct{})
+	defer close(hold)
+	_, target := serve(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		<-hold
+		return false
+	})
+	target.MaxConnections = 1
+	c := NewClient(testDialect{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _, _ = c.Send(ctx, target, &Call{RequestID: "a", Method: "GET", URI: "/", Host: "h"}) }()
+	g.Eventually(func() int { return c.pool(target.Address).count() }).Should(Equal(1))
+	_, err := send(t, c, target, "b", false)
+	g.Expect(outcome.From(err).Code).To(Equal(outcome.CodeOverloaded))
+	g.Expect(outcome.StateOf(err)).To(Equal(outcome.NotRun))
+}
+
+func (p *pool) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+func TestIdleTimes(t *testing.T) {
+	tests := []struct {
+		name   string
+		header http.Header
+		want   time.Duration
+	}{
+		{"none named", http.Header{}, defaultIdle},
+		{"whole seconds", http.Header{"Keep-Alive": {"timeout=3, max=9"}}, 3*time.Second - idleMargin},
+		{"about to close", http.Header{"Connection": {"close"}}, 0},
+		{"shorter than the way there", http.Header{"Keep-Alive": {"timeout=0"}}, 0},
+	}
+	for _, test := range tests {
+		if got := idleTime(test.header); got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+func TestEvents(t *testing.T) {
+	tests := []struct {
+		name, in string
+		ids      []string
+		end      error
+	}{
+		{"whole events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"1", "2"}, io.EOF},
+		{"carriage returns", "id: 1\r\ndata: a\r\n\r\n", []string{"1"}, io.EOF},
+		{"broken within an event", "id: 1\ndata: a\n\nid: 2\nda", []string{"1"}, io.ErrUnexpectedEOF},
+		{"broken before the blank line", "id: 1\ndata: a\n", nil, io.ErrUnexpectedEOF},
+		{"blank lines between", "\n\nid: 1\ndata: a\n\n\n", []string{"1"}, io.EOF},
+		{"nothing", "", nil, io.EOF},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			events := NewEventReader(strings.NewReader(test.in))
+			var ids []string
+			for {
+				e, err := events.Next()
+				if err != nil {
+					g.Expect(err).To(MatchError(test.end))
+					break
+				}
+				ids = append(ids, e.ID)
+			}
+			g.Expect(ids).To(Equal(test.ids))
+		})
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		events := NewEventReader(strings.NewReader(in))
+		total := 0
+		for {
+			e, err := events.Next()
+			if err != nil {
+				break
+			}
+			if !strings.HasSuffix(string(e.Data), "\n") {
+				t.Fatalf("event %q has no end", e.Data)
+			}
+			total += len(e.Data)
+		}
+		if total > len(in) {
+			t.Fatalf("%d bytes out of %d", total, len(in))
+		}
+	})
+}
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -123,7 +123,7 @@
 	}
 	limit := f.table.Limits.BodyBytes
 	if f.r.ContentLength > limit {
-		return outcome.Refuse(outcome.CodePromptTooLong, step, "the body has %d bytes, the limit is %d", f.r.ContentLength, limit)
+		return outcome.Refuse(outcome.CodeBodyTooLarge, step, "the body has %d bytes, the limit is %d", f.r.ContentLength, limit)
 	}
 	control := http.NewResponseController(f.w)
 	if err := control.SetReadDeadline(f.arrived.Add(bodyTimeout)); err != nil {
@@ -133,7 +133,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return outcome.Refuse(outcome.CodePromptTooLong, step, "the body is over the limit of %d bytes", limit)
+		return outcome.Refuse(outcome.CodeBodyTooLarge, step, "the body is over the limit of %d bytes", limit)
 	case err != nil:
 		e := outcome.Fail(outcome.CodeInvalidRequest, outcome.NotRun, step, err)
 		e.Message = "the body could not be read whole"
@@ -156,7 +156,7 @@
 		return http.StatusUnauthorized
 	case outcome.CodeInvalidRequest:
 		return http.StatusBadRequest
-	case outcome.CodePromptTooLong:
+	case outcome.CodeBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	}
 	if e.State == outcome.NotRun {
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -47,6 +47,7 @@
 	CodeInvalidKey       Code = "invalid_api_key"
 	CodeModelNotFound    Code = "model_not_found"
 	CodePromptTooLong    Code = "prompt_too_long"
+	CodeBodyTooLarge     Code = "body_too_large"
 	CodeDeadline         Code = "deadline_infeasible"
 	CodeDeadlinePassed   Code = "deadline_passed"
 	CodeOverloaded       Code = "overloaded"
--- a/schedule/fleet_test.go
+++ b/schedule/fleet_test.go
@@ -145,6 +145,8 @@
 	all     []*simRequest
 	byID    map[string]*simRequest
 	random  *rand.Rand
+
+	refusedAfter map[string]time.Duration // time from arrival to the last refusal
 }
 
 var simStart = time.Unix(1_000_000, 0)
@@ -165,7 +167,7 @@
 
 // play runs a day and returns its requests.
 func play(l load, policy chooser) *sim {
-	s := &sim{load: l, policy: policy, byID: map[string]*simRequest{}, random: rand.New(rand.NewPCG(l.seed, 7))}
+	s := &sim{load: l, policy: policy, byID: map[string]*simRequest{}, refusedAfter: map[string]time.Duration{}, random: rand.New(rand.NewPCG(l.seed, 7))}
 	for i := range l.engines {
 		e := &simEngine{id: i, pace: 1}
 		if p, slow := l.slow[i]; slow {
@@ -296,6 +298,7 @@
 
 func (s *sim) refuse(r *simRequest, back time.Duration) {
 	left := dayKinds[r.kind].deadline - (s.now - r.arrived)
+	s.refusedAfter[r.id] = s.now - r.arrived
 	if r.tries > 1 || back > left/3 {
 		r.refused, r.gone = true, true
 		return
--- /dev/null
+++ b/schedule/load_test.go
@@ -0,0 +1,249 @@
+package schedule_test
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/schedule"
+)
+
+// baseline is a policy to leave behind: it places each job at once on one engine.
+type baseline struct {
+	choose func(b *baseline, j schedule.Job) int
+	load   []int // tokens outstanding, by engine
+	at     map[string]int
+	tokens map[string]int
+	next   int
+}
+
+func newBaseline(engines int, choose func(*baseline, schedule.Job) int) *baseline {
+	return &baseline{choose: choose, load: make([]int, engines), at: map[string]int{}, tokens: map[string]int{}}
+}
+
+// Submit implements chooser.
+func (b *baseline) Submit(j schedule.Job, _ time.Time) []schedule.Decision {
+	e := b.choose(b, j)
+	b.at[j.ID], b.tokens[j.ID] = e, j.Prompt
+	b.load[e] += j.Prompt
+	return []schedule.Decision{{Job: j.ID, Endpoint: engineName(e)}}
+}
+
+// Started implements chooser.
+func (b *baseline) Started(string, time.Time) []schedule.Decision { return nil }
+
+// Ended implements chooser.
+func (b *baseline) Ended(job string, _ schedule.End, _ time.Time) []schedule.Decision {
+	b.load[b.at[job]] -= b.tokens[job]
+	delete(b.tokens, job)
+	return nil
+}
+
+// Tick implements chooser.
+func (b *baseline) Tick(time.Time) []schedule.Decision { return nil }
+
+func roundRobin(b *baseline, _ schedule.Job) int {
+	b.next++
+	return b.next % len(b.load)
+}
+
+func leastOutstanding(b *baseline, _ schedule.Job) int {
+	return slices.Index(b.load, slices.Min(b.load))
+}
+
+// staticSplit keeps two thirds of the engines for short prompts.
+func staticSplit(b *baseline, j schedule.Job) int {
+	border := len(b.load) * 2 / 3
+	part := b.load[:border]
+	if j.Prompt >= 20_000 {
+		part = b.load[border:]
+		return border + slices.Index(part, slices.Min(part))
+	}
+	return slices.Index(part, slices.Min(part))
+}
+
+// mean plays a day with a few seeds.
+func mean(l load, policy func(load) chooser) result {
+	const seeds = 6
+	var sum result
+	for seed := range uint64(seeds) {
+		l.seed = seed
+		r := play(l, policy(l)).result()
+		sum.whole += r.whole / seeds
+		sum.worst += r.worst / seeds
+		sum.served += r.served / seeds
+		for k := range r.kinds {
+			sum.kinds[k] += r.kinds[k] / seeds
+		}
+	}
+	return sum
+}
+
+func scheduled(l load) chooser { return newScheduler(l) }
+
+// TestOpposedWaves: short prompts and huge ones rise and fall in opposite phase
+// every ten seconds. The share of engines that reads long prompts has to follow,
+// and a fixed one loses either half.
+func TestOpposedWaves(t *testing.T) {
+	g := NewWithT(t)
+	l := load{engines: 18, scale: 1, length: 34 * time.Second, waves: opposedWaves}
+	ours := mean(l, scheduled)
+	t.Logf("scheduler %+v", ours)
+	for name, choose := range map[string]func(*baseline, schedule.Job) int{
+		"round robin": roundRobin, "least outstanding": leastOutstanding, "static split": staticSplit,
+	} {
+		base := mean(l, func(l load) chooser { return newBaseline(l.engines, choose) })
+		t.Logf("%s %+v", name, base)
+		g.Expect(ours.whole).To(BeNumerically(">", base.whole+0.1), name)
+		g.Expect(ours.kinds[2]).To(BeNumerically(">", base.kinds[2]), "huge prompts against %s", name)
+	}
+	g.Expect(ours.kinds[0]).To(BeNumerically(">", 0.9), "short beside huge")
+}
+
+// TestShortSurge: short prompts alone, at three times their usual rate.
+func TestShortSurge(t *testing.T) {
+	g := NewWithT(t)
+	l := load{engines: 18, scale: 1, length: 20 * time.Second, waves: []wave{{5 * time.Second, 10 * time.Second, [3]float64{2.4, 0.5, 0.05}}}}
+	g.Expect(mean(l, scheduled).kinds[0]).To(BeNumerically(">", 0.9))
+}
+
+// TestArchiveSurge: three times as many huge prompts beside the usual short ones.
+func TestArchiveSurge(t *testing.T) {
+	g := NewWithT(t)
+	l := load{engines: 18, scale: 1, length: 20 * time.Second, waves: []wave{{5 * time.Second, 12 * time.Second, [3]float64{0.35, 1.3, 2.8}}}}
+	r := mean(l, scheduled)
+	g.Expect(r.kinds[0]).To(BeNumerically(">", 0.9), "short prompts stay quick")
+	g.Expect(r.kinds[2]).To(BeNumerically(">", 0.7))
+}
+
+// TestASlowEngineIsFoundOut: one of eight engines works five times as long.
+func TestASlowEngineIsFoundOut(t *testing.T) {
+	g := NewWithT(t)
+	l := load{engines: 18, scale: 0.6, length: 20 * time.Second, slow: map[int]float64{3: 5, 11: 5}}
+	g.Expect(mean(l, scheduled).kinds[0]).To(BeNumerically(">", 0.85))
+}
+
+// TestEnginesLostUnderLoad: two of eighteen engines stand still for some seconds.
+// What is lost is about what they had.
+func TestEnginesLostUnderLoad(t *testing.T) {
+	g := NewWithT(t)
+	still := [2]time.Duration{8 * time.Second, 12 * time.Second}
+	l := load{engines: 18, scale: 0.8, length: 20 * time.Second, dead: map[int][2]time.Duration{2: still, 7: still}}
+	g.Expect(mean(l, scheduled).whole).To(BeNumerically(">", 0.75))
+}
+
+// TestOverloadIsRefusedAtOnceOrServed: at twice what the engines can do nobody is
+// held for most of the time that callers wait, and what is served stays worth a
+// share of it.
+func TestOverloadIsRefusedAtOnceOrServed(t *testing.T) {
+	g := NewWithT(t)
+	l := load{engines: 9, scale: 1, length: 15 * time.Second, seed: 1}
+	s := play(l, newScheduler(l))
+	for _, r := range s.all {
+		if r.refused {
+			waited := s.refusedAfter[r.id]
+			g.Expect(waited).To(BeNumerically("<", dayKinds[r.kind].deadline*3/4), r.id)
+		}
+	}
+	g.Expect(s.result().whole).To(BeNumerically(">", 0.3))
+}
+
+func TestAPromptBeyondOneMemoryIsSpread(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(load{engines: 18})
+	now := simStart
+	d := s.Submit(schedule.Job{ID: "j", Prompt: 900_000, Answer: 1000, Goal: 3 * time.Second, PauseGoal: 800 * time.Millisecond, Left: 15 * time.Second}, now)
+	g.Expect(d).To(HaveLen(1))
+	g.Expect(d[0].Refused()).To(BeFalse(), d[0].Reason)
+	held := 0
+	for _, h := range d[0].Helpers {
+		held += h.Tokens
+	}
+	g.Expect(held).To(BeNumerically(">=", 901_000-modelFigures.MemoryTokens))
+	for _, e := range s.Ended("j", schedule.Done, now) {
+		t.Errorf("decision %+v", e)
+	}
+	again := s.Submit(schedule.Job{ID: "k", Prompt: 900_000, Answer: 1000, Goal: 3 * time.Second, Left: 15 * time.Second}, now)
+	g.Expect(again[0].Refused()).To(BeFalse(), "the memory is free again")
+}
+
+func TestAPromptBeyondAllMemoryIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(load{engines: 2})
+	d := s.Submit(schedule.Job{ID: "j", Prompt: 1_000_000, Goal: time.Second, Left: 15 * time.Second}, simStart)
+	g.Expect(d).To(HaveLen(1))
+	g.Expect(d[0].Refused()).To(BeTrue())
+}
+
+// TestASecondAttemptLeavesNothingBehind: a request is placed again under the id
+// of its first attempt before that one was told to have ended.
+func TestASecondAttemptLeavesNothingBehind(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(load{engines: 1})
+	j := schedule.Job{ID: "j", Prompt: 400_000, Answer: 100, Goal: 3 * time.Second, PauseGoal: time.Second, Left: 15 * time.Second}
+	for range 3 {
+		d := s.Submit(j, simStart)
+		g.Expect(d).To(HaveLen(1))
+		g.Expect(d[0].Endpoint).To(Equal(engineName(0)))
+	}
+}
+
+func TestReconcileFollowsTheOwner(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(load{engines: 2})
+	job := func(id string) schedule.Job {
+		return schedule.Job{ID: id, Owner: "o", Prompt: 1000, Answer: 100, Goal: time.Second, PauseGoal: time.Second, Left: 10 * time.Second}
+	}
+	now := simStart
+	s.Submit(job("lost"), now)
+	s.Submit(job("kept"), now)
+	kept := slices.DeleteFunc(s.Running("o"), func(r schedule.Running) bool { return r.Job.ID != "kept" })
+	s.Reconcile("o", kept, now.Add(100*time.Millisecond))
+	g.Expect(s.Running("o")).To(HaveLen(2), "a decision may be on its way")
+	s.Reconcile("o", kept, now.Add(5*time.Second))
+	g.Expect(s.Running("o")).To(HaveLen(1))
+	other := schedule.Running{Job: job("new"), Decision: schedule.Decision{Job: "new", Endpoint: engineName(1)}}
+	s.Reconcile("o", append(kept, other), now.Add(5*time.Second))
+	g.Expect(s.Running("o")).To(HaveLen(2))
+	s.DropOwner("o", now)
+	g.Expect(s.Running("o")).To(BeEmpty())
+}
+
+func TestDecisionsDoNotDependOnTheOrderOfEndpoints(t *testing.T) {
+	g := NewWithT(t)
+	job := schedule.Job{ID: "j", Prompt: 5000, Answer: 1000, Goal: time.Second, PauseGoal: time.Second, Left: 10 * time.Second}
+	var all []schedule.Endpoint
+	for i := range 5 {
+		all = append(all, schedule.Endpoint{ID: fmt.Sprint("e", i), Address: fmt.Sprint(i)})
+	}
+	var chosen []string
+	for range 2 {
+		s := schedule.New(modelFigures)
+		s.SetEndpoints(all, func(string) bool { return false })
+		chosen = append(chosen, s.Submit(job, simStart)[0].Endpoint)
+		slices.SortFunc(all, func(a, b schedule.Endpoint) int { return cmp.Compare(b.ID, a.ID) })
+	}
+	g.Expect(chosen[0]).To(Equal(chosen[1]))
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, engines := range []int{18, 60, 300} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			s := newScheduler(load{engines: engines})
+			now := simStart
+			for i := range engines * 8 {
+				s.Submit(schedule.Job{ID: fmt.Sprint("w", i), Prompt: 5000, Answer: 1600, Goal: time.Second, PauseGoal: time.Second, Left: time.Minute}, now)
+				s.Started(fmt.Sprint("w", i), now)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Submit(schedule.Job{ID: "j", Prompt: 5000, Answer: 1600, Goal: time.Second, PauseGoal: time.Second, Left: time.Minute}, now)
+				s.Ended("j", schedule.Done, now)
+			}
+		})
+	}
+}
--- a/tomlcheck/decode.go
+++ b/tomlcheck/decode.go
@@ -1,6 +1,7 @@
 package tomlcheck
 
 import (
+	"bytes"
 	"encoding"
 	"errors"
 	"fmt"
@@ -11,12 +12,16 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
+// byteOrderMark begins files that some editors save as UTF-8.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
 // Decode reads TOML data into target, a pointer to a struct that holds the
 // defaults. The report has every syntax fault, unknown key and value of a wrong
 // type; a value at fault keeps its default.
 func Decode(file string, data []byte, target any) *Report {
 	r := NewReport()
 	r.file = file
+	data = bytes.TrimPrefix(data, byteOrderMark)
 	var tree map[string]any
 	if err := toml.Unmarshal(data, &tree); err != nil {
 		r.syntax(err)
