--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -49,6 +49,10 @@
 // mostTries bounds the endpoints that are tried without being reached.
 const mostTries = 5
 
+// resumeGoal is the time in which a stream that broke off has to go on: callers
+// leave after two seconds of silence, and reading takes its part of them.
+const resumeGoal = 1500 * time.Millisecond
+
 // comeBackLeast is the least time to come back: what a request in progress takes
 // to end.
 const comeBackLeast = 100 * time.Millisecond
@@ -149,6 +153,10 @@
 		Prompt: f.request.Prompt, Answer: f.request.MaxAnswer, Goal: f.route.Goal - elapsed,
 		PauseGoal: f.route.PauseGoal, Left: f.left(), Priority: f.route.Priority, Exclude: f.exclude,
 	}
+	if f.events > 0 {
+		// The caller has a part of the answer and leaves a silent stream soon.
+		j.Goal = min(resumeGoal, j.Left)
+	}
 	if f.request.Answer > 0 {
 		j.Answer = min(f.request.Answer, max(f.request.MaxAnswer, f.request.Answer))
 	}
@@ -269,23 +277,36 @@
 
 // rejected takes an endpoint's word that it did not run the request.
 func (f *flight) rejected(h announce.Heard, reply *forward.Reply) *outcome.Error {
-	f.exclude = append(f.exclude, h.ID)
+	atFault := f.atFault(h, reply)
+	f.exclude = append(f.exclude, atFault)
 	e := outcome.Refuse(outcome.CodeOverloaded, "gateway.attempt", "endpoint %s refused with status %d", h.ID, reply.Status)
-	e.Peer = h.ID
+	e.Peer = atFault
 	e.RetryAfter = comeBackLeast
 	// The connection is kept if the rest of the refusal can be read.
 	if _, err := reply.ReadAll(); err != nil {
 		f.log(h.ID, outcome.From(err))
 	}
 	f.g.breakers.Refused(time.Now(), h.ID)
-	if reply.Status == http.StatusMisdirectedRequest {
+	if reply.Status == http.StatusMisdirectedRequest || atFault != h.ID {
 		e.Code = outcome.CodeLeaving
-		f.g.breakers.Failed(time.Now(), h.ID)
+		f.g.breakers.Failed(time.Now(), atFault)
 	}
-	f.log(h.ID, e)
+	f.log(atFault, e)
 	return e
 }
 
+// atFault returns the id of the endpoint that a refusal blames: a helper that is
+// gone, or the endpoint itself.
+func (f *flight) atFault(h announce.Heard, reply *forward.Reply) string {
+	address := f.g.dialect.Blamed(reply.Header)
+	for _, helper := range f.placed.Helpers {
+		if address != "" && helper.Address == address {
+			return helper.ID
+		}
+	}
+	return h.ID
+}
+
 // fail ends the request without a whole answer.
 func (f *flight) fail(e *outcome.Error) {
 	if f.r.Context().Err() != nil {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -17,6 +17,7 @@
 	domainCost = 0.01   // of leaving the failure domain: bytes between domains
 	readerCost = 0.10   // of each helper: one more endpoint that may fail
 	blockCost  = 20.0   // of a second of reading in one piece: nothing else gets in between
+	engineCost = 4.0    // of a second of reading when all engines are busy: others wait that long
 	hasteCost  = 0.10   // of a first event at the goal against one at once: predictions err
 	packGain   = 0.30   // of joining writers of the same kind: it leaves other engines free for long reading
 	packFull   = 12     // writers of an engine from which on joining gains nothing more
@@ -124,12 +125,23 @@
 		s.scratch = make([]view, len(s.order))
 	}
 	views := s.scratch[:len(s.order)]
+	s.busy = 0
 	for i, e := range s.order {
 		s.look(&views[i], e, j, now)
+		s.busy += views[i].busy() / float64(len(s.order))
 	}
 	return views
 }
 
+// busy is how much of an engine is taken, from 0 to 1: one that reads has no
+// time left, one that writes has room for more writers.
+func (v *view) busy() float64 {
+	if len(v.engine.parts) > 0 {
+		return 1
+	}
+	return min(float64(len(v.engine.writers))/packFull, 1)
+}
+
 func (s *Scheduler) look(v *view, e *engine, j *Job, now time.Time) {
 	e.expire(now)
 	claims := v.claims[:0]
@@ -265,7 +277,8 @@
 	}
 	o.score = j.value()*j.timeliness(o.expected) - harm + s.company(j, main)
 	o.score -= readerCost * float64(k)
-	o.score -= blockCost * o.read.Seconds()
+	o.score -= engineCost * s.busy * o.read.Seconds() * float64(1+k)
+	o.score -= blockCost * (o.read - s.figures.ReadTime(j.Prompt, 1+len(helpers))).Seconds()
 	o.score -= hasteCost * j.value() * float64(o.expected) / float64(max(j.Goal, goalLeast))
 	if main.engine.FailureDomain != j.Domain {
 		o.score -= domainCost
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -58,6 +58,7 @@
 	order   []*engine // by id
 	jobs    map[string]*running
 	queue   []*waiting
+	busy    float64 // part of the engines that is taken, at the decision under way
 	scratch []view  // of the decision under way
 	helping []*view // of the decision under way
 }
@@ -239,7 +240,7 @@
 // fleetMemory is the most tokens that the memories of one prompt's engines hold.
 func (s *Scheduler) fleetMemory() int {
 	engines := min(len(s.order), 1+helperCounts[len(helperCounts)-1])
-	return int(memoryShare * float64(s.figures.MemoryTokens*engines))
+	return s.figures.MemoryTokens + int(memoryShare*float64(s.figures.MemoryTokens*max(engines-1, 0)))
 }
 
 func (s *Scheduler) refuse(j *Job, reason string, comeBack time.Duration) Decision {
