gateway, schedule, mesh: engines are asked for their load, endpoints outlive a start

Entries that started waited for the next announcements before they knew any endpoint (0.1 to 0.6 s after the configuration was in force). Change: the coordinator asks each engine once a second; work that nobody knows takes slots and time; a slow engine says so itself. Disks keep the endpoints that take work.

--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -51,6 +51,10 @@
 	// under a name, or set it aside for longer, and that free it.
 	Reserve(endpoint, name string, tokens int, hold time.Duration) *forward.Call
 	Release(endpoint, name string) *forward.Call
+	// Report returns the call that asks an endpoint for its load, and DecodeReport
+	// reads the answer.
+	Report(endpoint string) *forward.Call
+	DecodeReport(body []byte) (schedule.Load, error)
 	// Blamed returns the address of another endpoint that an answer names as
 	// the cause of its failure; empty for none.
 	Blamed(h http.Header) string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -193,6 +193,7 @@
 		duties,
 		&server{"ready", mesh.NewHTTPServer(g.dialect.ReadyHandler(g.isReady)), l.ready},
 		&placing{g},
+		&probing{g},
 	)
 	if l.control != nil {
 		duties = append(duties, &server{"control", mesh.NewHTTPServer(g.dialect.ControlHandler(g)), l.control})
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -106,6 +106,7 @@
 		OnChange: m.memberChanged,
 	})
 	m.register()
+	m.recall()
 	return m
 }
 
@@ -114,7 +115,11 @@
 
 // Duties returns what has to run.
 func (m *Mesh) Duties() []supervise.Duty {
-	return []supervise.Duty{m.gossip, m, m.core}
+	duties := []supervise.Duty{m.gossip, m, m.core}
+	if m.options.DataFolder != "" {
+		duties = append(duties, &remembering{m})
+	}
+	return duties
 }
 
 // Name implements supervise.Duty.
--- /dev/null
+++ b/schedule/observe_test.go
@@ -0,0 +1,48 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/schedule"
+)
+
+func shortJob(id string) schedule.Job {
+	return schedule.Job{ID: id, Prompt: 5000, Answer: 1600, Goal: 300 * time.Millisecond, PauseGoal: 200 * time.Millisecond, Left: 10 * time.Second}
+}
+
+// TestWorkOfEntriesThatAreGone: all entries lost power; the engines still write
+// for them and say so.
+func TestWorkOfEntriesThatAreGone(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(load{engines: 2})
+	s.Observe(engineName(0), schedule.Load{Working: 16, Queued: 3, Memory: 100_000, Pace: 1}, simStart)
+	for _, id := range []string{"a", "b", "c"} {
+		g.Expect(s.Submit(shortJob(id), simStart)[0].Endpoint).To(Equal(engineName(1)))
+	}
+	later := simStart.Add(5 * time.Second)
+	s.SetEndpoints([]schedule.Endpoint{{ID: engineName(0)}}, func(string) bool { return false })
+	g.Expect(s.Submit(shortJob("d"), later)[0].Endpoint).To(Equal(engineName(0)), "an old word does not count")
+}
+
+func TestASlowEngineThatTellsIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(load{engines: 2})
+	s.Observe(engineName(0), schedule.Load{Pace: 5}, simStart)
+	g.Expect(s.Submit(shortJob("a"), simStart)[0].Endpoint).To(Equal(engineName(1)))
+}
+
+// TestAReportThatLagsIsNoForeignWork: what has just ended is still counted there.
+func TestAReportThatLagsIsNoForeignWork(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(load{engines: 1})
+	for _, id := range []string{"a", "b", "c", "d"} {
+		s.Submit(shortJob(id), simStart)
+		s.Ended(id, schedule.Done, simStart.Add(time.Second))
+	}
+	now := simStart.Add(1100 * time.Millisecond)
+	s.Observe(engineName(0), schedule.Load{Working: 4, Pace: 1}, now)
+	g.Expect(s.Submit(shortJob("e"), now)[0].Expected).To(BeNumerically("<", 40*time.Millisecond), "the engine is idle")
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -37,15 +37,17 @@
 
 // view is what a decision needs of one engine, worked out once.
 type view struct {
-	engine  *engine
-	ready   time.Duration // until reading for an answer from here can have an effect
-	helping time.Duration // until reading for an answer from elsewhere can: its parts go first
-	pass    time.Duration // the next pass with what is to be read already
-	claims  []claim
-	harm    float64 // of a usual part, to order helpers by
-	isKin   int     // writers of short prompts
-	memory  int
-	isUsual bool // neither blocked nor excluded
+	engine   *engine
+	ready    time.Duration // until reading for an answer from here can have an effect
+	helping  time.Duration // until reading for an answer from elsewhere can: its parts go first
+	pass     time.Duration // the next pass with what is to be read already
+	claims   []claim
+	harm     float64 // of a usual part, to order helpers by
+	isKin    int     // writers of short prompts
+	memory   int
+	slots    int
+	slowness float64 // that the engine tells of itself
+	isUsual  bool    // neither blocked nor excluded
 }
 
 // claim is a job at an engine with what more reading there would cost it.
@@ -163,7 +165,13 @@
 			overdue = max(overdue, now.Sub(r.placed)-r.expected-overdueGrace)
 		}
 	}
-	pass, backlog := s.figures.PassTime(writing, context), e.backlog(now)
+	foreign, tokens := e.foreign(now)
+	v.memory += tokens
+	v.slots = len(e.writers) + foreign
+	v.slowness = e.slowness(now)
+	pass := s.figures.PassTime(writing+foreign, context+tokens)
+	pass = time.Duration(float64(pass) * v.slowness)
+	backlog := time.Duration(float64(e.backlog(now)) * v.slowness)
 	// A pace learnt from late first events must not make writers look late already:
 	// more reading would seem to cost them nothing.
 	v.pass = pass + backlog
@@ -201,7 +209,7 @@
 // hasRoom reports whether an engine can begin a job without pushing another out.
 // A prompt that no engine holds alone may be held by helpers in part.
 func (s *Scheduler) hasRoom(v *view, j *Job) bool {
-	if len(v.engine.writers) >= s.figures.Slots {
+	if v.slots >= s.figures.Slots {
 		return false
 	}
 	need := j.Prompt + j.Answer
@@ -296,7 +304,7 @@
 }
 
 func (v *view) paced(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * v.engine.pace)
+	return time.Duration(float64(d) * max(v.engine.pace, v.slowness))
 }
 
 // harmOf is what more reading costs the jobs that an engine has.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -35,6 +35,8 @@
 	parts     []part              // reading, in order
 	headSince time.Time           // when the first part came to the head
 	held      map[string]int      // tokens set aside for prompts that are answered elsewhere, by job
+	observed  observation
+	ended     []time.Time // of the latest jobs
 	blocked   bool
 	pace      float64 // how much longer first events take than the model says; 1 or more
 }
@@ -135,6 +137,7 @@
 	s.dropParts(r, now)
 	if e := s.engines[r.endpoint]; e != nil {
 		delete(e.writers, r.job.ID)
+		e.noteEnd(now)
 	}
 	for _, id := range r.helpers {
 		if e := s.engines[id]; e != nil {
