--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,10 +15,11 @@
 
 // Times of the calls between entries.
 const (
-	syncInterval = 400 * time.Millisecond // a fifth of the time within which a change has to be in force everywhere
-	syncTimeout  = 700 * time.Millisecond
-	longestPause = 2 * time.Second // between tries of an entry that does not answer
-	urgentTries  = 2
+	syncInterval  = 400 * time.Millisecond // a fifth of the time within which a change has to be in force everywhere
+	syncsPerRound = 10                     // entries told in one interval: 25 calls a second
+	syncTimeout   = 700 * time.Millisecond
+	longestPause  = 2 * time.Second // between tries of an entry that does not answer
+	urgentTries   = 2
 )
 
 var (
@@ -28,7 +31,7 @@
 func (m *Mesh) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
-	for {
+	for round := 0; ; {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -36,19 +39,29 @@
 			m.mu.Lock()
 			m.registry.Forget(time.Now())
 			m.mu.Unlock()
+			m.syncSome(ctx, round)
+			round++
 		case <-m.poke:
+			m.syncSome(ctx, everyone)
 		}
-		m.syncAll(ctx)
 	}
 }
 
-// syncAll starts a call to every entry that none is under way to.
-func (m *Mesh) syncAll(ctx context.Context) {
+// everyone is the round in which no entry is left out.
+const everyone = -1
+
+// syncSome starts a call to the entries whose turn it is, but for those that one
+// is under way to. In a large fleet each has its turn in one of several rounds,
+// so that the calls of one entry stay bounded; changes go to everyone at once.
+func (m *Mesh) syncSome(ctx context.Context, round int) {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, p := range m.partners(now) {
-		if p.busy || now.Before(p.next) {
+	partners := m.partners(now)
+	slices.SortFunc(partners, func(a, b *peer) int { return strings.Compare(a.name, b.name) })
+	rounds := (len(partners) + syncsPerRound - 1) / syncsPerRound
+	for i, p := range partners {
+		if p.busy || now.Before(p.next) || (round != everyone && i%rounds != round%rounds) {
 			continue
 		}
 		p.busy = true
