--- a/control/control.go
+++ b/control/control.go
@@ -153,7 +153,7 @@
 }
 
 // Status returns what this member knows of the quorum.
-func (m *Member) Status() *pb.QuorumStatus { return statusToProto(m.node.Status()) }
+func (m *Member) Status() *pb.QuorumStatus { return QuorumToProto(m.node.Status()) }
 
 // Stop ends the member, after it has handed over when it leads.
 func (m *Member) Stop() {
@@ -161,7 +161,8 @@
 	m.mesh.Close()
 }
 
-func statusToProto(s quorum.Status) *pb.QuorumStatus {
+// QuorumToProto converts what a member knows of the quorum.
+func QuorumToProto(s quorum.Status) *pb.QuorumStatus {
 	return &pb.QuorumStatus{
 		Leader: s.Leader, Term: s.Term, Commit: s.Commit, HasQuorum: s.HasQuorum,
 		Voters: names(s.Voters), Learners: names(s.Learners),
--- a/control/server.go
+++ b/control/server.go
@@ -88,7 +88,7 @@
 func (s *server) Identify(context.Context, *connect.Request[pb.IdentifyRequest]) (*connect.Response[pb.IdentifyResponse], error) {
 	status := s.log.Status()
 	return connect.NewResponse(&pb.IdentifyResponse{
-		Name: status.Name, Disk: string(status.DiskIdentity), Status: statusToProto(status),
+		Name: status.Name, Disk: string(status.DiskIdentity), Status: QuorumToProto(status),
 	}), nil
 }
 
--- a/daemon/peerservice.go
+++ b/daemon/peerservice.go
@@ -5,7 +5,6 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/jacinthplank/jacinthplank/coord/membership"
 	"github.com/jacinthplank/jacinthplank/directory"
 	"github.com/jacinthplank/jacinthplank/fleet"
 	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
@@ -48,7 +47,7 @@
 		Draining: d.draining.Load(),
 	}
 	for _, r := range d.gossip.Members() {
-		member := daemonToProto(r)
+		member := gossip.DaemonToProto(r)
 		if r.Name == d.settings.Instance.Name {
 			status.Daemon = member
 		}
@@ -77,16 +76,6 @@
 	return n
 }
 
-func daemonToProto(r membership.Record) *pb.Daemon {
-	return &pb.Daemon{
-		Name:          r.Name,
-		Address:       r.Address,
-		FailureDomain: r.FailureDomain,
-		Duties:        gossip.Facts(r).GetDuties(),
-		Incarnation:   r.Incarnation,
-	}
-}
-
 func endpointToProto(m *directory.Member) *pb.EndpointStatus {
 	report := m.Report()
 	return &pb.EndpointStatus{
--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -13,6 +13,7 @@
 	"github.com/jacinthplank/jacinthplank/outcome"
 	"github.com/jacinthplank/jacinthplank/route"
 	"github.com/jacinthplank/jacinthplank/schedule"
+	"github.com/jacinthplank/jacinthplank/timeline"
 )
 
 // flight is one caller's request from its arrival to its end.
@@ -356,6 +357,7 @@
 
 // log writes one failed attempt.
 func (f *flight) log(endpoint string, e *outcome.Error) {
+	f.record(timeline.KindRetried, endpoint, e)
 	if !f.g.lines.Admit(time.Now()) {
 		return
 	}
@@ -364,8 +366,30 @@
 		"elapsed_ms", time.Since(f.arrived).Milliseconds())
 }
 
+// endKinds are the kinds of events by the end of a request.
+var endKinds = map[string]timeline.Kind{
+	"answered": timeline.KindFinished, "refused": timeline.KindRefused, "failed": timeline.KindFailed,
+	"broken": timeline.KindFailed, "caller_left": timeline.KindCanceled,
+}
+
+// record keeps the end of a request, or of an attempt, for operators.
+func (f *flight) record(kind timeline.Kind, endpoint string, e *outcome.Error) {
+	event := timeline.Event{
+		Kind: kind, Request: f.request.ID, Attempt: uint32(f.sends), Endpoint: endpoint, Step: "gateway.end",
+		Tokens: f.request.Prompt,
+	}
+	if f.account != nil {
+		event.Account = f.account.Name
+	}
+	if e != nil {
+		event.Step, event.Peer, event.Outcome, event.Detail, event.State = e.Step, e.Peer, string(e.Code), e.Message, e.State
+	}
+	f.g.events.Record(event)
+}
+
 // note writes the end of a request.
 func (f *flight) note(end string, e *outcome.Error) {
+	f.record(endKinds[end], f.endpoint, e)
 	if !f.g.lines.Admit(time.Now()) {
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/jacinthplank/jacinthplank/retry"
 	"github.com/jacinthplank/jacinthplank/route"
 	"github.com/jacinthplank/jacinthplank/supervise"
+	"github.com/jacinthplank/jacinthplank/timeline"
 )
 
 // Settings of a gateway.
@@ -59,6 +60,7 @@
 	dialect  Dialect
 	log      *slog.Logger
 	lines    *decision.Log
+	events   *timeline.Log
 	mesh     *mesh.Mesh
 	client   *forward.Client
 	breakers *breaker.Set
@@ -75,13 +77,17 @@
 	peak    int                      // most entries seen, for the shares of the budget
 }
 
+// eventCapacity is the number of events kept for operators: at 24 requests a
+// second, two events each, those of the last five minutes in some 4 MB.
+const eventCapacity = 16_384
+
 // New provisions a gateway; nothing runs or listens yet.
 func New(s Settings, d Dialect, lines *decision.Log) *Gateway {
 	g := &Gateway{
 		settings: s, dialect: d, lines: lines,
 		log:    lines.Logger(slog.LevelInfo).With("instance", s.Name),
 		client: forward.NewClient(d), breakers: breaker.NewSet(),
-		budgets: map[string]*retry.Window{}, plain: newPlainPicker(), configured: make(chan struct{}),
+		budgets: map[string]*retry.Window{}, plain: newPlainPicker(), events: timeline.NewLog(s.Name, eventCapacity, time.Now), configured: make(chan struct{}),
 	}
 	g.placer = newPlacer(s.Name, g.breakers, meshCalls{func() *mesh.Mesh { return g.mesh }}, g.log)
 	g.breakers.OnChange = func(endpoint string, state breaker.State, reason string) {
@@ -89,7 +95,7 @@
 	}
 	g.mesh = mesh.New(mesh.Options{
 		Name: s.Name, Address: s.Listen.Peers, FailureDomain: s.FailureDomain, Seeds: s.Seeds,
-		DataFolder: s.DataFolder, FirstStart: s.FirstStart, Log: g.log,
+		DataFolder: s.DataFolder, FirstStart: s.FirstStart, Log: g.log, Events: g.events,
 		OnDocument: g.apply, OnAnnounced: g.refresh, OnGone: g.placer.dropEntry,
 	})
 	g.placer.registerCoordinator(g.mesh, g.mesh.Leads)
--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -114,3 +114,14 @@
 func backlogFromProto(b *pb.Backlog) submit.Backlog {
 	return *wire.BacklogFromProto(b)
 }
+
+// DaemonToProto returns what operators are told of a member.
+func DaemonToProto(r membership.Record) *pb.Daemon {
+	return &pb.Daemon{
+		Name:          r.Name,
+		Address:       r.Address,
+		FailureDomain: r.FailureDomain,
+		Duties:        Facts(r).GetDuties(),
+		Incarnation:   r.Incarnation,
+	}
+}
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -49,7 +49,11 @@
 
 // NewHTTPServer returns a server for calls between entries.
 func NewHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: serverIdle}
+	// Operators' commands speak HTTP/2.
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: h, Protocols: protocols, ReadHeaderTimeout: headerTime, IdleTimeout: serverIdle}
 }
 
 // call makes one call to a procedure of another entry.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -18,6 +18,7 @@
 	"github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1/jacinthplankv1connect"
 	"github.com/jacinthplank/jacinthplank/gossip"
 	"github.com/jacinthplank/jacinthplank/supervise"
+	"github.com/jacinthplank/jacinthplank/timeline"
 )
 
 // Options of a Mesh.
@@ -29,6 +30,7 @@
 	DataFolder    string   // empty without a disk
 	FirstStart    bool     // the whole fleet starts for the first time
 	Log           *slog.Logger
+	Events        *timeline.Log // for operators who ask what this entry did
 	// OnDocument is called, in order of their numbers, with each document that
 	// comes into force here.
 	OnDocument func(document.Document)
--- /dev/null
+++ b/mesh/status.go
@@ -0,0 +1,49 @@
+package mesh
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"github.com/jacinthplank/jacinthplank/announce"
+	"github.com/jacinthplank/jacinthplank/control"
+	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
+	"github.com/jacinthplank/jacinthplank/gossip"
+)
+
+// Status answers operators: what this entry is, whom it knows and what is in
+// force. The number of the configuration stands in the place of a revision.
+func (p *peerService) Status(context.Context, *connect.Request[pb.StatusRequest]) (*connect.Response[pb.StatusResponse], error) {
+	m := p.mesh
+	members := m.gossip.Members()
+	m.mu.Lock()
+	status := &pb.StatusResponse{Version: &pb.Version{Revision: m.document.Number}, Ready: m.ready}
+	endpoints := m.registry.All()
+	m.mu.Unlock()
+	for _, r := range members {
+		daemon := gossip.DaemonToProto(r)
+		if r.Name == m.options.Name {
+			status.Daemon = daemon
+		}
+		if !r.State.Gone() {
+			status.Daemons = append(status.Daemons, daemon)
+		}
+	}
+	for _, h := range endpoints {
+		if h.State != announce.Left {
+			status.Endpoints = append(status.Endpoints, &pb.EndpointStatus{
+				Name: h.ID, Address: h.Address, FailureDomain: h.FailureDomain, Service: h.Service,
+				Backlog: &pb.Backlog{Leaving: h.State == announce.Draining},
+			})
+		}
+	}
+	if node := m.core.current(); node != nil {
+		status.Quorum = control.QuorumToProto(node.Status())
+	}
+	return connect.NewResponse(status), nil
+}
+
+// Events answers operators with what this entry did.
+func (p *peerService) Events(_ context.Context, r *connect.Request[pb.EventsRequest]) (*connect.Response[pb.EventsResponse], error) {
+	return connect.NewResponse(p.mesh.options.Events.Answer(r.Msg)), nil
+}
