--- a/soak/replica_test.go
+++ b/soak/replica_test.go
@@ -23,10 +23,9 @@
 
 // book is what all replicas ran, by request id.
 type book struct {
-	mu     sync.Mutex
-	runs   map[string]int
-	began  map[string]time.Time // of the last run
-	inWork int
+	mu    sync.Mutex
+	runs  map[string]int
+	began map[string]time.Time // of the last run
 }
 
 func newBook() *book { return &book{runs: map[string]int{}, began: map[string]time.Time{}} }
