--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -231,8 +231,9 @@
 }
 
 func BenchmarkDecide(b *testing.B) {
-	for _, engines := range []int{18, 60, 300} {
-		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+	for _, c := range []struct{ engines, prompt int }{{18, 5000}, {60, 5000}, {300, 5000}, {18, 300_000}, {60, 300_000}} {
+		engines := c.engines
+		b.Run(fmt.Sprint(c.engines, "-", c.prompt), func(b *testing.B) {
 			s := newScheduler(load{engines: engines})
 			now := simStart
 			for i := range engines * 8 {
@@ -241,7 +242,8 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				s.Submit(schedule.Job{ID: "j", Prompt: 5000, Answer: 1600, Goal: time.Second, PauseGoal: time.Second, Left: time.Minute}, now)
+				now = now.Add(10 * time.Millisecond)
+				s.Submit(schedule.Job{ID: "j", Prompt: c.prompt, Answer: 1600, Goal: time.Second, PauseGoal: time.Second, Left: time.Minute}, now)
 				s.Ended("j", schedule.Done, now)
 			}
 		})
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -42,8 +42,10 @@
 	helping  time.Duration // until reading for an answer from elsewhere can: its parts go first
 	pass     time.Duration // the next pass with what is to be read already
 	claims   []claim
-	harm     float64 // of a usual part, to order helpers by
-	isKin    int     // writers of short prompts
+	harms    [len(helperCounts)]float64 // of a part, by the number of helpers
+	rank     int                        // place among the helpers
+	harm     float64                    // of a usual part, to order helpers by
+	isKin    int                        // writers of short prompts
 	memory   int
 	slots    int
 	slowness float64 // that the engine tells of itself
@@ -60,6 +62,7 @@
 // option is one way to place a job.
 type option struct {
 	main     *view
+	split    *split
 	helpers  []*view
 	expected time.Duration
 	score    float64
@@ -96,6 +99,7 @@
 	if j.Prompt >= helpFrom {
 		helpers = s.helpersFor(j, views)
 	}
+	splits := s.splits(j, views, helpers)
 	var best option
 	found := false
 	for _, usual := range []bool{true, false} {
@@ -104,11 +108,8 @@
 			if v.isUsual != usual || slices.Contains(j.Exclude, v.engine.ID) || !s.hasRoom(v, j) {
 				continue
 			}
-			for _, k := range helperCounts {
-				if k > len(helpers) {
-					break
-				}
-				if o := s.weigh(j, v, helpers, k); !found || o.score > best.score {
+			for n := range splits {
+				if o, ok := s.weigh(j, v, &splits[n]); ok && (!found || o.score > best.score) {
 					best, found = o, true
 				}
 			}
@@ -117,7 +118,9 @@
 			break
 		}
 	}
-	best.helpers = slices.Clone(best.helpers)
+	if found {
+		best.helpers = best.split.chosen(best.main, helpers)
+	}
 	return best, found
 }
 
@@ -147,7 +150,7 @@
 func (s *Scheduler) look(v *view, e *engine, j *Job, now time.Time) {
 	e.expire(now)
 	claims := v.claims[:0]
-	*v = view{engine: e, isUsual: !e.blocked && !slices.Contains(j.Exclude, e.ID)}
+	*v = view{engine: e, rank: notRanked, isUsual: !e.blocked && !slices.Contains(j.Exclude, e.ID)}
 	writing, context := 0, 0
 	overdue := time.Duration(0)
 	for _, tokens := range e.held {
@@ -237,6 +240,9 @@
 	return need - s.free(main)
 }
 
+// notRanked is the place of an engine that is no helper: behind all.
+const notRanked = 1 << 30
+
 // usualParts is the number of parts by which helpers are compared.
 const usualParts = 8
 
@@ -255,52 +261,98 @@
 	slices.SortStableFunc(out, func(a, b *view) int {
 		return cmp.Or(cmp.Compare(a.harm, b.harm), cmp.Compare(a.pass, b.pass))
 	})
+	for i, v := range out {
+		v.rank = i
+	}
 	s.helping = out
 	return out
 }
 
-// weigh predicts one way to place a job: with the first k helpers that are not
-// the engine itself.
-func (s *Scheduler) weigh(j *Job, main *view, helpers []*view, k int) option {
-	o := option{main: main, read: s.figures.ReadTime(j.Prompt, 1+k)}
-	o.expected = main.ready + main.paced(o.read)
-	harm := main.harmOf(o.read)
-	chosen := helpers[:min(k, len(helpers))]
-	if at := slices.Index(chosen, main); at >= 0 {
-		// The main engine reads its own part: the next one takes its place.
-		if k+1 > len(helpers) {
-			o.score = -1
-			return o
+// split is one number of helpers, with what the first of them make of it. Where
+// the engine that answers is one of the first, the next helper takes its place.
+type split struct {
+	index, helpers int
+	read           time.Duration // of each part
+	spared         time.Duration // how much less the most helpers would read in one piece
+	with, next     sum           // of as many helpers, and of one more
+	hasNext        bool
+}
+
+// sum is of the first helpers.
+type sum struct {
+	harm  float64
+	ready time.Duration // until the last has read its part
+	free  int           // tokens
+}
+
+// splits works out every number of helpers once, for all engines that may answer.
+func (s *Scheduler) splits(j *Job, views []view, helpers []*view) []split {
+	out := s.splitting[:0]
+	most := min(len(helpers), helperCounts[len(helperCounts)-1])
+	for index, k := range helperCounts {
+		if k > len(helpers) {
+			break
+		}
+		sp := split{index: index, helpers: k, read: s.figures.ReadTime(j.Prompt, 1+k), hasNext: k < len(helpers)}
+		sp.spared = sp.read - s.figures.ReadTime(j.Prompt, 1+most)
+		for i := range views {
+			views[i].harms[index] = views[i].harmOf(sp.read)
+		}
+		for _, h := range helpers[:k] {
+			sp.with.add(s, h, &sp)
+		}
+		sp.next = sp.with
+		if sp.hasNext {
+			sp.next.add(s, helpers[k], &sp)
 		}
-		chosen = slices.Delete(slices.Clone(helpers[:k+1]), at, at+1)
+		out = append(out, sp)
 	}
-	for _, h := range chosen {
-		o.expected = max(o.expected, h.helping+h.paced(o.read))
-		harm += h.harmOf(o.read)
+	s.splitting = out
+	return out
+}
+
+func (t *sum) add(s *Scheduler, h *view, sp *split) {
+	t.harm += h.harms[sp.index]
+	t.ready = max(t.ready, h.helping+h.paced(sp.read))
+	t.free += s.free(h)
+}
+
+// chosen returns the helpers of a split for the engine that answers.
+func (sp *split) chosen(main *view, helpers []*view) []*view {
+	if sp.helpers == 0 {
+		return nil
 	}
-	o.helpers = chosen
-	if !s.holds(j, main, chosen) {
-		o.score = -1
-		return o
+	if main.rank >= sp.helpers {
+		return slices.Clone(helpers[:sp.helpers])
 	}
-	o.score = j.value()*j.timeliness(o.expected) - harm + s.company(j, main)
-	o.score -= readerCost * float64(k)
-	o.score -= engineCost * s.busy * o.read.Seconds() * float64(1+k)
-	o.score -= blockCost * (o.read - s.figures.ReadTime(j.Prompt, 1+len(helpers))).Seconds()
+	return slices.Delete(slices.Clone(helpers[:sp.helpers+1]), main.rank, main.rank+1)
+}
+
+// weigh predicts one way to place a job. It reports false for one that can't be.
+func (s *Scheduler) weigh(j *Job, main *view, sp *split) (option, bool) {
+	helping := sp.with
+	if main.rank < sp.helpers {
+		if !sp.hasNext {
+			return option{}, false
+		}
+		helping = sp.next
+		helping.harm -= main.harms[sp.index]
+		helping.free -= s.free(main)
+	}
+	if s.excess(j, main) > helping.free {
+		return option{}, false
+	}
+	o := option{main: main, split: sp, read: sp.read}
+	o.expected = max(main.ready+main.paced(sp.read), helping.ready)
+	o.score = j.value()*j.timeliness(o.expected) - main.harms[sp.index] - helping.harm + s.company(j, main)
+	o.score -= readerCost * float64(sp.helpers)
+	o.score -= engineCost * s.busy * sp.read.Seconds() * float64(1+sp.helpers)
+	o.score -= blockCost * sp.spared.Seconds()
 	o.score -= hasteCost * j.value() * float64(o.expected) / float64(max(j.Goal, goalLeast))
 	if main.engine.FailureDomain != j.Domain {
 		o.score -= domainCost
 	}
-	return o
-}
-
-// holds reports whether an engine and its helpers have the memory for a job.
-func (s *Scheduler) holds(j *Job, main *view, helpers []*view) bool {
-	excess := s.excess(j, main)
-	for _, h := range helpers {
-		excess -= s.free(h)
-	}
-	return excess <= 0
+	return o, true
 }
 
 func (v *view) paced(d time.Duration) time.Duration {
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -55,14 +55,16 @@
 
 // Scheduler places the jobs of one service. It is not safe for concurrent use.
 type Scheduler struct {
-	figures Figures
-	engines map[string]*engine
-	order   []*engine // by id
-	jobs    map[string]*running
-	queue   []*waiting
-	busy    float64 // part of the engines that is taken, at the decision under way
-	scratch []view  // of the decision under way
-	helping []*view // of the decision under way
+	figures   Figures
+	engines   map[string]*engine
+	order     []*engine // by id
+	jobs      map[string]*running
+	queue     []*waiting
+	busy      float64 // part of the engines that is taken, at the decision under way
+	scratch   []view  // of the decision under way
+	helping   []*view // of the decision under way
+	splitting []split
+	nextLook  time.Time // no look at the queue before
 }
 
 // New returns a scheduler without endpoints.
@@ -263,11 +265,16 @@
 	return time.Duration((comeBackFrom + comeBackRange*part) * float64(j.Left))
 }
 
+// lookPause is the least time between two looks at the queue: each weighs every
+// job in it anew.
+const lookPause = 20 * time.Millisecond
+
 // retryQueue places what waits, the most urgent first.
 func (s *Scheduler) retryQueue(now time.Time) []Decision {
-	if len(s.queue) == 0 {
+	if len(s.queue) == 0 || now.Before(s.nextLook) {
 		return nil
 	}
+	s.nextLook = now.Add(lookPause)
 	slices.SortStableFunc(s.queue, func(a, b *waiting) int {
 		return cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), compareBool(a.isLate(now), b.isLate(now)), a.dueAt().Compare(b.dueAt()))
 	})
