--- a/schedule/job.go
+++ b/schedule/job.go
@@ -70,10 +70,19 @@
 // the rest is for reading it.
 const waitShare = 0.25
 
+// A job that has waited for a part of its goal, and for some passes of the
+// engines, finds no place that is worth it before the load has changed: its
+// caller does better to come back.
+const (
+	waitGoalShare = 0.25
+	waitLeast     = 500 * time.Millisecond
+)
+
 // Patience is how long a job may wait for a place.
 func (j *Job) Patience() time.Duration {
 	silent := max(patienceLeast, patienceGoals*j.Goal, patiencePauses*j.PauseGoal)
-	return max(min(time.Duration(waitShare*float64(silent)), j.Left/2), 0)
+	useful := max(waitLeast, time.Duration(waitGoalShare*float64(j.Goal)))
+	return max(min(time.Duration(waitShare*float64(silent)), useful, j.Left/2), 0)
 }
 
 // Weight of a prompt for users, against the mean request: long prompts are
