gateway, mesh, quorum: a leader hands over when it is told to stop

Change: it hands over at the signal, and an entry that is asked names the coordinator that it knows. Tests: placer_test.

--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -209,7 +209,7 @@
 // answers. It may be called more than once.
 func (n *Node) Stop() {
 	n.stopOnce.Do(func() {
-		n.handOver()
+		n.HandOver()
 		n.cancel()
 		n.duties.Wait()
 		if err := n.storage.close(); err != nil {
@@ -218,8 +218,10 @@
 	})
 }
 
-// handOver makes another voter the leader, within the election timeout.
-func (n *Node) handOver() {
+// HandOver makes another voter the leader, within the election timeout, when this
+// member leads and another voter answers. A member that is about to leave does so
+// early, while it still serves.
+func (n *Node) HandOver() {
 	if !n.Status().IsLeader {
 		return
 	}
--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -29,6 +29,7 @@
 type placeResponse struct {
 	Decision       schedule.Decision `json:"decision"`
 	NotCoordinator bool              `json:"not_coordinator,omitempty"`
+	Leader         string            `json:"leader,omitempty"` // address of the coordinator, where it is known
 }
 
 type reportRequest struct {
@@ -60,7 +61,7 @@
 		return schedule.Decision{}, err
 	}
 	if a.NotCoordinator {
-		return schedule.Decision{}, errNotCoordinator
+		return schedule.Decision{}, &movedError{leader: a.Leader}
 	}
 	return a.Decision, nil
 }
@@ -76,6 +77,13 @@
 	return coordinatorError(a, err)
 }
 
+// movedError tells which entry is the coordinator now; empty when that is not
+// known.
+type movedError struct{ leader string }
+
+// Error implements error.
+func (e *movedError) Error() string { return errNotCoordinator.Error() + ", which is " + e.leader }
+
 func coordinatorError(a *coordinatorResponse, err error) error {
 	if err != nil {
 		return err
@@ -87,10 +95,11 @@
 }
 
 // registerCoordinator serves the questions of other entries.
-func (p *placer) registerCoordinator(m *mesh.Mesh, isCoordinator func() bool) {
+func (p *placer) registerCoordinator(m *mesh.Mesh) {
+	isCoordinator := m.Leads
 	mesh.Handle(m, procedurePlace, func(ctx context.Context, q *placeRequest) (*placeResponse, error) {
-		if !isCoordinator() {
-			return &placeResponse{NotCoordinator: true}, nil
+		if leader, isSelf := m.Leader(); !isSelf {
+			return &placeResponse{NotCoordinator: true, Leader: leader}, nil
 		}
 		d, err := p.placeHere(ctx, q.Job)
 		if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,7 +98,8 @@
 		DataFolder: s.DataFolder, FirstStart: s.FirstStart, Log: g.log, Events: g.events,
 		OnDocument: g.apply, OnAnnounced: g.refresh, OnGone: g.placer.dropEntry,
 	})
-	g.placer.registerCoordinator(g.mesh, g.mesh.Leads)
+	g.placer.registerCoordinator(g.mesh)
+	g.placer.moved = g.mesh.NoteLeader
 	return g
 }
 
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -43,6 +43,7 @@
 	breakers *breaker.Set
 	calls    coordinatorCalls
 	log      *slog.Logger
+	moved    func(address string) // told when an entry names another coordinator; may be nil
 
 	mu          sync.Mutex
 	schedulers  map[string]*schedule.Scheduler // by service
@@ -130,6 +131,14 @@
 // ends first, the job is withdrawn.
 func (p *placer) place(ctx context.Context, j schedule.Job) (schedule.Decision, error) {
 	j.Owner = p.self
+	return p.placeFollowing(ctx, j, mostMoves)
+}
+
+// mostMoves bounds how often a job follows the word on who the coordinator is:
+// during an election two entries may name each other.
+const mostMoves = 2
+
+func (p *placer) placeFollowing(ctx context.Context, j schedule.Job, moves int) (schedule.Decision, error) {
 	p.mu.Lock()
 	address, giveUp := p.coordinator, p.giveUp
 	if time.Now().Before(p.distrusted) {
@@ -150,13 +159,30 @@
 		p.report(report{Job: j.ID, End: schedule.Done})
 		return schedule.Decision{}, context.Cause(ctx)
 	}
+	if moves > 0 && p.follow(address, err) {
+		return p.placeFollowing(ctx, j, moves-1)
+	}
 	p.doubt(address, err)
 	if next, ok := p.awaitCoordinator(ctx, address, j); ok {
-		return p.place(ctx, next)
+		return p.placeFollowing(ctx, next, moves)
 	}
 	return p.placeHere(ctx, j)
 }
 
+// follow turns to the coordinator that the one asked has named. It reports false
+// when there is no other.
+func (p *placer) follow(asked string, err error) bool {
+	var moved *movedError
+	if !errors.As(err, &moved) || moved.leader == "" || moved.leader == asked {
+		return false
+	}
+	if p.moved != nil {
+		p.moved(moved.leader)
+	}
+	p.setCoordinator(moved.leader, false)
+	return true
+}
+
 // Long prompts take many engines for long: an entry that sees its own requests
 // only would put them where they hurt most.
 const (
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -20,14 +20,19 @@
 type fakeCoordinator struct {
 	mu      sync.Mutex
 	fails   bool
-	silent  bool // it never answers
+	moved   string // address that it names as the coordinator
+	silent  bool   // it never answers
 	asked   int
 	adopted [][]schedule.Running
 	reports []report
 }
 
-func (f *fakeCoordinator) place(ctx context.Context, _ string, j schedule.Job) (schedule.Decision, error) {
+func (f *fakeCoordinator) place(ctx context.Context, address string, j schedule.Job) (schedule.Decision, error) {
 	f.mu.Lock()
+	if f.moved != "" && f.moved != address {
+		defer f.mu.Unlock()
+		return schedule.Decision{}, &movedError{leader: f.moved}
+	}
 	f.asked++
 	fails, silent := f.fails, f.silent
 	f.mu.Unlock()
@@ -103,6 +108,18 @@
 	g.Eventually(f.ends).Should(Equal([]string{"j"}))
 }
 
+func TestACoordinatorThatHandedOverNamesTheNext(t *testing.T) {
+	g := NewWithT(t)
+	p := newTestPlacer(&fakeCoordinator{moved: "c:2"})
+	var told string
+	p.moved = func(address string) { told = address }
+	p.setCoordinator("c:1", false)
+	d, err := p.place(t.Context(), testJob("j"))
+	g.Expect(err).ToNot(HaveOccurred())
+	g.Expect(d.Endpoint).To(Equal("e-far"))
+	g.Expect(told).To(Equal("c:2"))
+}
+
 func TestWithoutACoordinatorAnEntryPlacesItself(t *testing.T) {
 	g := NewWithT(t)
 	p := newTestPlacer(&fakeCoordinator{})
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -23,6 +23,8 @@
 	g.stopping.Store(true)
 	g.mesh.SetReady(false)
 	g.log.Info("shutting down", "step", "gateway.shutdown", "running", g.running.Load())
+	// Another entry places for all before this one stops to answer.
+	go g.mesh.HandOver()
 	sleepUntil(time.Now().Add(balancerNotice), deadline)
 	callers.SetKeepAlivesEnabled(false)
 	if err := l.callers.Close(); err != nil {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -161,6 +161,16 @@
 // Leave tells the others that this entry goes.
 func (m *Mesh) Leave(ctx context.Context) { m.gossip.SetState(ctx, membership.Left) }
 
+// HandOver gives up the lead of the quorum, if this entry has it.
+func (m *Mesh) HandOver() {
+	if node := m.core.current(); node != nil {
+		node.HandOver()
+	}
+}
+
+// NoteLeader takes another entry's word on who leads the quorum.
+func (m *Mesh) NoteLeader(address string) { m.core.noteAnswer(address) }
+
 // Stop ends this entry's part in the quorum.
 func (m *Mesh) Stop() {
 	m.core.stop()
