--- a/forward/client.go
+++ b/forward/client.go
@@ -2,9 +2,9 @@
 // request at most once: it never repeats one by itself, and tells of every
 // failure whether the endpoint may have seen the request.
 //
-// Kept connections are given up on anything that could let one answer be taken
-// for another: bytes that nobody asked for, an answer before the request was
-// sent whole, one that breaks off or names another request.
+// A kept connection is closed on anything that could let one answer be taken for
+// another: bytes that nobody asked for, an answer before the request was sent
+// whole, one that breaks off or names another request.
 package forward
 
 import (
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -21,7 +21,7 @@
 
 func (testDialect) RequestOf(h http.Header) string { return h.Get("X-Id") }
 
-func (testDialect) PromisesNotRun(_ int, h http.Header) bool { return h.Get("X-Not-Run") != "" }
+func (testDialect) PromisesNotRun(_ int, h http.Header) bool { return h.Get("X-Refused") != "" }
 
 // endpoint answers each request on each connection by a script.
 type endpoint struct {
@@ -209,7 +209,7 @@
 func TestARefusalKeepsItsPromise(t *testing.T) {
 	g := NewWithT(t)
 	_, target := serve(t, func(_ int64, _ *http.Request, c net.Conn) bool {
-		return say(c, "HTTP/1.1 503 Service Unavailable\nX-Not-Run: 1\nContent-Length: 0\n\n")
+		return say(c, "HTTP/1.1 503 Service Unavailable\nX-Refused: 1\nContent-Length: 0\n\n")
 	})
 	reply, err := NewClient(testDialect{}).Send(t.Context(), target, &Call{RequestID: "a", Method: "GET", URI: "/", Host: "h"})
 	g.Expect(err).ToNot(HaveOccurred())
@@ -232,7 +232,7 @@
 		if _, err := c.Read(make([]byte, 64)); err != nil {
 			return
 		}
-		say(c, "HTTP/1.1 503 Service Unavailable\nX-Not-Run: 1\nX-Id: a\nContent-Length: 0\n\n")
+		say(c, "HTTP/1.1 503 Service Unavailable\nX-Refused: 1\nX-Id: a\nContent-Length: 0\n\n")
 	}()
 	c := NewClient(testDialect{})
 	target := Target{ID: "e", Address: l.Addr().String()}
