--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,7 +34,6 @@
 	Listen        Listen
 	MemoryBytes   int64
 	Shutdown      time.Duration // from the signal until the process is ended
-	DrainNotice   time.Duration // for which a leaving endpoint goes on serving
 	Retries       Retries
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -71,10 +71,7 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Table is one version of the routing table. It is not changed once compiled.
@@ -85,10 +82,9 @@
 	Accounts []Account
 	Limits   Limits
 
-	byHost     map[string][]*Route // longest prefix first
-	byKey      map[string]*Account
-	byService  map[string]*Service
-	hasAccount bool
+	byHost    map[string][]*Route // longest prefix first
+	byKey     map[string]*Account
+	byService map[string]*Service
 }
 
 // Compile checks the table whole and prepares it for Match and Account. The
@@ -149,7 +145,6 @@
 }
 
 func (t *Table) compileAccounts() error {
-	t.hasAccount = len(t.Accounts) > 0
 	t.byKey = make(map[string]*Account)
 	for i := range t.Accounts {
 		a := &t.Accounts[i]
@@ -177,7 +172,7 @@
 }
 
 // NeedsKey reports whether callers of a route have to show a key.
-func (t *Table) NeedsKey(r *Route) bool { return t.hasAccount && !r.Public }
+func (t *Table) NeedsKey(r *Route) bool { return len(t.Accounts) > 0 && !r.Public }
 
 // Account returns the account that a key belongs to; nil for none.
 func (t *Table) Account(key string) *Account { return t.byKey[key] }
--- a/schedule/figures.go
+++ b/schedule/figures.go
@@ -18,8 +18,6 @@
 	PairsPerM      time.Duration // more for each million pairs of a token and an earlier one
 	ChunkTokens    int           // most prompt tokens read in one step
 	UsualPrompt    int           // mean tokens of a prompt
-	UsualAnswer    int           // mean tokens of an answer
-	Hop            time.Duration // more for each step with context on other engines
 }
 
 // ReadTime returns how long one of parts even parts of a prompt takes to read:
--- a/schedule/fleet_test.go
+++ b/schedule/fleet_test.go
@@ -62,7 +62,7 @@
 var modelFigures = schedule.Figures{
 	Slots: 16, MemoryTokens: 450_000, StepsPerPass: 46, Step: 925 * time.Microsecond, StepPerWriter: 4830 * time.Nanosecond,
 	StepPerContext: 2540 * time.Nanosecond, ReadPerSecond: 256_000, PairsPerM: 91700 * time.Nanosecond, ChunkTokens: 2048,
-	UsualPrompt: 13239, UsualAnswer: 1540, Hop: 100 * time.Microsecond,
+	UsualPrompt: 13239,
 }
 
 // simRequest is a request of the simulated day.
