gateway: the coordinator's breakers see the failures of all entries

Cause: each entry counted failures of an endpoint by itself; the coordinator, which chooses for all, knew its own only, a seventh of them. Change: reports of broken attempts and of answers that began count at the coordinator; a caller that left before the first event says nothing.

--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -112,7 +112,8 @@
 			if r.Started {
 				p.startHere(r.Job)
 			} else {
-				p.endHere(r.Job, r.End)
+				p.judge(r)
+				p.endHere(r.Job)
 			}
 		}
 		return &coordinatorResponse{NotCoordinator: !isCoordinator()}, nil
@@ -126,6 +127,26 @@
 	})
 }
 
+// judge takes another entry's word on how an endpoint did: the breakers of the
+// coordinator see the failures of all entries.
+func (p *placer) judge(r report) {
+	p.mu.Lock()
+	endpoint, isWriting := "", false
+	if s := p.schedulers[p.service[r.Job]]; s != nil {
+		endpoint, isWriting = s.EndpointOf(r.Job)
+	}
+	p.mu.Unlock()
+	now := time.Now()
+	switch {
+	case endpoint == "":
+	case r.End == schedule.Broken:
+		p.breakers.Failed(now, endpoint)
+	case r.End == schedule.Done && isWriting:
+		// A caller that left before the first event says nothing for the endpoint.
+		p.breakers.Succeeded(now, endpoint)
+	}
+}
+
 // reconcile brings what is known of another entry's jobs in step with its word.
 func (p *placer) reconcile(owner string, running []schedule.Running) {
 	p.mu.Lock()
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -295,7 +295,7 @@
 	case d := <-decided:
 		return d, nil
 	case <-ctx.Done():
-		p.endHere(j.ID, schedule.Done)
+		p.endHere(j.ID)
 		return schedule.Decision{}, context.Cause(ctx)
 	}
 }
@@ -321,7 +321,7 @@
 
 // ended tells that a job is over at its endpoint.
 func (p *placer) ended(job string, end schedule.End) {
-	p.endHere(job, end)
+	p.endHere(job)
 	p.report(report{Job: job, End: end})
 }
 
@@ -333,11 +333,11 @@
 	}
 }
 
-func (p *placer) endHere(job string, end schedule.End) {
+func (p *placer) endHere(job string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.schedulers[p.service[job]]; s != nil {
-		p.deliver(s.Ended(job, end, time.Now()))
+		p.deliver(s.Ended(job, time.Now()))
 	}
 	delete(p.service, job)
 	delete(p.waiting, job)
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -254,3 +254,17 @@
 		})
 	}
 }
+
+// TestTheCoordinatorSeesTheFailuresOfAll: each entry alone has too few to tell.
+func TestTheCoordinatorSeesTheFailuresOfAll(t *testing.T) {
+	g := NewWithT(t)
+	p := newTestPlacer(&fakeCoordinator{})
+	for i, owner := range []string{"a", "b", "c"} {
+		j := testJob(owner)
+		j.Owner = owner
+		p.reconcile(owner, []schedule.Running{{Job: j, Decision: schedule.Decision{Job: owner, Endpoint: "e-near"}}})
+		g.Expect(p.breakers.State("e-near")).To(Equal(breaker.Closed), "after %d failures", i)
+		p.judge(report{Job: owner, End: schedule.Broken})
+	}
+	g.Expect(p.breakers.State("e-near")).To(Equal(breaker.Open))
+}
--- a/schedule/fleet_test.go
+++ b/schedule/fleet_test.go
@@ -131,7 +131,7 @@
 type chooser interface {
 	Submit(j schedule.Job, now time.Time) []schedule.Decision
 	Started(job string, now time.Time) []schedule.Decision
-	Ended(job string, end schedule.End, now time.Time) []schedule.Decision
+	Ended(job string, now time.Time) []schedule.Decision
 	Tick(now time.Time) []schedule.Decision
 }
 
@@ -266,7 +266,7 @@
 func (s *sim) leave(r *simRequest) {
 	r.gone = true
 	s.drop(r)
-	s.decide(s.policy.Ended(r.id, schedule.Done, s.clock()))
+	s.decide(s.policy.Ended(r.id, s.clock()))
 }
 
 func (s *sim) drop(r *simRequest) {
@@ -442,7 +442,7 @@
 	}
 	r.done = true
 	s.drop(r)
-	s.decide(s.policy.Ended(r.id, schedule.Done, s.clock()))
+	s.decide(s.policy.Ended(r.id, s.clock()))
 }
 
 // result is what a day was worth.
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -37,7 +37,7 @@
 func (b *baseline) Started(string, time.Time) []schedule.Decision { return nil }
 
 // Ended implements chooser.
-func (b *baseline) Ended(job string, _ schedule.End, _ time.Time) []schedule.Decision {
+func (b *baseline) Ended(job string, _ time.Time) []schedule.Decision {
 	b.load[b.at[job]] -= b.tokens[job]
 	delete(b.tokens, job)
 	return nil
@@ -164,7 +164,7 @@
 		held += h.Tokens
 	}
 	g.Expect(held).To(BeNumerically(">=", 901_000-modelFigures.MemoryTokens))
-	for _, e := range s.Ended("j", schedule.Done, now) {
+	for _, e := range s.Ended("j", now) {
 		t.Errorf("decision %+v", e)
 	}
 	again := s.Submit(schedule.Job{ID: "k", Prompt: 900_000, Answer: 1000, Goal: 3 * time.Second, Left: 15 * time.Second}, now)
@@ -244,7 +244,7 @@
 			for b.Loop() {
 				now = now.Add(10 * time.Millisecond)
 				s.Submit(schedule.Job{ID: "j", Prompt: c.prompt, Answer: 1600, Goal: time.Second, PauseGoal: time.Second, Left: time.Minute}, now)
-				s.Ended("j", schedule.Done, now)
+				s.Ended("j", now)
 			}
 		})
 	}
--- a/schedule/observe_test.go
+++ b/schedule/observe_test.go
@@ -40,7 +40,7 @@
 	s := newScheduler(load{engines: 1})
 	for _, id := range []string{"a", "b", "c", "d"} {
 		s.Submit(shortJob(id), simStart)
-		s.Ended(id, schedule.Done, simStart.Add(time.Second))
+		s.Ended(id, simStart.Add(time.Second))
 	}
 	now := simStart.Add(1100 * time.Millisecond)
 	s.Observe(engineName(0), schedule.Load{Working: 4, Pace: 1}, now)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -127,7 +127,7 @@
 }
 
 // Ended tells that a job is over, placed or not.
-func (s *Scheduler) Ended(job string, _ End, now time.Time) []Decision {
+func (s *Scheduler) Ended(job string, now time.Time) []Decision {
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool { return w.job.ID == job })
 	if r := s.jobs[job]; r != nil {
 		s.remove(r, now)
@@ -239,6 +239,15 @@
 	return out
 }
 
+// EndpointOf returns the endpoint that a job was placed at, empty for none, and
+// whether its first event has come.
+func (s *Scheduler) EndpointOf(job string) (endpoint string, isWriting bool) {
+	if r := s.jobs[job]; r != nil {
+		return r.endpoint, r.isWriting
+	}
+	return "", false
+}
+
 // Waiting is the number of jobs without an endpoint.
 func (s *Scheduler) Waiting() int { return len(s.queue) }
 
