tests: ports for daemons come from below the ephemeral range

The port had been found free by listening on port 0 and closing; another process's outgoing connection took it meanwhile. Ruled out: elections (the other two members were up and waited).

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"path/filepath"
 	"sync"
@@ -14,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/jacinthplank/jacinthplank/control"
+	"github.com/jacinthplank/jacinthplank/internal/loopback"
 	"github.com/jacinthplank/jacinthplank/settings"
 	"github.com/jacinthplank/jacinthplank/transport"
 )
@@ -61,10 +61,9 @@
 
 // freeAddress returns an address of the loopback that nobody listens on.
 func freeAddress(t testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Free()
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func (c *cluster) start(m settings.Member, first []settings.Member) { c.startOn(m, first, nil) }
--- a/processes/process_test.go
+++ b/processes/process_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"bytes"
-	"net"
 	"os"
 	"os/exec"
 	"sync"
 	"syscall"
 	"testing"
 
+	"github.com/jacinthplank/jacinthplank/internal/loopback"
 	. "github.com/onsi/gomega"
 )
 
@@ -86,8 +86,7 @@
 
 // freeAddress returns a loopback address that nothing listens on.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Free()
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
