gateway: jobs that wait when a coordinator comes are decided on

Their jobs waited in the entry's own queue when the coordinator became known; KeepOwner then looked at the queue, placed them, and the decisions were thrown away. The jobs stood as running, were told to the coordinator, and kept its engines full as well.

Ruled out: a slow quorum (configurations were confirmed 0.2 s after the start), engines that still worked for the entries of before (reports show them idle).

Change: a change of the coordinator withdraws what waits, and it is put to the new one with what is left of its times; a coordinator that hands over sends its questioners on; KeepOwner places nothing. Both tests fail on the code before.

--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/jacinthplank/jacinthplank/mesh"
@@ -101,7 +102,11 @@
 		if leader, isSelf := m.Leader(); !isSelf {
 			return &placeResponse{NotCoordinator: true, Leader: leader}, nil
 		}
-		d, err := p.placeHere(ctx, q.Job)
+		d, err := p.placeForOther(ctx, q.Job)
+		if errors.Is(err, errNotCoordinator) {
+			leader, _ := m.Leader()
+			return &placeResponse{NotCoordinator: true, Leader: leader}, nil
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -34,6 +34,10 @@
 // that places for all.
 var errNotCoordinator = errors.New("this entry is not the coordinator")
 
+// errCoordinatorChanged ends the wait for a decision of this entry: another one
+// places for all, or the one that did no longer answers.
+var errCoordinatorChanged = errors.New("the coordinator changed")
+
 // placer places jobs. One entry, the coordinator, sees the jobs of all entries
 // and places for them. An entry that can't reach it places its own jobs by what
 // it knows of them; a wrong guess costs time, as endpoints refuse what they have
@@ -115,7 +119,7 @@
 	p.abandonQuestions()
 	if !isSelf {
 		for _, s := range p.schedulers {
-			s.KeepOwner(p.self)
+			s.KeepOwner(p.self, time.Now())
 		}
 	}
 }
@@ -139,14 +143,22 @@
 const mostMoves = 2
 
 func (p *placer) placeFollowing(ctx context.Context, j schedule.Job, moves int) (schedule.Decision, error) {
+	asked := time.Now()
 	p.mu.Lock()
 	address, giveUp := p.coordinator, p.giveUp
-	if time.Now().Before(p.distrusted) {
+	if asked.Before(p.distrusted) {
 		address = ""
 	}
 	p.mu.Unlock()
+	if moves == 0 {
+		giveUp = nil // it stays with whoever has it now
+	}
 	if address == "" {
-		return p.placeHere(ctx, j)
+		d, err := p.placeHere(ctx, j, giveUp)
+		if errors.Is(err, errCoordinatorChanged) {
+			return p.placeFollowing(ctx, j.After(time.Since(asked)), moves-1)
+		}
+		return d, err
 	}
 	d, err := p.ask(ctx, address, giveUp, j)
 	if err == nil {
@@ -160,13 +172,13 @@
 		return schedule.Decision{}, context.Cause(ctx)
 	}
 	if moves > 0 && p.follow(address, err) {
-		return p.placeFollowing(ctx, j, moves-1)
+		return p.placeFollowing(ctx, j.After(time.Since(asked)), moves-1)
 	}
 	p.doubt(address, err)
-	if next, ok := p.awaitCoordinator(ctx, address, j); ok {
-		return p.placeFollowing(ctx, next, moves)
+	if moves > 0 && p.awaitCoordinator(ctx, address, j) {
+		return p.placeFollowing(ctx, j.After(time.Since(asked)), moves-1)
 	}
-	return p.placeHere(ctx, j)
+	return p.placeHere(ctx, j.After(time.Since(asked)), nil)
 }
 
 // follow turns to the coordinator that the one asked has named. It reports false
@@ -192,10 +204,10 @@
 )
 
 // awaitCoordinator waits for another coordinator than the one that failed, where
-// the job has the time. It returns the job with what is left of its times.
-func (p *placer) awaitCoordinator(ctx context.Context, failed string, j schedule.Job) (schedule.Job, bool) {
+// the job has the time. It reports whether there is one.
+func (p *placer) awaitCoordinator(ctx context.Context, failed string, j schedule.Job) bool {
 	if j.Goal < patientGoal {
-		return j, false
+		return false
 	}
 	started := time.Now()
 	for time.Since(started) < electWait && ctx.Err() == nil {
@@ -204,13 +216,10 @@
 		changed := p.coordinator != failed
 		p.mu.Unlock()
 		if changed {
-			waited := time.Since(started)
-			j.Goal -= waited
-			j.Left -= waited
-			return j, true
+			return true
 		}
 	}
-	return j, false
+	return false
 }
 
 // ask puts a job to the coordinator.
@@ -277,8 +286,9 @@
 }
 
 // placeHere places by what this entry knows: everything, when it is the
-// coordinator.
-func (p *placer) placeHere(ctx context.Context, j schedule.Job) (schedule.Decision, error) {
+// coordinator. A job that waits is withdrawn when changed is closed, and the error
+// is errCoordinatorChanged.
+func (p *placer) placeHere(ctx context.Context, j schedule.Job, changed <-chan struct{}) (schedule.Decision, error) {
 	placedAlone.Inc()
 	decided := make(chan schedule.Decision, 1)
 	p.mu.Lock()
@@ -297,7 +307,34 @@
 	case <-ctx.Done():
 		p.endHere(j.ID)
 		return schedule.Decision{}, context.Cause(ctx)
+	case <-changed:
+		return p.withdraw(j.ID, decided)
+	}
+}
+
+// withdraw takes a job back that waits here, unless it was decided on meanwhile.
+func (p *placer) withdraw(job string, decided <-chan schedule.Decision) (schedule.Decision, error) {
+	p.mu.Lock()
+	_, waits := p.waiting[job]
+	p.mu.Unlock()
+	if !waits {
+		return <-decided, nil
+	}
+	p.endHere(job)
+	return schedule.Decision{}, errCoordinatorChanged
+}
+
+// placeForOther places a job of another entry, as the coordinator. When this entry
+// stops being it, whoever waits is sent on.
+func (p *placer) placeForOther(ctx context.Context, j schedule.Job) (schedule.Decision, error) {
+	p.mu.Lock()
+	changed := p.giveUp
+	p.mu.Unlock()
+	d, err := p.placeHere(ctx, j, changed)
+	if errors.Is(err, errCoordinatorChanged) {
+		return d, errNotCoordinator
 	}
+	return d, err
 }
 
 // deliver hands decisions to who waits. The caller holds the lock.
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -268,3 +268,52 @@
 	}
 	g.Expect(p.breakers.State("e-near")).To(Equal(breaker.Open))
 }
+
+// TestAJobThatWaitsHereIsDecidedWhenACoordinatorComes: an entry that starts has no
+// coordinator and may have no room; its callers must not wait until they leave.
+func TestAJobThatWaitsHereIsDecidedWhenACoordinatorComes(t *testing.T) {
+	g := NewWithT(t)
+	f := &fakeCoordinator{}
+	p := newTestPlacer(f)
+	endpoints := func(all ...announce.Heard) { p.refresh(func(string) []announce.Heard { return all }, time.Now()) }
+	endpoints()
+	decided := make(chan schedule.Decision, 1)
+	go func() {
+		d, err := p.place(t.Context(), testJob("j"))
+		if err == nil {
+			decided <- d
+		}
+	}()
+	g.Eventually(func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.schedulers["s"].Waiting()
+	}).Should(Equal(1))
+	endpoints(announce.Heard{Endpoint: announce.Endpoint{ID: "e-near", Address: "1:1"}})
+	time.Sleep(50 * time.Millisecond) // the queue is looked at no more often
+	p.setCoordinator("c:1", false)
+	g.Eventually(decided, "200ms").Should(Receive(HaveField("Endpoint", "e-far")))
+	g.Expect(p.running()).To(ConsistOf(HaveField("Decision.Endpoint", "e-far")), "nothing runs that nobody was told of")
+}
+
+// TestACoordinatorThatHandsOverSendsItsQuestionersOn: a job of another entry that
+// waits here would wait for nothing.
+func TestACoordinatorThatHandsOverSendsItsQuestionersOn(t *testing.T) {
+	g := NewWithT(t)
+	p := newTestPlacer(&fakeCoordinator{})
+	p.refresh(func(string) []announce.Heard { return nil }, time.Now())
+	j := testJob("j")
+	j.Owner = "other"
+	answered := make(chan error, 1)
+	go func() {
+		_, err := p.placeForOther(t.Context(), j)
+		answered <- err
+	}()
+	g.Eventually(func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.schedulers["s"].Waiting()
+	}).Should(Equal(1))
+	p.setCoordinator("c:2", false)
+	g.Eventually(answered, "200ms").Should(Receive(MatchError(errNotCoordinator)))
+}
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -17,6 +17,13 @@
 	Exclude   []string      `json:"exclude"` // endpoints that failed this request
 }
 
+// After returns the job as it is some time later.
+func (j Job) After(d time.Duration) Job {
+	j.Goal -= d
+	j.Left -= d
+	return j
+}
+
 // Helper is an endpoint that reads a part of a prompt.
 type Helper struct {
 	ID          string `json:"id"`
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -206,23 +206,24 @@
 
 // DropOwner forgets the jobs of an owner that is gone.
 func (s *Scheduler) DropOwner(owner string, now time.Time) []Decision {
-	return s.dropWhere(now, func(j *Job) bool { return j.Owner == owner })
+	s.dropWhere(now, func(j *Job) bool { return j.Owner == owner })
+	return s.retryQueue(now)
 }
 
-// KeepOwner forgets the jobs of all but one owner.
-func (s *Scheduler) KeepOwner(owner string) {
-	// Whoever waits for a decision asks the next coordinator.
-	_ = s.dropWhere(time.Now(), func(j *Job) bool { return j.Owner != owner })
+// KeepOwner forgets the jobs of all but one owner. Whoever waits for a decision on
+// one of them asks the next coordinator. What waits here is not looked at: that
+// follows at the next tick.
+func (s *Scheduler) KeepOwner(owner string, now time.Time) {
+	s.dropWhere(now, func(j *Job) bool { return j.Owner != owner })
 }
 
-func (s *Scheduler) dropWhere(now time.Time, drop func(*Job) bool) []Decision {
+func (s *Scheduler) dropWhere(now time.Time, drop func(*Job) bool) {
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool { return drop(w.job) })
 	for _, r := range s.jobs {
 		if drop(r.job) {
 			s.remove(r, now)
 		}
 	}
-	return s.retryQueue(now)
 }
 
 // Tick refuses what can't be served any more and places what can.
@@ -289,9 +290,7 @@
 	})
 	var out []Decision
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool {
-		j := *w.job
-		j.Goal -= now.Sub(w.arrived)
-		j.Left -= now.Sub(w.arrived)
+		j := w.job.After(now.Sub(w.arrived))
 		d, ok := s.place(&j, now)
 		if ok {
 			out = append(out, d)
