schedule: answers are put where they end together

Change: the price of an answer alone becomes that of how much longer the engine would step for it, by the expected lengths of its answers; the gain of a full memory at the engine that writes a long answer, which this replaces, is gone. TestAnswersEndTogether fails before.

--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -280,3 +280,21 @@
 	joined := s.Submit(long("joins", 25_000), now)[0]
 	g.Expect(joined.Endpoint).To(Equal(first.Endpoint))
 }
+
+// TestAnswersEndTogether: a short answer joins a long one, and the engine that
+// writes another short one is free for reading sooner.
+func TestAnswersEndTogether(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(load{engines: 2})
+	job := func(id string, answer int) schedule.Job {
+		return schedule.Job{ID: id, Prompt: 5000, Answer: answer, Goal: 300 * time.Millisecond, PauseGoal: 200 * time.Millisecond, Left: 10 * time.Second}
+	}
+	at := func(id string, endpoint int, answer int) {
+		s.Adopt(schedule.Running{Job: job(id, answer), Decision: schedule.Decision{Job: id, Endpoint: engineName(endpoint)}, Writing: true}, simStart)
+	}
+	at("short", 0, 100)
+	at("long", 1, 4000)
+	d := s.Submit(job("j", 1600), simStart)
+	g.Expect(d).To(HaveLen(1))
+	g.Expect(d[0].Endpoint).To(Equal(engineName(1)))
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -18,12 +18,11 @@
 	readerCost = 0.10   // of each helper: one more endpoint that may fail
 	blockCost  = 20.0   // of a second of reading in one piece: nothing else gets in between
 	engineCost = 4.0    // of a second of reading when all engines are busy: others wait that long
-	aloneCost  = 2.0    // of a second in which an engine steps for one long answer only, when all engines are busy
-	aloneShort = 0.4    // the same for a short answer, as others soon join it
+	stepCost   = 2.0    // of a second that an engine steps for one long answer only, when all engines are busy
+	stepShort  = 0.4    // the same for a short prompt's answer, as others soon join it
 	hasteCost  = 0.05   // of a first event at the goal against one at once: predictions err
 	packGain   = 0.30   // of joining writers of the same kind: it leaves other engines free for long reading
 	packFull   = 12     // writers of an engine from which on joining gains nothing more
-	memoryGain = 0.30   // of a full memory at the engine that writes a long answer: like packGain, for long answers
 	helpFrom   = 20_000 // tokens from which on helpers read along
 	// memoryShare of an engine is given away: guesses of answers' lengths are often
 	// short, and a request without room holds up all behind it.
@@ -276,20 +275,18 @@
 
 // company is what the other requests at an engine make it worth. Writers are
 // packed, within what harmOf allows: a few more hardly slow a step, and engines
-// without writers read in short passes.
+// without writers read in short passes. Answers that end together leave an engine
+// free sooner.
 func (s *Scheduler) company(j *Job, v *view) float64 {
-	alone := 0.0
-	if len(v.engine.writers) == 0 {
-		alone = s.busy * float64(j.Answer) * s.figures.Step.Seconds()
-	}
+	longer := s.busy * (s.writingTime(j) - v.until).Seconds()
 	if j.Prompt >= helpFrom {
-		return memoryGain*float64(v.memory)/float64(max(s.figures.MemoryTokens, 1)) - aloneCost*alone
+		return -stepCost * max(longer, 0)
 	}
 	kin := v.isKin
 	if kin > packFull {
 		kin = 2*packFull - kin
 	}
-	return packGain*float64(kin)/packFull - aloneShort*alone
+	return packGain*float64(kin)/packFull - stepShort*max(longer, 0)
 }
 
 // due is the time in which a job should begin to be answered: its goal, or what
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -18,8 +18,9 @@
 	isKin    int                        // writers of short prompts
 	memory   int
 	slots    int
-	slowness float64 // that the engine tells of itself
-	isUsual  bool    // neither blocked nor excluded
+	until    time.Duration // until the last of its answers ends
+	slowness float64       // that the engine tells of itself
+	isUsual  bool          // neither blocked nor excluded
 }
 
 // claim is a job at an engine with what more reading there would cost it.
@@ -66,6 +67,7 @@
 		if r.job.Prompt < helpFrom {
 			v.isKin++
 		}
+		v.until = max(v.until, s.writingLeft(r, now))
 		if r.isWriting {
 			writing++
 			context += r.job.Prompt
@@ -90,6 +92,20 @@
 	v.claims = s.claims(claims, v, now)
 }
 
+// writingTime is how long an engine steps for an answer at least.
+func (s *Scheduler) writingTime(j *Job) time.Duration {
+	return time.Duration(j.Answer) * s.figures.Step
+}
+
+// writingLeft is what is left of a job's writing time.
+func (s *Scheduler) writingLeft(r *running, now time.Time) time.Duration {
+	left := s.writingTime(r.job)
+	if r.isWriting {
+		left -= now.Sub(r.placed)
+	}
+	return left
+}
+
 // claims are the jobs that more reading at an engine delays: those that write
 // there, wait there to be read, or have a part read there.
 func (s *Scheduler) claims(claims []claim, v *view, now time.Time) []claim {
