--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -151,11 +151,11 @@
 func (m *Mesh) serveSync(_ context.Context, q *syncRequest) (*syncResponse, error) {
 	now := time.Now()
 	m.mu.Lock()
-	changed := false
+	news := make([]announce.Heard, 0, len(q.Announcements))
 	for _, a := range q.Announcements {
-		at := now.Add(-time.Duration(a.AgeMs) * time.Millisecond)
-		changed = m.take(a.Endpoint, at, false) == announce.Changed || changed
+		news = append(news, announce.Heard{Endpoint: a.Endpoint, At: now.Add(-time.Duration(a.AgeMs) * time.Millisecond)})
 	}
+	changed := m.takeAll(news, q.From.Name) > 0
 	if p := m.peers[q.From.Name]; p != nil && q.From.Incarnation >= p.facts.Incarnation {
 		p.facts = q.From
 		p.answered = now
@@ -179,14 +179,41 @@
 	m.position++
 	m.marks[e.ID] = m.position
 	m.heardHere[e.ID] = here
-	if verdict == announce.Changed {
-		m.log.Info("endpoint announced", "step", "mesh.announce", "endpoint", e.ID, "service", e.Service,
-			"address", e.Address, "state", e.State.String(), "born", e.Born, "sequence", e.Sequence, "here", here,
-			"age_ms", time.Since(at).Milliseconds())
-	}
 	return verdict
 }
 
+// linesPerMessage bounds the log lines for one message of another entry: an entry
+// that starts is told of every endpoint at once.
+const linesPerMessage = 4
+
+// takeAll applies the announcements that another entry passes on, and returns how
+// many changed what is known. The caller holds the lock.
+func (m *Mesh) takeAll(news []announce.Heard, from string) int {
+	var changed []announce.Heard
+	for _, h := range news {
+		if m.take(h.Endpoint, h.At, false) == announce.Changed {
+			changed = append(changed, h)
+		}
+	}
+	if len(changed) > linesPerMessage {
+		m.log.Info("endpoints announced", "step", "mesh.announce", "endpoints", len(changed), "from", from,
+			"version", m.registry.Version())
+		return len(changed)
+	}
+	for _, h := range changed {
+		m.logAnnounced(h.Endpoint, h.At, from)
+	}
+	return len(changed)
+}
+
+// logAnnounced writes what an endpoint said; from is the entry that passed it on,
+// empty when the endpoint said it here.
+func (m *Mesh) logAnnounced(e announce.Endpoint, at time.Time, from string) {
+	m.log.Info("endpoint announced", "step", "mesh.announce", "endpoint", e.ID, "service", e.Service,
+		"address", e.Address, "state", e.State.String(), "born", e.Born, "sequence", e.Sequence, "from", from,
+		"age_ms", time.Since(at).Milliseconds())
+}
+
 // Announce takes what an endpoint says of itself. It returns once the entries
 // that can be reached know of a change, so that the endpoint may rely on it.
 func (m *Mesh) Announce(ctx context.Context, e announce.Endpoint) announce.Verdict {
@@ -196,6 +223,7 @@
 	if verdict != announce.Changed {
 		return verdict
 	}
+	m.logAnnounced(e, time.Now(), "")
 	if m.options.OnAnnounced != nil {
 		m.options.OnAnnounced()
 	}
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -298,3 +298,21 @@
 	g.Expect(d).To(HaveLen(1))
 	g.Expect(d[0].Endpoint).To(Equal(engineName(1)))
 }
+
+// TestAShortPromptBeyondOneMemoryIsSpread: engines with little memory need helpers
+// for prompts that others read alone.
+func TestAShortPromptBeyondOneMemoryIsSpread(t *testing.T) {
+	g := NewWithT(t)
+	f := modelFigures
+	f.MemoryTokens = 8_000
+	s := schedule.New(f)
+	s.SetEndpoints([]schedule.Endpoint{{ID: "a"}, {ID: "b"}, {ID: "c"}}, func(string) bool { return false })
+	d := s.Submit(schedule.Job{ID: "j", Prompt: 12_000, Answer: 100, Goal: time.Second, PauseGoal: time.Second, Left: 10 * time.Second}, simStart)
+	g.Expect(d).To(HaveLen(1))
+	g.Expect(d[0].Refused()).To(BeFalse(), d[0].Reason)
+	held := 0
+	for _, h := range d[0].Helpers {
+		held += h.Tokens
+	}
+	g.Expect(held).To(BeNumerically(">=", 12_100-8_000))
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -73,7 +73,7 @@
 func (s *Scheduler) best(j *Job, now time.Time) (option, bool) {
 	views := s.views(j, now)
 	var helpers []*view
-	if j.Prompt >= helpFrom {
+	if j.Prompt >= helpFrom || j.Prompt+j.Answer > s.figures.MemoryTokens {
 		helpers = s.helpersFor(j, views)
 	}
 	splits := s.splits(j, views, helpers)
