gateway: the limits of a configuration for heads and idle connections apply

Cause: heads were bound to 16 KiB and 3 s, idle connections to 15 s, whatever a configuration said. Callers reuse a connection for four fifths of the idle limit that they know of: on a deployment with a longer one they would have met closed connections.

Change: the front door gives new connections to a server with the limits in force; servers are kept by their limits, and no connection that is open is touched. Tests: limits change for new connections only, decoding of limits.

Ruled out: changing the fields of a running http.Server (a data race), one server for each change (they would pile up).

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -16,11 +16,8 @@
 
 // Times of callers' connections.
 const (
-	headerTimeout = 3 * time.Second  // for the head of a request
-	idleTimeout   = 15 * time.Second // between two requests
-	bodyTimeout   = 5 * time.Second  // for a body; callers send theirs at once
-	maxHeadBytes  = 16 << 10
-	noTableBack   = 500 * time.Millisecond // a starting entry has its table by then
+	bodyTimeout = 5 * time.Second        // for a body; callers send theirs at once
+	noTableBack = 500 * time.Millisecond // a starting entry has its table by then
 )
 
 var (
@@ -33,15 +30,6 @@
 	totalTimes     = metrics.NewHistogram("jacinthplank_gateway_request_seconds")
 )
 
-func (g *Gateway) callerServer() *http.Server {
-	return &http.Server{
-		Handler:           http.HandlerFunc(g.serveCaller),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeadBytes,
-	}
-}
-
 // serveCaller answers one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,7 @@
 	breakers *breaker.Set
 	placer   *placer
 	plain    *plainPicker
+	callers  *frontDoor
 
 	table      atomic.Pointer[route.Table]
 	configured chan struct{} // closed once there is a table
@@ -88,6 +89,8 @@
 		client: forward.NewClient(d), breakers: breaker.NewSet(),
 		budgets: map[string]*retry.Window{}, plain: newPlainPicker(), events: timeline.NewLog(s.Name, eventCapacity, time.Now), configured: make(chan struct{}),
 	}
+	g.callers = newFrontDoor(http.HandlerFunc(g.serveCaller))
+	g.callers.setLimits(route.HeadLimits{})
 	g.placer = newPlacer(s.Name, g.breakers, meshCalls{func() *mesh.Mesh { return g.mesh }}, g.log)
 	g.breakers.OnChange = func(endpoint string, state breaker.State, reason string) {
 		g.log.Warn("breaker", "step", "gateway.breaker", "endpoint", endpoint, "state", state.String(), "reason", reason)
@@ -110,6 +113,7 @@
 		return
 	}
 	g.placer.configure(table)
+	g.callers.setLimits(table.Limits.Head)
 	if g.table.Swap(table) == nil {
 		close(g.configured)
 	}
@@ -163,14 +167,13 @@
 	for _, duty := range g.duties(l) {
 		tree.Add(duty)
 	}
-	callers := g.callerServer()
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		_ = tree.Serve(ctx) // ends with ctx
 	}()
 	go func() {
-		if err := callers.Serve(l.callers); err != nil && !g.stopping.Load() {
+		if err := g.callers.serve(l.callers); err != nil && !g.stopping.Load() {
 			g.log.Error("callers are no longer served", "step", "gateway.serve", "error", err.Error())
 		}
 	}()
@@ -186,7 +189,7 @@
 			waiting = false
 		}
 	}
-	g.shutDown(callers, l)
+	g.shutDown(l)
 	cancel()
 	<-ended
 	return nil
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -18,7 +18,7 @@
 
 // shutDown ends the gateway without cutting a request: not ready first, then no
 // new connections and none kept, then what runs to its end.
-func (g *Gateway) shutDown(callers *http.Server, l *listeners) {
+func (g *Gateway) shutDown(l *listeners) {
 	deadline := time.Now().Add(g.settings.Shutdown - endReserve)
 	g.stopping.Store(true)
 	g.mesh.SetReady(false)
@@ -26,7 +26,7 @@
 	// Another entry places for all before this one stops to answer.
 	go g.mesh.HandOver()
 	sleepUntil(time.Now().Add(balancerNotice), deadline)
-	callers.SetKeepAlivesEnabled(false)
+	g.callers.endKeepAlives()
 	if err := l.callers.Close(); err != nil {
 		g.log.Warn("listener not closed", "step", "gateway.shutdown", "error", err.Error())
 	}
--- a/route/table.go
+++ b/route/table.go
@@ -72,6 +72,15 @@
 // Limits bound what callers may send.
 type Limits struct {
 	BodyBytes int64
+	Head      HeadLimits
+}
+
+// HeadLimits bound the heads of requests and the time between two of them; zero
+// stands for the usual value.
+type HeadLimits struct {
+	Bytes   int
+	Timeout time.Duration // for a head to come whole
+	Idle    time.Duration // between two requests of a connection
 }
 
 // Table is one version of the routing table. It is not changed once compiled.
