schedule: parts that are read are no foreign work; refusals tell what they saw

Besides, reading on one idle engine was priced out (20 for a second in one piece), though an engine without answers reads in short passes.

Change: an engine that helps a job counts it until the first event has come, and 0.4 s more; the price of a block is 10. A decision carries what it saw (engines with room, part that is taken, score, jobs waiting); the line of a request logs it, with the reason (no slot and memory, or others would be late that are worth more). TestPartsThatAreReadAreNoForeignWork fails before.

--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -102,6 +102,11 @@
 		"first_ms", f.first.Milliseconds(), "total_ms", time.Since(f.arrived).Milliseconds(), "sends", f.sends, "events", f.events,
 		"pause_ms", f.pause.Milliseconds(), "waited_ms", f.waited.Milliseconds(),
 	}
+	if f.attempts > 0 {
+		// What the placement saw.
+		attributes = append(attributes, "engines", f.placed.Endpoints, "engines_with_room", f.placed.Room,
+			"busy", f.placed.Busy, "score", f.placed.Score, "waiting", f.placed.Waiting, "come_back_ms", f.placed.ComeBack.Milliseconds())
+	}
 	if f.table != nil {
 		attributes = append(attributes, "configuration", f.table.Version)
 	}
--- a/schedule/engine.go
+++ b/schedule/engine.go
@@ -70,9 +70,14 @@
 }
 
 func (s *Scheduler) dropParts(r *running, now time.Time) {
-	for _, id := range append([]string{r.endpoint}, r.helpers...) {
-		if e := s.engines[id]; e != nil {
+	if e := s.engines[r.endpoint]; e != nil {
+		e.drop(r.job.ID, now)
+	}
+	for _, id := range r.helpers {
+		if e := s.engines[id]; e != nil && e.helps[r.job.ID] {
 			e.drop(r.job.ID, now)
+			delete(e.helps, r.job.ID)
+			e.noteEnd(now)
 		}
 	}
 }
@@ -85,6 +90,7 @@
 	for _, id := range r.helpers {
 		if e := s.engines[id]; e != nil {
 			e.add(part{r.job.ID, r.read}, true, now)
+			e.helps[r.job.ID] = true
 		}
 	}
 }
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -42,6 +42,10 @@
 	ComeBack  time.Duration `json:"come_back"`
 	Reason    string        `json:"reason,omitempty"`
 	Endpoints int           `json:"endpoints"` // that were weighed
+	Room      int           `json:"room"`      // of them that had a slot and memory for the job
+	Busy      float64       `json:"busy"`      // part of the engines that was taken
+	Score     float64       `json:"score"`     // what the best way to place it was worth, less its costs
+	Waiting   int           `json:"waiting"`   // jobs without an endpoint
 }
 
 // Refused reports whether the job was not placed.
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -42,11 +42,7 @@
 	for _, t := range e.held {
 		tokens += t
 	}
-	for _, p := range e.parts {
-		if e.writers[p.job] == nil {
-			known++ // it reads a part for another engine
-		}
-	}
+	known += len(e.helps)
 	o := observation{at: now, pace: max(l.Pace, 1)}
 	if foreign := l.Working + l.Queued - known - e.endedSince(now.Add(-loadLag)); foreign >= foreignMin {
 		o.foreign = foreign
--- a/schedule/observe_test.go
+++ b/schedule/observe_test.go
@@ -46,3 +46,23 @@
 	s.Observe(engineName(0), schedule.Load{Working: 4, Pace: 1}, now)
 	g.Expect(s.Submit(shortJob("e"), now)[0].Expected).To(BeNumerically("<", 40*time.Millisecond), "the engine is idle")
 }
+
+// TestPartsThatAreReadAreNoForeignWork: an engine counts what it reads for others,
+// also when that takes longer than the model says, and some time after.
+func TestPartsThatAreReadAreNoForeignWork(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(load{engines: 3})
+	d := s.Submit(schedule.Job{ID: "long", Prompt: 300_000, Answer: 800, Goal: 3 * time.Second, PauseGoal: 800 * time.Millisecond, Left: 15 * time.Second}, simStart)[0]
+	g.Expect(d.Helpers).To(HaveLen(2))
+	s.Submit(schedule.Job{ID: "other", Prompt: 300_000, Answer: 800, Goal: 3 * time.Second, PauseGoal: 800 * time.Millisecond, Left: 15 * time.Second}, simStart)
+	helper := d.Helpers[0].ID
+	late := simStart.Add(6 * time.Second)
+	s.Observe(helper, schedule.Load{Working: 2, Pace: 1}, late)
+	g.Expect(s.Foreign(helper, late)).To(BeZero(), "both are still being read")
+	s.Started("long", late)
+	s.Started("other", late)
+	s.Observe(helper, schedule.Load{Working: 2, Pace: 1}, late.Add(200*time.Millisecond))
+	g.Expect(s.Foreign(helper, late.Add(200*time.Millisecond))).To(BeZero(), "the report lags")
+	s.Observe(helper, schedule.Load{Working: 4, Pace: 1}, late.Add(time.Second))
+	g.Expect(s.Foreign(helper, late.Add(time.Second))).To(BeNumerically(">=", 2))
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -16,7 +16,7 @@
 	harmFull   = 1.1    // part of a limit at which it surely does
 	domainCost = 0.01   // of leaving the failure domain: bytes between domains
 	readerCost = 0.10   // of each helper: one more endpoint that may fail
-	blockCost  = 20.0   // of a second of reading in one piece: nothing else gets in between
+	blockCost  = 10.0   // of a second of reading in one piece: what comes meanwhile waits
 	engineCost = 4.0    // of a second of reading when all engines are busy: others wait that long
 	stepCost   = 2.0    // of a second that an engine steps for one long answer only, when all engines are busy
 	stepShort  = 0.4    // the same for a short prompt's answer, as others soon join it
@@ -46,15 +46,28 @@
 	read     time.Duration
 }
 
+// weighed is what a decision saw.
+type weighed struct {
+	room  int     // engines with a slot and memory
+	busy  float64 // part of the engines that is taken
+	score float64 // of the best way to place the job
+}
+
+func (w *weighed) note(d *Decision) { d.Room, d.Busy, d.Score = w.room, w.busy, w.score }
+
 // place puts a job at the endpoint with the best score, when one has room.
-func (s *Scheduler) place(j *Job, now time.Time) (Decision, bool) {
-	best, found := s.best(j, now)
-	if !found || (best.score < 0 && len(s.jobs) > 0) {
-		return Decision{}, false
+func (s *Scheduler) place(j *Job, now time.Time) (Decision, weighed, bool) {
+	best, room := s.best(j, now)
+	w := weighed{room: room, busy: s.busy, score: best.score}
+	if room == 0 || (best.score < 0 && len(s.jobs) > 0) {
+		return Decision{}, w, false
 	}
 	main := best.main.engine
 	r := &running{job: j, endpoint: main.ID, read: best.read, placed: now, expected: best.expected}
-	d := Decision{Job: j.ID, Endpoint: main.ID, Address: main.Address, Expected: best.expected, Endpoints: len(s.order)}
+	d := Decision{
+		Job: j.ID, Endpoint: main.ID, Address: main.Address, Expected: best.expected, Endpoints: len(s.order), Waiting: len(s.queue),
+	}
+	w.note(&d)
 	elsewhere := s.excess(j, best.main)
 	for _, h := range best.helpers {
 		r.helpers = append(r.helpers, h.engine.ID)
@@ -67,38 +80,44 @@
 	main.writers[j.ID] = r
 	s.addParts(r, now)
 	s.jobs[j.ID] = r
-	return d, true
+	return d, w, true
 }
 
-func (s *Scheduler) best(j *Job, now time.Time) (option, bool) {
+// best returns the best way to place a job and how many engines have room for it;
+// none is returned with 0.
+func (s *Scheduler) best(j *Job, now time.Time) (best option, room int) {
 	views := s.views(j, now)
 	var helpers []*view
 	if j.Prompt >= helpFrom || j.Prompt+j.Answer > s.figures.MemoryTokens {
 		helpers = s.helpersFor(j, views)
 	}
 	splits := s.splits(j, views, helpers)
-	var best option
-	found := false
 	for _, usual := range []bool{true, false} {
 		for i := range views {
 			v := &views[i]
 			if v.isUsual != usual || slices.Contains(j.Exclude, v.engine.ID) || !s.hasRoom(v, j) {
 				continue
 			}
+			fits := false
 			for n := range splits {
-				if o, ok := s.weigh(j, v, &splits[n]); ok && (!found || o.score > best.score) {
-					best, found = o, true
+				o, ok := s.weigh(j, v, &splits[n])
+				if ok && (best.main == nil || o.score > best.score) {
+					best = o
 				}
+				fits = fits || ok
+			}
+			if fits {
+				room++
 			}
 		}
-		if found {
+		if room > 0 {
 			break
 		}
 	}
-	if found {
+	if room > 0 {
 		best.helpers = best.split.chosen(best.main, helpers)
 	}
-	return best, found
+	return best, room
 }
 
 // hasRoom reports whether an engine can begin a job without pushing another out.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -34,6 +34,7 @@
 	writers   map[string]*running // jobs whose answers come from here
 	parts     []part              // reading, in order
 	headSince time.Time           // when the first part came to the head
+	helps     map[string]bool     // jobs answered elsewhere whose first event has not come: a part may still be read here
 	held      map[string]int      // tokens set aside for prompts that are answered elsewhere, by job
 	observed  observation
 	ended     []time.Time // of the latest jobs
@@ -51,6 +52,7 @@
 type waiting struct {
 	job     *Job
 	arrived time.Time
+	weighed weighed // at the last look
 }
 
 // Scheduler places the jobs of one service. It is not safe for concurrent use.
@@ -83,7 +85,7 @@
 	for _, e := range all {
 		known := s.engines[e.ID]
 		if known == nil {
-			known = &engine{writers: map[string]*running{}, held: map[string]int{}, pace: 1}
+			known = &engine{writers: map[string]*running{}, helps: map[string]bool{}, held: map[string]int{}, pace: 1}
 		}
 		known.Endpoint = e
 		known.blocked = blocked(e.ID)
@@ -103,14 +105,15 @@
 	if j.Prompt+j.Answer > s.fleetMemory() {
 		return []Decision{s.refuse(&j, "the prompt exceeds the memory of all engines that may read it", 0)}
 	}
-	if d, ok := s.place(&j, now); ok {
+	d, w, ok := s.place(&j, now)
+	if ok {
 		return []Decision{d}
 	}
 	wait := s.predictWait(now)
 	if wait > j.Patience() {
-		return []Decision{s.refuse(&j, "no engine has room in time", wait)}
+		return []Decision{s.refuseWeighed(&j, w, wait)}
 	}
-	s.queue = append(s.queue, &waiting{job: &j, arrived: now})
+	s.queue = append(s.queue, &waiting{job: &j, arrived: now, weighed: w})
 	return nil
 }
 
@@ -235,7 +238,7 @@
 			return false
 		}
 		j := w.job.After(waited)
-		out = append(out, s.refuse(&j, "no engine had room in time", s.predictWait(now)))
+		out = append(out, s.refuseWeighed(&j, w.weighed, s.predictWait(now)))
 		return true
 	})
 	return out
@@ -261,7 +264,19 @@
 
 func (s *Scheduler) refuse(j *Job, reason string, comeBack time.Duration) Decision {
 	comeBack = max(min(comeBack, j.Left/comeBackMost), j.spread())
-	return Decision{Job: j.ID, Reason: reason, ComeBack: comeBack, Endpoints: len(s.order)}
+	return Decision{Job: j.ID, Reason: reason, ComeBack: comeBack, Endpoints: len(s.order), Waiting: len(s.queue)}
+}
+
+// refuseWeighed refuses a job that no way to place it was worth, with what was
+// weighed.
+func (s *Scheduler) refuseWeighed(j *Job, w weighed, comeBack time.Duration) Decision {
+	reason := "no engine has a slot and memory for it"
+	if w.room > 0 {
+		reason = "reading it now would make others late that are worth more"
+	}
+	d := s.refuse(j, reason, comeBack)
+	w.note(&d)
+	return d
 }
 
 // Callers that are refused together come back spread over this part of the time
@@ -294,7 +309,8 @@
 	var out []Decision
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool {
 		j := w.job.After(now.Sub(w.arrived))
-		d, ok := s.place(&j, now)
+		d, weighed, ok := s.place(&j, now)
+		w.weighed = weighed
 		if ok {
 			out = append(out, d)
 		}
