soak: writes that were cut off, all entries killed at once

Storage that misbehaves was a lost disk only. Now each file on a disk may end in the beginning of a write that was never acknowledged, and all entries may be killed at the same moment. Clocks are not moved: that needs rights or preloading, and every decision takes the steady clock.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -385,13 +385,13 @@
 	var disk sync.Mutex // held while an entry with a disk is hurt
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(150+s.draw(500)) * time.Millisecond)
-		switch p := s.fleet.all[s.draw(entries)]; s.draw(8) {
+		switch p := s.fleet.all[s.draw(entries)]; s.draw(9) {
 		case 0, 1, 2, 3:
-			how := []string{"kill", "pause", "term", "wipe"}[s.draw(4)]
+			how := []string{"kill", "pause", "term", "wipe", "torn"}[s.draw(5)]
 			if p.folder != "" && !disk.TryLock() {
 				continue
 			}
-			if p.folder == "" && how == "wipe" {
+			if p.folder == "" && (how == "wipe" || how == "torn") {
 				how = "kill"
 			}
 			for_ := time.Duration(300+s.draw(1200)) * time.Millisecond
@@ -402,7 +402,17 @@
 					disk.Unlock()
 				}
 			})
-		case 4, 5:
+		case 4:
+			if !disk.TryLock() {
+				continue
+			}
+			down := time.Duration(s.draw(800)) * time.Millisecond
+			wait.Go(func() {
+				s.hurtAll(down)
+				time.Sleep(4 * time.Second)
+				disk.Unlock()
+			})
+		case 5, 6:
 			s.replicas[s.draw(len(s.replicas))].set([]string{"", "refuse", "reset", "break", "slow"}[s.draw(5)])
 		default:
 			s.proxies[s.draw(len(s.proxies))].set([]string{"", "delay", "reset", "silence", "oneway"}[s.draw(5)])
@@ -412,6 +422,35 @@
 	wait.Wait()
 }
 
+// hurtAll kills every entry at the same moment and brings them back.
+func (s *soak) hurtAll(down time.Duration) {
+	var wait sync.WaitGroup
+	for _, p := range s.fleet.all {
+		wait.Go(func() { s.hurt(p, "kill", down) })
+	}
+	wait.Wait()
+}
+
+// tear leaves the beginning of a write that was cut off at the end of each file on
+// a disk.
+func (s *soak) tear(folder string) error {
+	return filepath.WalkDir(folder, func(path string, d os.DirEntry, err error) error {
+		if err != nil || !d.Type().IsRegular() || filepath.Ext(path) == ".lock" {
+			return err
+		}
+		f, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+		rest := make([]byte, 1+s.draw(60))
+		for i := range rest {
+			rest[i] = byte(s.draw(256))
+		}
+		_, err = f.Write(rest)
+		return errors.Join(err, f.Close())
+	})
+}
+
 // hurt strikes one entry and brings it back.
 func (s *soak) hurt(p *process, how string, down time.Duration) {
 	p.mu.Lock()
@@ -433,6 +472,11 @@
 		}
 	default:
 		p.kill()
+		if how == "torn" {
+			if err := s.tear(p.folder); err != nil && !errors.Is(err, os.ErrNotExist) {
+				s.fault("%v", err)
+			}
+		}
 		if how == "wipe" {
 			if err := os.RemoveAll(p.folder); err != nil && !errors.Is(err, os.ErrNotExist) {
 				s.fault("%v", err)
