schedule: entries without a coordinator take engines in different orders

Change: engines that are equally good are ordered by a hash of the entry's name and theirs. TestEntriesWithoutACoordinator fails before (78 requests on one engine).

--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -80,7 +80,7 @@
 		if known := p.schedulers[s.Name]; known != nil {
 			known.SetFigures(*s.Engine)
 		} else {
-			p.schedulers[s.Name] = schedule.New(*s.Engine)
+			p.schedulers[s.Name] = schedule.New(p.self, *s.Engine)
 		}
 	}
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -31,6 +31,7 @@
 // engine is what the model holds of one endpoint.
 type engine struct {
 	Endpoint
+	turn      uint64              // place among equals
 	writers   map[string]*running // jobs whose answers come from here
 	parts     []part              // reading, in order
 	headSince time.Time           // when the first part came to the head
@@ -57,6 +58,7 @@
 
 // Scheduler places the jobs of one service. It is not safe for concurrent use.
 type Scheduler struct {
+	name      string
 	figures   Figures
 	engines   map[string]*engine
 	order     []*engine // by id
@@ -69,9 +71,11 @@
 	nextLook  time.Time // no look at the queue before
 }
 
-// New returns a scheduler without endpoints.
-func New(f Figures) *Scheduler {
-	return &Scheduler{figures: f, engines: map[string]*engine{}, jobs: map[string]*running{}}
+// New returns a scheduler without endpoints. Schedulers of different names take
+// endpoints that are equally good in different orders: entries that can't reach the
+// coordinator must not all pack their requests on the same ones.
+func New(name string, f Figures) *Scheduler {
+	return &Scheduler{name: name, figures: f, engines: map[string]*engine{}, jobs: map[string]*running{}}
 }
 
 // SetFigures replaces the figures of the engines.
@@ -85,7 +89,7 @@
 	for _, e := range all {
 		known := s.engines[e.ID]
 		if known == nil {
-			known = &engine{writers: map[string]*running{}, helps: map[string]bool{}, held: map[string]int{}, pace: 1}
+			known = &engine{turn: xxhash.Sum64String(s.name + "/" + e.ID), writers: map[string]*running{}, helps: map[string]bool{}, held: map[string]int{}, pace: 1}
 		}
 		known.Endpoint = e
 		known.blocked = blocked(e.ID)
@@ -93,7 +97,7 @@
 		s.order = append(s.order, known)
 	}
 	s.engines = next
-	slices.SortFunc(s.order, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(s.order, func(a, b *engine) int { return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.ID, b.ID)) })
 }
 
 // Submit takes a job and returns the decisions that follow: of this job at once
