schedule: an entry without a coordinator spreads its requests

Cause: as before, the core cut in two: thirteen entries alone packed short prompts on engines that the others used as well; 774 of 1,227 short requests of 12 to 20 s had a late first event with a small prediction.

Change: the gain of packing holds for the coordinator only, which sees all requests. TestEntriesWithoutACoordinator asks for twelve requests of each entry now and fails before (18 on an engine of 16 slots).

--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -53,6 +53,7 @@
 	schedulers  map[string]*schedule.Scheduler // by service
 	waiting     map[string]chan schedule.Decision
 	service     map[string]string // of each job known here
+	leads       bool              // this entry is the coordinator
 	coordinator string            // address; empty for none, or this entry itself
 	adopted     bool              // the coordinator knows this entry's jobs
 	distrusted  time.Time         // until when the coordinator is not asked
@@ -80,7 +81,9 @@
 		if known := p.schedulers[s.Name]; known != nil {
 			known.SetFigures(*s.Engine)
 		} else {
-			p.schedulers[s.Name] = schedule.New(p.self, *s.Engine)
+			fresh := schedule.New(p.self, *s.Engine)
+			fresh.SetAlone(!p.leads)
+			p.schedulers[s.Name] = fresh
 		}
 	}
 }
@@ -111,6 +114,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.leads = isSelf
+	for _, s := range p.schedulers {
+		s.SetAlone(!isSelf)
+	}
 	if address == p.coordinator {
 		return
 	}
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -318,24 +318,26 @@
 	g.Expect(held).To(BeNumerically(">=", 12_100-8_000))
 }
 
-// TestEntriesWithoutACoordinator: each packs its requests by what it sees of its
-// own, and together they must not fill the slots of some engines.
+// TestEntriesWithoutACoordinator: each places by what it sees of its own, and
+// together they must not fill some engines while others are idle.
 func TestEntriesWithoutACoordinator(t *testing.T) {
 	g := NewWithT(t)
 	taken := map[string]int{}
 	for entry := range 13 {
 		s := schedule.New(fmt.Sprint("entry-", entry), modelFigures)
+		s.SetAlone(true)
 		var all []schedule.Endpoint
 		for i := range 45 {
 			all = append(all, schedule.Endpoint{ID: engineName(i), Address: engineName(i)})
 		}
 		s.SetEndpoints(all, func(string) bool { return false })
-		for i := range 6 {
+		for i := range 12 {
 			d := s.Submit(schedule.Job{ID: fmt.Sprint(i), Prompt: 5000, Answer: 1600, Goal: 300 * time.Millisecond, PauseGoal: 200 * time.Millisecond, Left: 10 * time.Second}, simStart)
 			taken[d[0].Endpoint]++
 		}
 	}
 	for id, n := range taken {
-		g.Expect(n).To(BeNumerically("<=", modelFigures.Slots), id)
+		// 3.5 on the average; an engine with its slots full makes requests wait.
+		g.Expect(n).To(BeNumerically("<", modelFigures.Slots), id)
 	}
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -297,6 +297,9 @@
 // without writers read in short passes. Answers that end together leave an engine
 // free sooner.
 func (s *Scheduler) company(j *Job, v *view) float64 {
+	if s.isAlone {
+		return 0
+	}
 	longer := s.busy * (s.writingTime(j) - v.until).Seconds()
 	if j.Prompt >= helpFrom {
 		return -stepCost * max(longer, 0)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -59,6 +59,7 @@
 // Scheduler places the jobs of one service. It is not safe for concurrent use.
 type Scheduler struct {
 	name      string
+	isAlone   bool // other entries place on the same endpoints unseen
 	figures   Figures
 	engines   map[string]*engine
 	order     []*engine // by id
@@ -78,6 +79,10 @@
 	return &Scheduler{name: name, figures: f, engines: map[string]*engine{}, jobs: map[string]*running{}}
 }
 
+// SetAlone tells whether other entries place jobs that are not seen here. Requests
+// are spread then: packs of several entries would meet on some engines.
+func (s *Scheduler) SetAlone(alone bool) { s.isAlone = alone }
+
 // SetFigures replaces the figures of the engines.
 func (s *Scheduler) SetFigures(f Figures) { s.figures = f }
 
