schedule: an entry without a coordinator fills its share of an engine

What the coordinator decided before shows an entry which engines write short answers; it must only not fill them as if it were alone. And an order of engines of each entry's own changed with every new coordinator: packs moved.

Change: an entry that is not the coordinator counts its short answers on an engine once for each entry; ties go by id for the coordinator, by the entry's own order for others. TestShortStaysBesideShortWhileACoordinatorIsMissing is new.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -257,6 +257,11 @@
 		}
 		leader, isSelf := p.g.mesh.Leader()
 		p.g.placer.setCoordinator(leader, isSelf)
+		others := p.g.mesh.Entries() - 1
+		if isSelf {
+			others = 0
+		}
+		p.g.placer.setOthers(others)
 		if n%int(reconcilePeriod/placePeriod) == 0 {
 			go p.g.placer.remind(ctx)
 		}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -53,7 +53,6 @@
 	schedulers  map[string]*schedule.Scheduler // by service
 	waiting     map[string]chan schedule.Decision
 	service     map[string]string // of each job known here
-	leads       bool              // this entry is the coordinator
 	coordinator string            // address; empty for none, or this entry itself
 	adopted     bool              // the coordinator knows this entry's jobs
 	distrusted  time.Time         // until when the coordinator is not asked
@@ -81,9 +80,7 @@
 		if known := p.schedulers[s.Name]; known != nil {
 			known.SetFigures(*s.Engine)
 		} else {
-			fresh := schedule.New(p.self, *s.Engine)
-			fresh.SetAlone(!p.leads)
-			p.schedulers[s.Name] = fresh
+			p.schedulers[s.Name] = schedule.New(p.self, *s.Engine)
 		}
 	}
 }
@@ -114,10 +111,6 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.leads = isSelf
-	for _, s := range p.schedulers {
-		s.SetAlone(!isSelf)
-	}
 	if address == p.coordinator {
 		return
 	}
@@ -131,6 +124,16 @@
 	}
 }
 
+// setOthers tells the schedulers how many entries place besides this one: none
+// for the coordinator.
+func (p *placer) setOthers(entries int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.schedulers {
+		s.SetOthers(entries)
+	}
+}
+
 // abandonQuestions lets every job that waits for the coordinator be placed here.
 // The caller holds the lock.
 func (p *placer) abandonQuestions() {
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -325,7 +325,7 @@
 	taken := map[string]int{}
 	for entry := range 13 {
 		s := schedule.New(fmt.Sprint("entry-", entry), modelFigures)
-		s.SetAlone(true)
+		s.SetOthers(12)
 		var all []schedule.Endpoint
 		for i := range 45 {
 			all = append(all, schedule.Endpoint{ID: engineName(i), Address: engineName(i)})
@@ -341,3 +341,24 @@
 		g.Expect(n).To(BeNumerically("<", modelFigures.Slots), id)
 	}
 }
+
+// TestShortStaysBesideShortWhileACoordinatorIsMissing: what it decided before shows
+// which engines write short answers, but each entry fills its share of them only.
+func TestShortStaysBesideShortWhileACoordinatorIsMissing(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(load{engines: 14})
+	s.SetOthers(7)
+	job := func(id string) schedule.Job {
+		return schedule.Job{ID: id, Prompt: 5000, Answer: 1600, Goal: 300 * time.Millisecond, PauseGoal: 200 * time.Millisecond, Left: 10 * time.Second}
+	}
+	s.Adopt(schedule.Running{Job: job("before"), Decision: schedule.Decision{Job: "before", Endpoint: engineName(9)}, Writing: true}, simStart)
+	taken := map[string]int{}
+	for i := range 8 {
+		d := s.Submit(job(fmt.Sprint(i)), simStart)[0]
+		if i == 0 {
+			g.Expect(d.Endpoint).To(Equal(engineName(9)))
+		}
+		taken[d.Endpoint]++
+	}
+	g.Expect(taken[engineName(9)]).To(BeNumerically("<=", 3), "eight entries with as many fill its slots")
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -297,14 +297,11 @@
 // without writers read in short passes. Answers that end together leave an engine
 // free sooner.
 func (s *Scheduler) company(j *Job, v *view) float64 {
-	if s.isAlone {
-		return 0
-	}
 	longer := s.busy * (s.writingTime(j) - v.until).Seconds()
 	if j.Prompt >= helpFrom {
 		return -stepCost * max(longer, 0)
 	}
-	kin := v.isKin
+	kin := v.isKin * (1 + s.others)
 	if kin > packFull {
 		kin = 2*packFull - kin
 	}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -59,7 +59,7 @@
 // Scheduler places the jobs of one service. It is not safe for concurrent use.
 type Scheduler struct {
 	name      string
-	isAlone   bool // other entries place on the same endpoints unseen
+	others    int // entries that place on the same endpoints unseen
 	figures   Figures
 	engines   map[string]*engine
 	order     []*engine // by id
@@ -72,16 +72,21 @@
 	nextLook  time.Time // no look at the queue before
 }
 
-// New returns a scheduler without endpoints. Schedulers of different names take
-// endpoints that are equally good in different orders: entries that can't reach the
-// coordinator must not all pack their requests on the same ones.
+// New returns a scheduler without endpoints. While others place besides it,
+// schedulers of different names take endpoints that are equally good in different
+// orders.
 func New(name string, f Figures) *Scheduler {
 	return &Scheduler{name: name, figures: f, engines: map[string]*engine{}, jobs: map[string]*running{}}
 }
 
-// SetAlone tells whether other entries place jobs that are not seen here. Requests
-// are spread then: packs of several entries would meet on some engines.
-func (s *Scheduler) SetAlone(alone bool) { s.isAlone = alone }
+// SetOthers tells how many entries place jobs that are not seen here. Each of them
+// is taken to do what this one does: packs of several entries meet on some engines.
+func (s *Scheduler) SetOthers(entries int) {
+	if s.others != entries {
+		s.others = max(entries, 0)
+		s.arrange()
+	}
+}
 
 // SetFigures replaces the figures of the engines.
 func (s *Scheduler) SetFigures(f Figures) { s.figures = f }
@@ -102,7 +107,19 @@
 		s.order = append(s.order, known)
 	}
 	s.engines = next
-	slices.SortFunc(s.order, func(a, b *engine) int { return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.ID, b.ID)) })
+	s.arrange()
+}
+
+// arrange orders the engines for choices between equals: by id where all jobs are
+// seen, so that the next coordinator goes on in the same order, and otherwise in an
+// order of this entry's own.
+func (s *Scheduler) arrange() {
+	slices.SortFunc(s.order, func(a, b *engine) int {
+		if s.others > 0 && a.turn != b.turn {
+			return cmp.Compare(a.turn, b.turn)
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
 }
 
 // Submit takes a job and returns the decisions that follow: of this job at once
