--- a/gateway/frontdoor.go
+++ b/gateway/frontdoor.go
@@ -23,19 +23,19 @@
 	handler http.Handler
 
 	mu      sync.Mutex
-	current *room
-	rooms   map[route.HeadLimits]*room
+	current *boundServer
+	servers map[route.HeadLimits]*boundServer
 }
 
-// room is one server with the connections that it is given.
-type room struct {
+// boundServer is one server with fixed limits and the connections that it is given.
+type boundServer struct {
 	server *http.Server
 	conns  chan net.Conn
 	closed chan struct{}
 }
 
 func newFrontDoor(handler http.Handler) *frontDoor {
-	return &frontDoor{handler: handler, rooms: map[route.HeadLimits]*room{}}
+	return &frontDoor{handler: handler, servers: map[route.HeadLimits]*boundServer{}}
 }
 
 // serve gives the connections of a listener to the server with the limits in
@@ -47,11 +47,11 @@
 			return err
 		}
 		d.mu.Lock()
-		r := d.current
+		b := d.current
 		d.mu.Unlock()
 		select {
-		case r.conns <- conn:
-		case <-r.closed:
+		case b.conns <- conn:
+		case <-b.closed:
 			_ = conn.Close() // the process is about to end
 		}
 	}
@@ -65,42 +65,42 @@
 	l.Idle = cmp.Or(l.Idle, idleTimeout)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.rooms[l]
-	if r == nil {
-		r = &room{
+	b := d.servers[l]
+	if b == nil {
+		b = &boundServer{
 			server: &http.Server{Handler: d.handler, ReadHeaderTimeout: l.Timeout, IdleTimeout: l.Idle, MaxHeaderBytes: l.Bytes},
 			conns:  make(chan net.Conn), closed: make(chan struct{}),
 		}
-		d.rooms[l] = r
-		go func() { _ = r.server.Serve(r) }() // ends when the room is closed
+		d.servers[l] = b
+		go func() { _ = b.server.Serve(b) }() // it ends with the process
 	}
-	d.current = r
+	d.current = b
 }
 
 // endKeepAlives closes connections between requests and after the next one.
 func (d *frontDoor) endKeepAlives() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, r := range d.rooms {
-		r.server.SetKeepAlivesEnabled(false)
+	for _, b := range d.servers {
+		b.server.SetKeepAlivesEnabled(false)
 	}
 }
 
 // Accept implements net.Listener.
-func (r *room) Accept() (net.Conn, error) {
+func (b *boundServer) Accept() (net.Conn, error) {
 	select {
-	case conn := <-r.conns:
+	case conn := <-b.conns:
 		return conn, nil
-	case <-r.closed:
+	case <-b.closed:
 		return nil, net.ErrClosed
 	}
 }
 
 // Close implements net.Listener. It is called once, by the server.
-func (r *room) Close() error {
-	close(r.closed)
+func (b *boundServer) Close() error {
+	close(b.closed)
 	return nil
 }
 
 // Addr implements net.Listener.
-func (r *room) Addr() net.Addr { return &net.TCPAddr{} }
+func (b *boundServer) Addr() net.Addr { return &net.TCPAddr{} }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -173,7 +173,8 @@
 		_ = tree.Serve(ctx) // ends with ctx
 	}()
 	go func() {
-		if err := g.callers.serve(l.callers); err != nil && !g.stopping.Load() {
+		err := g.callers.serve(l.callers)
+		if !g.stopping.Load() {
 			g.log.Error("callers are no longer served", "step", "gateway.serve", "error", err.Error())
 		}
 	}()
