--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -105,20 +105,24 @@
 		case <-ticker.C:
 		}
 		for _, h := range r.held {
-			// A failure is logged; the next renewal comes before the lease ends.
-			_ = r.order(ctx, h, r.g.dialect.Reserve(h.ID, h.Reservation, h.Tokens, reserveHold))
+			// A failure is logged; the next renewal comes before the lease ends. It is
+			// not cut off: an engine might carry it out after the release.
+			_ = r.order(context.WithoutCancel(ctx), h, r.g.dialect.Reserve(h.ID, h.Reservation, h.Tokens, reserveHold))
 		}
 	}
 }
 
-// end frees the memory. It may be called on nil.
+// end frees the memory, after a renewal that is on its way. It may be called on nil
+// and does not wait.
 func (r *reservation) end() {
 	if r == nil {
 		return
 	}
 	r.stop()
-	<-r.done
-	r.release()
+	go func() {
+		<-r.done
+		r.release()
+	}()
 }
 
 // release frees what is held without holding up the caller.
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -24,3 +24,19 @@
 		}
 	}
 }
+
+// TestAPortIsGivenOnce: two packages whose tests ran at the same time were given the
+// same port (processes TestAModelShortOfEndpointsIsLoadedOnAnother, beside load).
+func TestAPortIsGivenOnce(t *testing.T) {
+	seen := map[string]bool{}
+	for range 1500 {
+		address, err := Free()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen[address] {
+			t.Fatalf("%s was given twice", address)
+		}
+		seen[address] = true
+	}
+}
