--- a/coord/quorum/core.go
+++ b/coord/quorum/core.go
@@ -127,7 +127,7 @@
 	if c.isVoter() {
 		// If all members were stopped together, there is no leader to wait for. If
 		// there is one, the other members reject the pre-vote.
-		c.timeout = c.config.ElectionTicks/startupTimeoutDivisor + c.rand.IntN(c.config.JitterTicks)
+		c.timeout = c.config.ElectionTicks/startupTimeoutDivisor + c.rand.IntN(max(c.config.JitterTicks/startupJitterDivisor, 1))
 	}
 	if c.isVoter() && len(c.Configuration().Voters) == 1 {
 		c.elapsed = c.timeout
@@ -135,9 +135,12 @@
 	return c
 }
 
-// startupTimeoutDivisor divides the election timeout to give the time, before
-// jitter, that a starting member waits for a leader.
-const startupTimeoutDivisor = 4
+// A starting member waits for a leader for these fractions of the election timeout
+// and of its jitter.
+const (
+	startupTimeoutDivisor = 8
+	startupJitterDivisor  = 4
+)
 
 // Bootstrap initializes a blank disk as the founder of a new quorum. The
 // configuration must include the disks of all initial members, each of which has
--- a/coord/quorum/core_test.go
+++ b/coord/quorum/core_test.go
@@ -450,3 +450,24 @@
 	core.Synced(first)
 	g.Expect(core.synced).To(Equal(last))
 }
+
+// After a restart of all members there is no leader to wait for. Callers wait for the
+// configuration meanwhile, so most elections end well before a usual timeout.
+func TestElectionAfterCommonRestartStartsEarly(t *testing.T) {
+	const runs = 40
+	early := 0
+	for seed := range uint64(runs) {
+		s := newSimulation(t, seed, 3)
+		s.bootstrap()
+		s.settle(40)
+		for i := range s.members {
+			s.crash(i)
+		}
+		s.settle(s.members[0].core.config.ElectionTicks / 2)
+		if _, found := s.leader(); found {
+			early++
+		}
+	}
+	t.Logf("%d of %d elections ended early", early, runs)
+	NewWithT(t).Expect(early).To(BeNumerically(">", runs*3/4))
+}
--- a/mesh/document.go
+++ b/mesh/document.go
@@ -10,7 +10,7 @@
 // Timeouts and intervals of document distribution.
 const (
 	documentTimeout      = 1500 * time.Millisecond // enough for a document of several megabytes over a slow link
-	confirmRetryInterval = 200 * time.Millisecond  // between two reads from the quorum
+	confirmRetryInterval = 50 * time.Millisecond   // between two reads from the quorum
 	// confirmWait is how long an entry that can't reach a quorum waits before it
 	// applies the newest document of any entry: the time a quorum takes to re-form
 	// after all its members were killed, plus a margin.
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -56,12 +56,6 @@
 	reconciler := newMemberReconciler(c)
 	var retryAt time.Time
 	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-c.register.Changed():
-		case <-ticker.C:
-		}
 		now := time.Now()
 		c.bootstrap(now)
 		if c.mesh.options.DataFolder != "" && now.After(retryAt) && !c.ensureNode() {
@@ -70,6 +64,12 @@
 		c.applyCommitted()
 		c.updateLeader()
 		reconciler.reconcile(ctx, now)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.register.Changed():
+		case <-ticker.C:
+		}
 	}
 }
 
