schedule: the learned slowdown of an engine is removed

Engines report their own pace besides.

Change: the estimate is gone. What an engine reports (every second) and first events that are overdue now remain.

--- a/schedule/engine.go
+++ b/schedule/engine.go
@@ -46,19 +46,8 @@
 	e.prefillQueue = slices.DeleteFunc(e.prefillQueue, func(p prefillTask) bool { return p.job == job })
 }
 
-// Parameters of the slowdown estimate.
-const (
-	slowdownWeight  = 0.3                   // weight of a new sample in the moving average
-	maxSlowdown     = 10                    // upper bound of the estimate
-	predictionGrace = 60 * time.Millisecond // one pass; a first event late by less counts as on time
-	overdueGrace    = 150 * time.Millisecond
-)
-
-// updateSlowdown updates the estimate from an actual and a predicted time to first event.
-func (e *engine) updateSlowdown(actual, expected time.Duration) {
-	ratio := float64(actual) / float64(expected+predictionGrace)
-	e.slowdown = min(max(e.slowdown+slowdownWeight*(ratio-e.slowdown), 1), maxSlowdown)
-}
+// overdueGrace is how late a first event may be before its engine counts as stalled.
+const overdueGrace = 150 * time.Millisecond
 
 // dropCompleted removes prefills that are complete according to the model; helpers
 // send no completion event.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -269,7 +269,7 @@
 }
 
 func (v *engineView) scaled(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * max(v.engine.slowdown, v.reportedSlowdown))
+	return time.Duration(float64(d) * v.reportedSlowdown)
 }
 
 // delayCost returns the value that other jobs at the engine lose to additional prefill.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -40,7 +40,6 @@
 	observed     observation
 	recentEnds   []time.Time
 	blocked      bool
-	slowdown     float64 // ratio of actual to predicted time to first event; at least 1
 }
 
 // prefillTask is a queued prefill of a prompt or of a part of one.
@@ -100,7 +99,7 @@
 	for _, e := range endpoints {
 		model := s.engines[e.ID]
 		if model == nil {
-			model = &engine{tieBreak: xxhash.Sum64String(s.name + "/" + e.ID), assigned: map[string]*runningJob{}, helping: map[string]bool{}, reserved: map[string]int{}, slowdown: 1}
+			model = &engine{tieBreak: xxhash.Sum64String(s.name + "/" + e.ID), assigned: map[string]*runningJob{}, helping: map[string]bool{}, reserved: map[string]int{}}
 		}
 		model.Endpoint = e
 		model.blocked = blocked(e.ID)
@@ -147,9 +146,6 @@
 func (s *Scheduler) Started(job string, now time.Time) []Decision {
 	if r := s.jobs[job]; r != nil && !r.isDecoding {
 		r.isDecoding = true
-		if e := s.engines[r.endpoint]; e != nil {
-			e.updateSlowdown(now.Sub(r.placedAt), r.expected)
-		}
 		s.removePrefills(r, now)
 	}
 	return s.scanQueue(now)
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -82,13 +82,11 @@
 	passTime := s.profile.PassTime(decoding+untracked, context+tokens)
 	passTime = time.Duration(float64(passTime) * v.reportedSlowdown)
 	backlog := time.Duration(float64(e.prefillBacklog(now)) * v.reportedSlowdown)
-	// The learned slowdown must not make decoding jobs appear late already: additional
-	// prefill would then seem to cost them nothing.
 	v.passTime = passTime + backlog
 	// The current pass has to end, and a first token is emitted at the end of the pass
 	// that completes the prefill.
-	v.prefillDelay = time.Duration(float64(backlog+passTime*3/2)*e.slowdown) + overdue
-	v.helperDelay = time.Duration(float64(passTime*3/2) * e.slowdown)
+	v.prefillDelay = backlog + passTime*3/2 + overdue
+	v.helperDelay = passTime * 3 / 2
 	v.affected = s.affectedJobs(affected, v, now)
 }
 
