gateway, schedule: callers that return late yield to those that can be on time

Cause: after a restart of all entries, or a kill of half of them, the callers whose streams were cut return within 0.1 s.

What survives is the time that the caller says it has left.

Change: an entry keeps the longest deadline that callers of each route gave lately; a caller with less than 0.8 of it has spent the difference on earlier attempts, which counts against its goal. A late job is placed only on an engine that has no prefill queued and slots to spare, for half a second; then on any. It may wait as long as half of its caller's patience, instead of a refusal.

Limit: on a route whose callers' deadlines differ by more than a fifth, those with short ones wait up to half a second when all engines read.

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -82,6 +82,7 @@
 	if request.Timeout > 0 && request.Timeout < f.route.Timeout {
 		f.deadline = f.arrived.Add(request.Timeout)
 	}
+	f.spentEarlier = f.g.deadlines.spentEarlier(f.route.Name, request.Timeout, f.arrived)
 	f.service = f.route.Choose(rand.Uint64())
 	return nil
 }
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -101,6 +101,7 @@
 		"prompt", f.request.PromptTokens, "answer", f.request.MaxAnswerTokens, "hint", f.request.ExpectedAnswerTokens, "helpers", helperIDs(f.decision.Helpers), "expected_ms", f.decision.Expected.Milliseconds(),
 		"first_ms", f.timeToFirstByte.Milliseconds(), "total_ms", time.Since(f.arrived).Milliseconds(), "sends", f.sends, "events", f.eventCount,
 		"pause_ms", f.maxEventGap.Milliseconds(), "waited_ms", f.placementWait.Milliseconds(),
+		"caller_left_ms", f.request.Timeout.Milliseconds(), "spent_earlier_ms", f.spentEarlier.Milliseconds(),
 	}
 	if f.placements > 0 {
 		// State of the engines at the last placement.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,7 @@
 	breakers     *breaker.Set
 	placer       *placer
 	plain        *plainPicker
+	deadlines    *deadlineHistory
 	callerServer *callerServer
 
 	table      atomic.Pointer[route.Table]
@@ -87,7 +88,7 @@
 		settings: s, dialect: d, logs: logs,
 		log:    logs.Logger(slog.LevelInfo).With("instance", s.Name),
 		client: forward.NewClient(d), breakers: breaker.NewSet(),
-		retryBudgets: map[string]*retry.Window{}, plain: newPlainPicker(), events: timeline.NewLog(s.Name, eventCapacity, time.Now), configured: make(chan struct{}),
+		retryBudgets: map[string]*retry.Window{}, plain: newPlainPicker(), deadlines: newDeadlineHistory(), events: timeline.NewLog(s.Name, eventCapacity, time.Now), configured: make(chan struct{}),
 	}
 	g.callerServer = newCallerServer(http.HandlerFunc(g.serveCaller))
 	g.callerServer.setLimits(route.HeaderLimits{})
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -19,6 +19,9 @@
 	r       *http.Request
 	ctx     context.Context
 	arrived time.Time
+	// spentEarlier is the time that the caller spent on earlier attempts. It counts
+	// against the goal for the first event.
+	spentEarlier time.Duration
 
 	table    *route.Table
 	route    *route.Route
@@ -149,7 +152,7 @@
 func (f *inflightRequest) jobID() string { return f.request.ID + "." + strconv.Itoa(f.placements) }
 
 func (f *inflightRequest) job() schedule.Job {
-	elapsed := time.Since(f.arrived)
+	elapsed := time.Since(f.arrived) + f.spentEarlier
 	j := schedule.Job{
 		ID: f.jobID(), Service: f.service, Domain: f.g.settings.FailureDomain,
 		Prompt: f.request.PromptTokens, Answer: f.request.MaxAnswerTokens, Goal: f.route.Goal - elapsed,
--- a/schedule/fleet_test.go
+++ b/schedule/fleet_test.go
@@ -58,6 +58,7 @@
 	seed        uint64
 	slowdowns   map[int]float64 // by engine; 1 when absent
 	stalls      map[int][2]time.Duration
+	outage      [2]time.Duration // all entries are down; their callers return together at its end
 }
 
 var modelProfile = schedule.EngineProfile{
@@ -80,6 +81,7 @@
 	done         bool
 	abandoned    bool
 	refused      bool
+	returning    bool // an outage ended an earlier attempt
 	attempts     int
 	partsLeft    int // parts still in prefill
 	engine       *simEngine
@@ -190,6 +192,9 @@
 		}
 	}
 	s.scheduleAt(0, tick)
+	if l.outage[1] > 0 {
+		s.scheduleAt(l.outage[0], s.cutRequests)
+	}
 	for len(s.queue) > 0 {
 		e := heap.Pop(&s.queue).(simEvent)
 		s.now = e.at
@@ -225,7 +230,12 @@
 			r.credit, r.lateCredit = k.credit*size, k.lateCredit*size
 			s.requests = append(s.requests, r)
 			s.byID[r.id] = r
-			s.submit(r)
+			if s.inOutage() {
+				r.returning = true
+				s.scheduleAt(s.workload.outage[1], func() { s.submit(r) })
+			} else {
+				s.submit(r)
+			}
 		}
 		// The rate may change before the next arrival, so time advances in small steps.
 		step := 20 * time.Millisecond
@@ -254,8 +264,9 @@
 		Remaining: k.deadline - elapsed, Priority: 1,
 	}, s.clock()))
 	streamTimeout := max(2*time.Second, 4*k.goal, 8*k.pause)
-	s.scheduleAt(r.arrived+streamTimeout, func() {
-		if r.first == 0 && !r.abandoned {
+	attempt := r.attempts
+	s.scheduleAt(s.now+streamTimeout, func() {
+		if r.first == 0 && r.attempts == attempt && !r.abandoned && !r.refused {
 			s.abandon(r)
 		}
 	})
@@ -266,6 +277,31 @@
 	})
 }
 
+// cutRequests ends all requests in progress. Their callers return after the outage.
+func (s *simulation) cutRequests() {
+	for _, e := range s.engines {
+		e.admissions, e.admissionQueue = nil, nil
+	}
+	for i, r := range s.requests {
+		if r.done || r.abandoned {
+			continue
+		}
+		s.release(r)
+		s.apply(s.policy.Ended(r.id, s.clock()))
+		r.abandoned = true
+		next := &simRequest{
+			id: r.id, kind: r.kind, prompt: r.prompt, events: r.events, arrived: r.arrived, credit: r.credit, lateCredit: r.lateCredit,
+			returning: true,
+		}
+		s.requests[i], s.byID[r.id] = next, next
+		s.scheduleAt(s.workload.outage[1], func() { s.submit(next) })
+	}
+}
+
+func (s *simulation) inOutage() bool {
+	return s.now >= s.workload.outage[0] && s.now < s.workload.outage[1]
+}
+
 func (s *simulation) abandon(r *simRequest) {
 	r.abandoned = true
 	s.release(r)
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -15,6 +15,8 @@
 	Remaining time.Duration `json:"left"` // time left until the caller abandons the request
 	Priority  int           `json:"priority"`
 	Exclude   []string      `json:"exclude"` // endpoints that failed this request
+
+	yields bool // placed only where no prefill is queued
 }
 
 // After returns the job with its time limits reduced by d.
@@ -91,10 +93,19 @@
 // MaxWait returns how long a job may stay queued.
 func (j *Job) MaxWait() time.Duration {
 	streamTimeout := max(minStreamTimeout, streamTimeoutGoals*j.Goal, streamTimeoutPauses*j.PauseGoal)
+	if j.isLate() {
+		return max(min(streamTimeout/2, j.Remaining/2), 0)
+	}
 	goalWait := max(minGoalWait, time.Duration(maxWaitGoalShare*float64(j.Goal)))
 	return max(min(time.Duration(maxWaitShare*float64(streamTimeout)), goalWait, j.Remaining/2), 0)
 }
 
+// isLate reports whether the goal for the first event has passed.
+func (j *Job) isLate() bool { return j.Goal <= 0 }
+
+// maxYield is how long a late job gives way to jobs that can still be on time.
+const maxYield = 500 * time.Millisecond
+
 // valueTokens scales the value of a prompt by its length relative to the mean
 // request: long prompts are worth more, but less than in proportion to their
 // engine time.
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -358,3 +358,51 @@
 	}
 	g.Expect(placed[engineName(9)]).To(BeNumerically("<=", 3), "eight entries with this many fill its slots")
 }
+
+// All entries restart together: the callers whose streams were cut and those that found
+// nobody return within an instant. They are late already, so the callers that arrive
+// after them must not wait behind them.
+func TestReturningCallersYieldToNewOnes(t *testing.T) {
+	g := NewWithT(t)
+	l := workload{engines: 18, scale: 1, duration: 12 * time.Second, outage: [2]time.Duration{5 * time.Second, 7 * time.Second}}
+	fresh, onTime, returned, served := 0, 0, 0, 0
+	for seed := range uint64(6) {
+		l.seed = seed
+		s := simulate(l, newScheduler(l))
+		for _, r := range s.requests {
+			switch {
+			case r.returning:
+				returned++
+				if r.done {
+					served++
+				}
+			case r.kind == 0 && r.arrived >= l.outage[1] && r.arrived < l.outage[1]+2*time.Second:
+				fresh++
+				if s.credit(r) >= r.credit {
+					onTime++
+				}
+			}
+		}
+	}
+	t.Logf("new short prompts on time %d of %d, returned callers served %d of %d", onTime, fresh, served, returned)
+	g.Expect(float64(onTime) / float64(fresh)).To(BeNumerically(">", 0.9))
+	g.Expect(float64(served) / float64(returned)).To(BeNumerically(">", 0.75))
+}
+
+// A late job waits for an engine without queued prefill and takes any after maxYield.
+func TestLateJobYields(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(workload{engines: 1})
+	now := simStart
+	busy := schedule.Job{ID: "busy", Prompt: 15_000, Answer: 500, Goal: 2 * time.Second, PauseGoal: time.Second, Remaining: 10 * time.Second, Priority: 1}
+	g.Expect(s.Submit(busy, now)).To(HaveLen(1))
+	late := schedule.Job{ID: "late", Prompt: 5_000, Answer: 500, Goal: -time.Second, PauseGoal: time.Second, Remaining: 5 * time.Second, Priority: 1}
+	g.Expect(s.Submit(late, now)).To(BeEmpty(), "queued while another prompt is being read")
+	fresh := schedule.Job{ID: "fresh", Prompt: 5_000, Answer: 500, Goal: 300 * time.Millisecond, PauseGoal: time.Second, Remaining: 10 * time.Second, Priority: 1}
+	decisions := s.Submit(fresh, now.Add(30*time.Millisecond))
+	g.Expect(decisions).To(HaveLen(1))
+	g.Expect(decisions[0].Refused()).To(BeFalse())
+	decisions = s.Tick(now.Add(600 * time.Millisecond))
+	g.Expect(decisions).To(HaveLen(1))
+	g.Expect(decisions[0].Endpoint).ToNot(BeEmpty())
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -128,6 +128,9 @@
 	if v.usedSlots >= s.profile.Slots {
 		return false
 	}
+	if j.yields && (len(v.engine.prefillQueue) > 0 || v.usedSlots >= packingLimit) {
+		return false
+	}
 	need := j.Prompt + j.Answer
 	if need > s.profile.MemoryTokens {
 		return s.freeTokens(v) >= s.profile.MemoryTokens/2
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -130,6 +130,7 @@
 	if j.Prompt+j.Answer > s.maxJobTokens() {
 		return []Decision{s.refuse(&j, "the prompt exceeds the memory of all engines that may read it", 0)}
 	}
+	j.yields = j.isLate()
 	d, e, ok := s.place(&j, now)
 	if ok {
 		return []Decision{d}
@@ -331,7 +332,9 @@
 	})
 	var out []Decision
 	s.queue = slices.DeleteFunc(s.queue, func(w *queuedJob) bool {
-		j := w.job.After(now.Sub(w.arrived))
+		waited := now.Sub(w.arrived)
+		j := w.job.After(waited)
+		j.yields = j.isLate() && waited < maxYield
 		d, e, ok := s.place(&j, now)
 		w.evaluation = e
 		if ok {
