gateway: a frozen coordinator is noticed by a ping, a new one knows the jobs at once

The next coordinator learnt an entry's jobs with its first question and the load of the engines up to 2 s later. Entries that started together placed huge prompts each by itself.

Change: while calls wait and the coordinator was silent for 100 ms, one ping with 200 ms; an entry sends its jobs when it learns of a new coordinator; a new coordinator probes the engines within 0.2 s; long and late jobs wait for the first coordinator as they do for the next.

--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -54,9 +54,12 @@
 	waiters            map[string]chan schedule.Decision
 	serviceByJob       map[string]string // service of each known job
 	coordinator        string            // address; empty if there is none or it is this entry
-	adopted            bool              // the coordinator has this entry's job list
-	backoffUntil       time.Time         // no calls to the coordinator before this time
-	coordinatorChanged chan struct{}     // closed when calls to the coordinator are abandoned
+	isCoordinator      bool
+	adopted            bool      // the coordinator has this entry's job list
+	lastHeard          time.Time // of the coordinator
+	pinging            bool
+	backoffUntil       time.Time     // no calls to the coordinator before this time
+	coordinatorChanged chan struct{} // closed when calls to the coordinator are abandoned
 	pendingReports     []jobReport
 	reporting          bool
 }
@@ -111,12 +114,16 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.isCoordinator = isSelf
 	if address == p.coordinator {
 		return
 	}
 	p.log.Info("coordinator", "step", "gateway.coordinator", "address", address, "self", isSelf, "before", p.coordinator)
 	p.coordinator, p.adopted, p.backoffUntil = address, false, time.Time{}
 	p.cancelCoordinatorCalls()
+	if address != "" {
+		go p.introduce(address)
+	}
 	if !isSelf {
 		for _, s := range p.schedulers {
 			s.DropOtherOwners(p.self, time.Now())
@@ -156,10 +163,14 @@
 	started := time.Now()
 	p.mu.Lock()
 	address, changed := p.coordinator, p.coordinatorChanged
+	isUnknown := address == "" && !p.isCoordinator
 	if started.Before(p.backoffUntil) {
 		address = ""
 	}
 	p.mu.Unlock()
+	if isUnknown && redirects > 0 && p.awaitCoordinator(ctx, "", j) {
+		return p.placeWithRedirects(ctx, j.After(time.Since(started)), redirects-1)
+	}
 	if redirects == 0 {
 		changed = nil // the job stays where it is queued
 	}
@@ -215,16 +226,16 @@
 )
 
 // awaitCoordinator waits for a coordinator other than the failed one if the job's goal
-// allows it. It reports whether there is one.
+// allows it or has passed. It reports whether there is one.
 func (p *placer) awaitCoordinator(ctx context.Context, failed string, j schedule.Job) bool {
-	if j.Goal < minGoalToWait {
+	if j.Goal > 0 && j.Goal < minGoalToWait {
 		return false
 	}
 	started := time.Now()
 	for time.Since(started) < electionTimeout && ctx.Err() == nil {
 		time.Sleep(electionPollInterval)
 		p.mu.Lock()
-		changed := p.coordinator != failed
+		changed := p.coordinator != failed || p.isCoordinator
 		p.mu.Unlock()
 		if changed {
 			return true
@@ -244,10 +255,79 @@
 		case <-ctx.Done():
 		}
 	}()
+	go p.watchCoordinator(ctx, address)
 	if err := p.ensureAdopted(ctx, address); err != nil {
 		return schedule.Decision{}, err
 	}
-	return p.client.place(ctx, address, j)
+	d, err := p.client.place(ctx, address, j)
+	if err == nil {
+		p.mu.Lock()
+		p.lastHeard = time.Now()
+		p.mu.Unlock()
+	}
+	return d, err
+}
+
+// introduce sends the running jobs of this entry to a new coordinator at once, so that
+// its first decisions consider them.
+func (p *placer) introduce(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	if err := p.ensureAdopted(ctx, address); err != nil {
+		p.log.Info("new coordinator did not take the job list", "step", "gateway.introduce", "address", address, "error", err.Error())
+	}
+}
+
+// A call to the coordinator lasts as long as the job is queued there, so a coordinator
+// that froze or is cut off is detected by a ping.
+const (
+	pingDelay   = 100 * time.Millisecond // without any message from the coordinator
+	pingTimeout = 200 * time.Millisecond
+)
+
+// watchCoordinator pings the coordinator while calls wait for it and it is silent. It
+// marks it as failed when a ping is not answered. It returns when ctx ends.
+func (p *placer) watchCoordinator(ctx context.Context, address string) {
+	ticker := time.NewTicker(pingDelay)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !p.startPing(address) {
+			continue
+		}
+		pingCtx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+		err := p.client.report(pingCtx, address, nil)
+		cancel()
+		p.endPing(address, err)
+	}
+}
+
+// startPing reports whether the coordinator was silent for pingDelay and no other call
+// pings it.
+func (p *placer) startPing(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pinging || p.coordinator != address || time.Since(p.lastHeard) < pingDelay {
+		return false
+	}
+	p.pinging = true
+	return true
+}
+
+func (p *placer) endPing(address string, err error) {
+	p.mu.Lock()
+	p.pinging = false
+	if err == nil {
+		p.lastHeard = time.Now()
+	}
+	p.mu.Unlock()
+	if err != nil {
+		p.markCoordinatorFailed(address, err)
+	}
 }
 
 // ensureAdopted sends the running jobs of this entry to a new coordinator.
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -21,7 +21,9 @@
 	mu           sync.Mutex
 	failing      bool
 	redirect     string // address named as the coordinator
-	unresponsive bool   // calls block until canceled
+	unresponsive bool   // placement calls block until canceled
+	frozen       bool   // all calls block until canceled
+	queueing     time.Duration
 	placeCalls   int
 	adopted      [][]schedule.PlacedJob
 	reports      []jobReport
@@ -34,8 +36,9 @@
 		return schedule.Decision{}, &redirectError{leader: f.redirect}
 	}
 	f.placeCalls++
-	failing, unresponsive := f.failing, f.unresponsive
+	failing, unresponsive, queueing := f.failing, f.unresponsive || f.frozen, f.queueing
 	f.mu.Unlock()
+	time.Sleep(queueing)
 	if unresponsive {
 		<-ctx.Done()
 		return schedule.Decision{}, ctx.Err()
@@ -56,7 +59,14 @@
 	return nil
 }
 
-func (f *fakeCoordinator) report(_ context.Context, _ string, reports []jobReport) error {
+func (f *fakeCoordinator) report(ctx context.Context, _ string, reports []jobReport) error {
+	f.mu.Lock()
+	frozen := f.frozen
+	f.mu.Unlock()
+	if frozen {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reports = append(f.reports, reports...)
@@ -321,3 +331,65 @@
 	p.setCoordinator("c:2", false)
 	g.Eventually(result, "200ms").Should(Receive(MatchError(errNotCoordinator)))
 }
+
+// A coordinator that froze keeps calls open. An entry notices it long before the job's
+// queueing time ends, so that short jobs that arrive meanwhile are placed on time.
+func TestFrozenCoordinatorIsNoticedByPing(t *testing.T) {
+	g := NewWithT(t)
+	f := &fakeCoordinator{frozen: true}
+	p := newTestPlacer(f)
+	p.setCoordinator("c:1", false)
+	started := time.Now()
+	d, err := p.place(t.Context(), testJob("j"))
+	g.Expect(err).ToNot(HaveOccurred())
+	g.Expect(d.Endpoint).To(Equal("e-near"))
+	job := testJob("j")
+	g.Expect(time.Since(started)).To(BeNumerically("<", job.MaxWait()), "a job that is queued there waits longer")
+}
+
+// A coordinator that answers pings queues the job, so the entry goes on waiting.
+func TestQueuedCallSurvivesPings(t *testing.T) {
+	g := NewWithT(t)
+	f := &fakeCoordinator{queueing: 3 * pingDelay}
+	p := newTestPlacer(f)
+	p.setCoordinator("c:1", false)
+	d, err := p.place(t.Context(), testJob("j"))
+	g.Expect(err).ToNot(HaveOccurred())
+	g.Expect(d.Endpoint).To(Equal("e-far"))
+}
+
+// An entry that starts with others knows no coordinator for a moment. What may wait does:
+// eight entries that place huge prompts by themselves put them all on the same engines.
+func TestLongOrLateJobWaitsForFirstCoordinator(t *testing.T) {
+	for name, change := range map[string]func(*schedule.Job){
+		"long": func(j *schedule.Job) { j.Goal = 3 * time.Second },
+		"late": func(j *schedule.Job) { j.Goal = -time.Second },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := newTestPlacer(&fakeCoordinator{})
+			j := testJob("j")
+			change(&j)
+			time.AfterFunc(100*time.Millisecond, func() { p.setCoordinator("c:1", false) })
+			d, err := p.place(t.Context(), j)
+			g.Expect(err).ToNot(HaveOccurred())
+			g.Expect(d.Endpoint).To(Equal("e-far"))
+		})
+	}
+}
+
+// A new coordinator learns the jobs of an entry before the entry's next request.
+func TestNewCoordinatorReceivesJobsAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := &fakeCoordinator{}
+	p := newTestPlacer(f)
+	_, err := p.place(t.Context(), testJob("running"))
+	g.Expect(err).ToNot(HaveOccurred())
+	p.setCoordinator("c:1", false)
+	g.Eventually(func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.adopted)
+	}).Should(Equal(1))
+	g.Expect(f.adopted[0]).To(HaveLen(1))
+}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -18,7 +18,10 @@
 // load is a few hundred milliseconds old.
 const (
 	probeInterval = time.Second
-	probeTimeout  = 500 * time.Millisecond
+	// leaderCheckInterval is how often an entry checks whether it became the coordinator,
+	// which probes soon because it does not know the requests of entries that are gone.
+	leaderCheckInterval = 100 * time.Millisecond
+	probeTimeout        = 500 * time.Millisecond
 )
 
 var (
@@ -35,30 +38,40 @@
 
 // Serve implements supervise.Duty.
 func (p *probeDuty) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(probeInterval)
+	ticker := time.NewTicker(leaderCheckInterval)
 	defer ticker.Stop()
+	var next time.Time
+	spread, wasLeader := probeInterval, false
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
 		}
+		now, isLeader := time.Now(), p.g.mesh.IsLeader()
+		if isLeader && !wasLeader {
+			next = now.Add(leaderCheckInterval) // the entries send their job lists first
+			spread = leaderCheckInterval
+		}
+		wasLeader = isLeader
 		table := p.g.table.Load()
-		if table == nil || !p.g.mesh.IsLeader() {
+		if table == nil || !isLeader || now.Before(next) {
 			continue
 		}
+		next = now.Add(probeInterval)
 		for i := range table.Services {
 			if s := &table.Services[i]; s.Engine != nil {
-				p.probeAll(ctx, s.Name)
+				p.probeAll(ctx, s.Name, spread)
 			}
 		}
+		spread = probeInterval
 	}
 }
 
-// probeAll probes every engine of a service, spread over the probe interval.
-func (p *probeDuty) probeAll(ctx context.Context, service string) {
+// probeAll probes every engine of a service at random times within spread.
+func (p *probeDuty) probeAll(ctx context.Context, service string, spread time.Duration) {
 	for _, h := range p.g.readyEndpoints(service) {
-		time.AfterFunc(rand.N(probeInterval), func() { p.probe(ctx, service, h) })
+		time.AfterFunc(rand.N(spread), func() { p.probe(ctx, service, h) })
 	}
 }
 
