schedule: a caller that will be late anyway is told to come back later

Hypothesis: a refused prompt whose goal is over when it returns has nothing to gain from an early return; it comes back into the same wave and is refused again, which is final.

Change: if the usual time to come back lies beyond the goal, it is taken from 20 to 33 in 100 of the caller's remaining time instead of 5 to 25.

--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -305,15 +305,21 @@
 // Retries of callers that are refused at the same time are spread over this share of
 // their remaining time.
 const (
-	minRetryShare   = 0.05
-	retryShareRange = 0.20
-	maxRetryDivisor = 3 // callers accept at most this fraction of their remaining time, by the platform's contract
+	minRetryShare       = 0.05
+	retryShareRange     = 0.20
+	minLateRetryShare   = 0.20
+	lateRetryShareRange = 0.13
+	maxRetryDivisor     = 3 // callers accept at most this fraction of their remaining time, by the platform's contract
 )
 
 // retryDelay returns a retry delay that is derived from the job's id, to spread retries.
 func (j *Job) retryDelay() time.Duration {
 	part := float64(xxhash.Sum64String(j.ID)%1024) / 1024
-	return time.Duration((minRetryShare + retryShareRange*part) * float64(j.Remaining))
+	short := time.Duration((minRetryShare + retryShareRange*part) * float64(j.Remaining))
+	if short < j.Goal {
+		return short
+	}
+	return time.Duration((minLateRetryShare + lateRetryShareRange*part) * float64(j.Remaining))
 }
 
 // scanInterval is the minimum time between two queue scans, as each scan evaluates
