--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -112,7 +112,7 @@
 		attributes = append(attributes, "configuration", f.table.Version)
 	}
 	if f.route != nil {
-		attributes = append(attributes, "route", f.route.Name)
+		attributes = append(attributes, "route", f.route.Name, "goal_ms", f.route.Goal.Milliseconds(), "pause_goal_ms", f.route.PauseGoal.Milliseconds())
 	}
 	if e != nil {
 		attributes = append(attributes, "code", string(e.Code), "state", e.State.String(), "at", e.Step, "reason", e.Message, "cause", errorText(e.Cause))
--- a/operator/arguments.go
+++ b/operator/arguments.go
@@ -28,6 +28,7 @@
 	Accept     *acceptCommand     `arg:"subcommand:accept" help:"put the answers in force on the whole fleet"`
 	Status     *statusCommand     `arg:"subcommand:status" help:"show instances, endpoints, quorum and revisions in force"`
 	Explain    *explainCommand    `arg:"subcommand:explain" help:"tell what happened to one request"`
+	Losses     *lossesCommand     `arg:"subcommand:losses" help:"tell from the entries' logs why requests were late, refused or failed"`
 	Timeline   *timelineCommand   `arg:"subcommand:timeline" help:"show the events of all daemons in order"`
 	Drain      *drainCommand      `arg:"subcommand:drain" help:"make a daemon leave: no new work, what runs is finished"`
 	Keys       *keysCommand       `arg:"subcommand:keys" help:"make keys of client accounts and certificates of instances"`
@@ -97,6 +98,10 @@
 	fleetOptions
 }
 
+type lossesCommand struct {
+	Logs []string `arg:"positional,required" help:"log files of the entries; - for standard input"`
+}
+
 type timelineCommand struct {
 	Request  string        `arg:"--request" help:"only events of this request"`
 	Endpoint string        `arg:"--endpoint" help:"only events of this endpoint"`
