--- a/schedule/place.go
+++ b/schedule/place.go
@@ -128,7 +128,7 @@
 	if v.usedSlots >= s.profile.Slots {
 		return false
 	}
-	if j.yields && (len(v.engine.prefillQueue) > 0 || v.usedSlots >= packingLimit) {
+	if j.yields && len(v.engine.prefillQueue) > 0 {
 		return false
 	}
 	need := j.Prompt + j.Answer
