schedule: a huge prompt leaves engines for the short ones that keep coming

The fleet seemed empty, so it got 17 of 18 engines for 1.9 s; every short caller of that second heard nothing for its two seconds and left (40 of them).

A new coordinator holds long prompts for 150 ms, until the other entries' jobs and the returning callers are known.

--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -103,6 +103,7 @@
 		if leader, isSelf := m.Leader(); !isSelf {
 			return &placeResponse{NotCoordinator: true, Leader: leader}, nil
 		}
+		p.setCoordinator("", true) // the placement duty may not have noticed the election yet
 		d, err := p.placeForPeer(ctx, q.Job)
 		if errors.Is(err, errNotCoordinator) {
 			leader, _ := m.Leader()
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -114,6 +114,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if isSelf && !p.isCoordinator {
+		for _, s := range p.schedulers {
+			s.TakeOver(time.Now())
+		}
+	}
 	p.isCoordinator = isSelf
 	if address == p.coordinator {
 		return
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -406,3 +406,40 @@
 	g.Expect(decisions).To(HaveLen(1))
 	g.Expect(decisions[0].Endpoint).ToNot(BeEmpty())
 }
+
+// All entries restarted, and a prompt as long as two engines' memory is among the first
+// of a hundred callers that return at once. It must leave enough engines for the others:
+// given all of them, they would be shut out for two seconds, and leave.
+func TestHugePromptLeavesEnginesForReturningCallers(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(workload{engines: 18})
+	s.TakeOver(simStart)
+	now := simStart
+	var decisions []schedule.Decision
+	submit := func(id string, prompt int, goal time.Duration) {
+		now = now.Add(time.Millisecond)
+		decisions = append(decisions, s.Submit(schedule.Job{
+			ID: id, Prompt: prompt, Answer: 1600, Goal: goal, PauseGoal: 200 * time.Millisecond, Remaining: 14 * time.Second, Priority: 1,
+		}, now)...)
+	}
+	const shorts = 100
+	for i := range shorts {
+		if i == 5 {
+			submit("huge", 789_000, 3*time.Second)
+		}
+		submit(fmt.Sprintf("short-%d", i), 5_000, 300*time.Millisecond)
+	}
+	for range 100 {
+		now = now.Add(20 * time.Millisecond)
+		decisions = append(decisions, s.Tick(now)...)
+	}
+	for _, d := range decisions {
+		if d.Job == "huge" {
+			t.Logf("huge: endpoint %q, helpers %d, reason %q", d.Endpoint, len(d.Helpers), d.Reason)
+			g.Expect(1+len(d.Helpers)).To(BeNumerically("<=", 18-shorts/12), "engines of the huge prompt")
+		} else {
+			g.Expect(d.Refused()).To(BeFalse(), d.Job)
+			g.Expect(d.Expected).To(BeNumerically("<", 300*time.Millisecond), d.Job)
+		}
+	}
+}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -65,10 +65,15 @@
 	jobs          map[string]*runningJob
 	queue         []*queuedJob
 	utilization   float64       // mean over the engines, for the current decision
+	shortJobs     int           // assigned jobs with short prompts, for the current decision
+	longPrefills  int           // engines with a long prefill backlog, for the current decision
+	shortRate     float64       // value of short prompts per second, for the current decision
 	viewScratch   []engineView  // reused between decisions
 	helperScratch []*engineView // reused between decisions
 	planScratch   []helperPlan
 	nextScan      time.Time // earliest time of the next queue scan
+	shortArrivals arrivalRate
+	settledAt     time.Time // until then, long jobs wait for the jobs of other entries
 }
 
 // New returns a scheduler without endpoints. While peers place jobs on the same
@@ -88,6 +93,19 @@
 	}
 }
 
+// takeoverGrace is the time in which the other entries send a new coordinator their
+// running jobs, and in which callers return after a restart of all entries.
+const takeoverGrace = 150 * time.Millisecond
+
+// TakeOver tells the scheduler that it places the jobs of all entries from now on. Long
+// jobs wait for takeoverGrace: a fleet that seems empty would give them all engines.
+func (s *Scheduler) TakeOver(now time.Time) { s.settledAt = now.Add(takeoverGrace) }
+
+// awaitsTakeover reports whether a job is held because the state of the fleet is unknown.
+func (s *Scheduler) awaitsTakeover(j *Job, now time.Time) bool {
+	return j.Prompt >= minHelperPrompt && now.Before(s.settledAt)
+}
+
 // SetProfile replaces the profile of the engines.
 func (s *Scheduler) SetProfile(f EngineProfile) { s.profile = f }
 
@@ -130,6 +148,13 @@
 	if j.Prompt+j.Answer > s.maxJobTokens() {
 		return []Decision{s.refuse(&j, "the prompt exceeds the memory of all engines that may read it", 0)}
 	}
+	if j.Prompt < minHelperPrompt {
+		s.shortArrivals.add(j.value(), now)
+	}
+	if s.awaitsTakeover(&j, now) {
+		s.queue = append(s.queue, &queuedJob{job: &j, arrived: now})
+		return nil
+	}
 	j.yields = j.isLate()
 	d, e, ok := s.place(&j, now)
 	if ok {
@@ -338,6 +363,9 @@
 	})
 	var out []Decision
 	s.queue = slices.DeleteFunc(s.queue, func(w *queuedJob) bool {
+		if s.awaitsTakeover(w.job, now) {
+			return false
+		}
 		waited := now.Sub(w.arrived)
 		j := w.job.After(waited)
 		j.yields = j.isLate() && waited < maxYield
