schedule: late jobs are not held for more than a quarter of their caller's time

Change: a late job waits a second at most and a quarter of what its caller has left. Test: TestLateJobIsNotHeldForMostOfItsTime.

--- a/schedule/job.go
+++ b/schedule/job.go
@@ -92,10 +92,10 @@
 
 // MaxWait returns how long a job may stay queued.
 func (j *Job) MaxWait() time.Duration {
-	streamTimeout := max(minStreamTimeout, streamTimeoutGoals*j.Goal, streamTimeoutPauses*j.PauseGoal)
 	if j.isLate() {
-		return max(min(streamTimeout/2, j.Remaining/2), 0)
+		return max(min(maxLateWait, j.Remaining/4), 0)
 	}
+	streamTimeout := max(minStreamTimeout, streamTimeoutGoals*j.Goal, streamTimeoutPauses*j.PauseGoal)
 	goalWait := max(minGoalWait, time.Duration(maxWaitGoalShare*float64(j.Goal)))
 	return max(min(time.Duration(maxWaitShare*float64(streamTimeout)), goalWait, j.Remaining/2), 0)
 }
@@ -103,8 +103,12 @@
 // isLate reports whether the goal for the first event has passed.
 func (j *Job) isLate() bool { return j.Goal <= 0 }
 
-// maxYield is how long a late job gives way to jobs that can still be on time.
-const maxYield = 500 * time.Millisecond
+// A late job gives way to jobs that can still be on time for maxYield, and is refused
+// after maxLateWait: its caller may have little time left.
+const (
+	maxYield    = 500 * time.Millisecond
+	maxLateWait = time.Second
+)
 
 // valueTokens scales the value of a prompt by its length relative to the mean
 // request: long prompts are worth more, but less than in proportion to their
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -443,3 +443,13 @@
 		}
 	}
 }
+
+// A caller that has two seconds left is told soon that there is no room.
+func TestLateJobIsNotHeldForMostOfItsTime(t *testing.T) {
+	g := NewWithT(t)
+	for _, left := range []time.Duration{0, 400 * time.Millisecond, 2 * time.Second, 12 * time.Second} {
+		j := schedule.Job{Goal: -time.Second, PauseGoal: 800 * time.Millisecond, Remaining: left}
+		g.Expect(j.MaxWait()).To(BeNumerically("<=", left/4))
+		g.Expect(j.MaxWait()).To(BeNumerically("<=", time.Second))
+	}
+}
