--- a/schedule/place.go
+++ b/schedule/place.go
@@ -264,7 +264,6 @@
 	c.score -= helperCost * float64(plan.helpers)
 	c.score -= prefillCost * s.utilization * plan.prefillTime.Seconds() * float64(1+plan.helpers)
 	c.score -= blockingCost * plan.extraTime.Seconds()
-	c.score -= s.shutOutCost(plan)
 	c.score -= latencyCost * j.value() * float64(c.expected) / float64(max(j.firstEventLimit(), minGoal))
 	if primary.engine.FailureDomain != j.Domain {
 		c.score -= crossDomainCost
@@ -272,26 +271,6 @@
 	return c, true
 }
 
-// longPrefill is the duration of prefill from which a short prompt that arrives at the
-// engine meanwhile is late.
-const longPrefill = 200 * time.Millisecond
-
-// shutOutCost returns the value that short prompts are going to lose if a plan's prefill
-// leaves too few engines for them while it lasts. Enough are those that the present
-// short prompts fill.
-func (s *Scheduler) shutOutCost(plan *helperPlan) float64 {
-	if plan.prefillTime < longPrefill || s.shortJobs == 0 {
-		return 0
-	}
-	needed := float64(s.shortJobs) / packingLimit
-	occupied := max(plan.helpers+1, s.longPrefills) // at least; the plan may use engines that read already
-	open := float64(len(s.order) - occupied)
-	if open >= needed {
-		return 0
-	}
-	return latePenalty * s.shortRate * plan.prefillTime.Seconds() * (needed - open) / needed
-}
-
 func (v *engineView) scaled(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * v.reportedSlowdown)
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -65,14 +65,10 @@
 	jobs          map[string]*runningJob
 	queue         []*queuedJob
 	utilization   float64       // mean over the engines, for the current decision
-	shortJobs     int           // assigned jobs with short prompts, for the current decision
-	longPrefills  int           // engines with a long prefill backlog, for the current decision
-	shortRate     float64       // value of short prompts per second, for the current decision
 	viewScratch   []engineView  // reused between decisions
 	helperScratch []*engineView // reused between decisions
 	planScratch   []helperPlan
 	nextScan      time.Time // earliest time of the next queue scan
-	shortArrivals arrivalRate
 	settledAt     time.Time // until then, long jobs wait for the jobs of other entries
 }
 
@@ -148,9 +144,6 @@
 	if j.Prompt+j.Answer > s.maxJobTokens() {
 		return []Decision{s.refuse(&j, "the prompt exceeds the memory of all engines that may read it", 0)}
 	}
-	if j.Prompt < minHelperPrompt {
-		s.shortArrivals.add(j.value(), now)
-	}
 	if s.awaitsTakeover(&j, now) {
 		s.queue = append(s.queue, &queuedJob{job: &j, arrived: now})
 		return nil
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -36,14 +36,9 @@
 		s.viewScratch = make([]engineView, len(s.order))
 	}
 	views := s.viewScratch[:len(s.order)]
-	s.utilization, s.shortJobs, s.longPrefills = 0, 0, 0
-	s.shortRate = s.shortArrivals.get(now)
+	s.utilization = 0
 	for i, e := range s.order {
 		s.fillView(&views[i], e, j, now)
-		s.shortJobs += views[i].shortJobs
-		if e.prefillBacklog(now) >= longPrefill {
-			s.longPrefills++
-		}
 		s.utilization += views[i].utilization() / float64(len(s.order))
 	}
 	return views
