--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -273,68 +273,6 @@
 	return d, err
 }
 
-// introduce sends the running jobs of this entry to a new coordinator at once, so that
-// its first decisions consider them.
-func (p *placer) introduce(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
-	defer cancel()
-	if err := p.ensureAdopted(ctx, address); err != nil {
-		p.log.Info("new coordinator did not take the job list", "step", "gateway.introduce", "address", address, "error", err.Error())
-	}
-}
-
-// A call to the coordinator lasts as long as the job is queued there, so a coordinator
-// that froze or is cut off is detected by a ping.
-const (
-	pingDelay   = 100 * time.Millisecond // without any message from the coordinator
-	pingTimeout = 200 * time.Millisecond
-)
-
-// watchCoordinator pings the coordinator while calls wait for it and it is silent. It
-// marks it as failed when a ping is not answered. It returns when ctx ends.
-func (p *placer) watchCoordinator(ctx context.Context, address string) {
-	ticker := time.NewTicker(pingDelay)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if !p.startPing(address) {
-			continue
-		}
-		pingCtx, cancel := context.WithTimeout(context.Background(), pingTimeout)
-		err := p.client.report(pingCtx, address, nil)
-		cancel()
-		p.endPing(address, err)
-	}
-}
-
-// startPing reports whether the coordinator was silent for pingDelay and no other call
-// pings it.
-func (p *placer) startPing(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.pinging || p.coordinator != address || time.Since(p.lastHeard) < pingDelay {
-		return false
-	}
-	p.pinging = true
-	return true
-}
-
-func (p *placer) endPing(address string, err error) {
-	p.mu.Lock()
-	p.pinging = false
-	if err == nil {
-		p.lastHeard = time.Now()
-	}
-	p.mu.Unlock()
-	if err != nil {
-		p.markCoordinatorFailed(address, err)
-	}
-}
-
 // ensureAdopted sends the running jobs of this entry to a new coordinator.
 func (p *placer) ensureAdopted(ctx context.Context, address string) error {
 	p.mu.Lock()
