gateway: a request cut by this entry is not logged as left by its caller

A request whose connection closes is canceled, whoever closed it, and was logged as caller_left. The connection now remembers whether this process closed it: such a request ends as cut, in the log, the loss account and the counter jacinthplank_gateway_cut_total. The moment in which a shutdown closes idle connections has a log line. This tells two hypotheses of the lost request apart; no decision changes.

--- a/gateway/caller_server.go
+++ b/gateway/caller_server.go
@@ -46,6 +46,9 @@
 		if err != nil {
 			return err
 		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			conn = &callerConn{TCPConn: tcp}
+		}
 		s.mu.Lock()
 		b := s.current
 		s.mu.Unlock()
@@ -67,8 +70,11 @@
 	b := s.servers[l]
 	if b == nil {
 		b = &boundServer{
-			server: &http.Server{Handler: s.handler, ReadHeaderTimeout: l.Timeout, IdleTimeout: l.Idle, MaxHeaderBytes: l.Bytes},
-			conns:  make(chan net.Conn), closed: make(chan struct{}),
+			server: &http.Server{
+				Handler: s.handler, ReadHeaderTimeout: l.Timeout, IdleTimeout: l.Idle, MaxHeaderBytes: l.Bytes,
+				ConnContext: withCallerConn,
+			},
+			conns: make(chan net.Conn), closed: make(chan struct{}),
 		}
 		s.servers[l] = b
 		go func() { _ = b.server.Serve(b) }() // runs until the process exits
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -14,7 +14,12 @@
 // fail ends the request without a complete response.
 func (f *inflightRequest) fail(e *outcome.Error) {
 	if f.r.Context().Err() != nil {
-		f.recordOutcome("caller_left", e)
+		result := "caller_left"
+		if closedByEntry(f.r) {
+			cutTotal.Inc()
+			result = "cut"
+		}
+		f.recordOutcome(result, e)
 		panic(http.ErrAbortHandler)
 	}
 	if f.headSent {
@@ -72,7 +77,7 @@
 // eventKinds maps request outcomes to timeline event kinds.
 var eventKinds = map[string]timeline.Kind{
 	"answered": timeline.KindFinished, "refused": timeline.KindRefused, "failed": timeline.KindFailed,
-	"broken": timeline.KindFailed, "caller_left": timeline.KindCanceled,
+	"broken": timeline.KindFailed, "cut": timeline.KindFailed, "caller_left": timeline.KindCanceled,
 }
 
 // recordEvent adds the end of a request or attempt to the event log for operators.
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -26,6 +26,7 @@
 	// Another entry takes over as coordinator before this one stops responding.
 	go g.mesh.TransferLeadership()
 	sleepUntil(time.Now().Add(balancerGracePeriod), deadline)
+	g.log.Info("closing idle connections", "step", "gateway.shutdown", "running", g.running.Load())
 	g.callerServer.endKeepAlives()
 	if err := l.callers.Close(); err != nil {
 		g.log.Warn("failed to close caller listener", "step", "gateway.shutdown", "error", err.Error())
--- a/losses/losses.go
+++ b/losses/losses.go
@@ -21,6 +21,7 @@
 const (
 	CauseCallerLeft  Cause = "caller left"
 	CauseFailed      Cause = "failed"           // at its endpoint, or its deadline passed
+	CauseCut         Cause = "cut"              // the entry closed the connection without a response
 	CauseNoCapacity  Cause = "refused, no room" // no engine had a slot and memory
 	CauseTooCostly   Cause = "refused, would delay others"
 	CauseRefused     Cause = "refused, other"
@@ -136,6 +137,8 @@
 		return CauseCallerLeft, true
 	case "failed", "broken":
 		return CauseFailed, true
+	case "cut":
+		return CauseCut, true
 	case "refused":
 		return l.refusal(), true
 	}
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -31,19 +31,20 @@
 		fields string
 		cause  Cause
 	}{
-		"on time":          {`"outcome":"answered","first_ms":120,"pause_ms":90`, ""},
-		"no goal":          {`"outcome":"answered","first_ms":120,"pause_ms":90,"goal_ms":0,"pause_goal_ms":0`, ""},
-		"returned late":    {`"outcome":"answered","first_ms":120,"spent_earlier_ms":900`, CauseReturned},
-		"queued":           {`"outcome":"answered","first_ms":420,"waited_ms":260,"expected_ms":80`, CauseQueued},
-		"placed late":      {`"outcome":"answered","first_ms":420,"waited_ms":20,"expected_ms":390`, CausePlacedLate},
-		"not predicted":    {`"outcome":"answered","first_ms":420,"waited_ms":1,"expected_ms":80`, CauseMispredict},
-		"pause":            {`"outcome":"answered","first_ms":120,"pause_ms":250`, CauseInterrupted},
-		"no room":          {`"outcome":"refused","code":"overloaded","engines_with_room":0`, CauseNoCapacity},
-		"too costly":       {`"outcome":"refused","code":"overloaded","engines_with_room":3`, CauseTooCostly},
-		"key unknown":      {`"outcome":"refused","code":"invalid_api_key"`, CauseRefused},
-		"endpoint failed":  {`"outcome":"failed","code":"transport"`, CauseFailed},
-		"stream broke off": {`"outcome":"broken"`, CauseFailed},
-		"caller left":      {`"outcome":"caller_left"`, CauseCallerLeft},
+		"on time":                        {`"outcome":"answered","first_ms":120,"pause_ms":90`, ""},
+		"no goal":                        {`"outcome":"answered","first_ms":120,"pause_ms":90,"goal_ms":0,"pause_goal_ms":0`, ""},
+		"returned late":                  {`"outcome":"answered","first_ms":120,"spent_earlier_ms":900`, CauseReturned},
+		"queued":                         {`"outcome":"answered","first_ms":420,"waited_ms":260,"expected_ms":80`, CauseQueued},
+		"placed late":                    {`"outcome":"answered","first_ms":420,"waited_ms":20,"expected_ms":390`, CausePlacedLate},
+		"not predicted":                  {`"outcome":"answered","first_ms":420,"waited_ms":1,"expected_ms":80`, CauseMispredict},
+		"pause":                          {`"outcome":"answered","first_ms":120,"pause_ms":250`, CauseInterrupted},
+		"no room":                        {`"outcome":"refused","code":"overloaded","engines_with_room":0`, CauseNoCapacity},
+		"too costly":                     {`"outcome":"refused","code":"overloaded","engines_with_room":3`, CauseTooCostly},
+		"key unknown":                    {`"outcome":"refused","code":"invalid_api_key"`, CauseRefused},
+		"endpoint failed":                {`"outcome":"failed","code":"transport"`, CauseFailed},
+		"stream broke off":               {`"outcome":"broken"`, CauseFailed},
+		"caller left":                    {`"outcome":"caller_left"`, CauseCallerLeft},
+		"connection closed by the entry": {`"outcome":"cut"`, CauseCut},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
