--- /dev/null
+++ b/gateway/drain_test.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/route"
+)
+
+// keptConnection returns a connection that has carried one request, and its reader.
+func keptConnection(g *WithT, address string) (net.Conn, *bufio.Reader) {
+	conn, err := net.Dial("tcp", address)
+	g.Expect(err).ToNot(HaveOccurred())
+	_, err = io.WriteString(conn, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).ToNot(HaveOccurred())
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	g.Expect(err).ToNot(HaveOccurred())
+	_, err = io.Copy(io.Discard, response.Body)
+	g.Expect(err).ToNot(HaveOccurred())
+	return conn, reader
+}
+
+// Guards against a shutdown that closes a kept connection as idle while the next request on it is already being read.
+func TestShutdownAnswersRequestThatIsBeingRead(t *testing.T) {
+	g := NewWithT(t)
+	s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }))
+	s.setLimits(route.HeaderLimits{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).ToNot(HaveOccurred())
+	go func() { _ = s.serve(listener) }()
+	t.Cleanup(func() { _ = listener.Close() })
+	conn, reader := keptConnection(g, listener.Addr().String())
+	defer func() { _ = conn.Close() }()
+
+	_, err = io.WriteString(conn, "GET /second HTTP/1.1\r\n")
+	g.Expect(err).ToNot(HaveOccurred())
+	time.Sleep(100 * time.Millisecond) // the server has read the first line
+	s.endKeepAlives()
+	_, err = io.WriteString(conn, "Host: h\r\n\r\n")
+	g.Expect(err).ToNot(HaveOccurred())
+	response, err := http.ReadResponse(reader, nil)
+	g.Expect(err).ToNot(HaveOccurred(), "the request got no answer")
+	g.Expect(response.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(response.Close).To(BeTrue(), "the caller is told that the connection ends")
+}
+
+// Guards against a shutdown that passes a request on and closes its connection without an answer. Callers send on kept
+// connections around the moment at which idle connections are closed.
+func TestShutdownCutsNoRequestThatWasPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	const rounds, callers = 40, 64
+	spread := 2 * time.Millisecond // of the callers' sends around the close
+	for range rounds {
+		var handled sync.Map
+		s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			handled.Store(r.URL.Path, true)
+			time.Sleep(time.Millisecond)
+			_, _ = io.WriteString(w, "answer")
+		}))
+		s.setLimits(route.HeaderLimits{})
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).ToNot(HaveOccurred())
+		go func() { _ = s.serve(listener) }()
+		var cut atomic.Int64
+		var wait sync.WaitGroup
+		begin := make(chan struct{})
+		for i := range callers {
+			conn, reader := keptConnection(g, listener.Addr().String())
+			path := fmt.Sprintf("/r%d", i)
+			wait.Go(func() {
+				defer func() { _ = conn.Close() }()
+				<-begin
+				time.Sleep(time.Duration(i) * 2 * spread / callers)
+				if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+					return // closed before the request was sent
+				}
+				if _, err := http.ReadResponse(reader, nil); err == nil {
+					return
+				}
+				if _, passedOn := handled.Load(path); passedOn {
+					cut.Add(1)
+				}
+			})
+		}
+		close(begin)
+		time.Sleep(spread)
+		s.endKeepAlives()
+		wait.Wait()
+		g.Expect(listener.Close()).To(Succeed())
+		g.Expect(cut.Load()).To(BeZero(), "requests that were passed on and got no answer")
+	}
+}
