drain, gateway: a connection is closed as idle only if no byte of a request has arrived

What callers saw: an entry that shuts down passed a request on to an endpoint and closed the caller's connection without an answer, 2.5 s after SIGTERM.

Cause: check and action were not one step. SetKeepAlivesEnabled(false) closes the connections that net/http calls idle, and it calls them so until the head of the next request has been read completely; a request read at that moment is handled on a closed connection. Ruled out: that the caller left (the platform saw no close by it), that the process had ended (it ran for two seconds more).

Change: package drain tracks each connection. It takes data from the socket and decides about the close under one lock, and looks into the socket before it closes, so a request that reached the machine is served. A request that crosses the close on the network is not read, and its caller may repeat it. Responses now say Connection: close from the signal on, not 2.5 s later: most callers have gone to another entry before any connection is closed under them.

TestLimitChangeAppliesToNewConnections drains through the new function; what it expects of the connection is unchanged.

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -24,6 +24,7 @@
 	requestsTotal      = metrics.NewCounter("jacinthplank_gateway_requests_total")
 	refusedTotal       = metrics.NewCounter("jacinthplank_gateway_refused_total")
 	failedTotal        = metrics.NewCounter("jacinthplank_gateway_failed_total")
+	cutTotal           = metrics.NewCounter("jacinthplank_gateway_cut_total")
 	brokenStreamsTotal = metrics.NewCounter("jacinthplank_gateway_streams_broken_total")
 	retriesTotal       = metrics.NewCounter("jacinthplank_gateway_repeats_total")
 	firstByteTimes     = metrics.NewHistogram("jacinthplank_gateway_first_byte_seconds")
--- a/gateway/caller_server.go
+++ b/gateway/caller_server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/jacinthplank/jacinthplank/drain"
 	"github.com/jacinthplank/jacinthplank/route"
 )
 
@@ -20,7 +21,8 @@
 // callerServer serves callers. The limits of an http.Server are fixed, so a change of
 // limits starts another server for new connections; open connections keep theirs.
 type callerServer struct {
-	handler http.Handler
+	handler     http.Handler
+	connections drain.Connections
 
 	mu      sync.Mutex
 	current *boundServer
@@ -46,16 +48,18 @@
 		if err != nil {
 			return err
 		}
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			conn = &callerConn{TCPConn: tcp}
+		tracked, err := s.connections.Track(conn)
+		if err != nil {
+			_ = conn.Close() // it is already broken
+			continue
 		}
 		s.mu.Lock()
 		b := s.current
 		s.mu.Unlock()
 		select {
-		case b.conns <- conn:
+		case b.conns <- tracked:
 		case <-b.closed:
-			_ = conn.Close() // the process is shutting down
+			_ = tracked.Close() // the process is shutting down
 		}
 	}
 }
@@ -72,7 +76,7 @@
 		b = &boundServer{
 			server: &http.Server{
 				Handler: s.handler, ReadHeaderTimeout: l.Timeout, IdleTimeout: l.Idle, MaxHeaderBytes: l.Bytes,
-				ConnContext: withCallerConn,
+				ConnState: s.connections.ConnState, ConnContext: s.connections.ConnContext,
 			},
 			conns: make(chan net.Conn), closed: make(chan struct{}),
 		}
@@ -82,15 +86,6 @@
 	s.current = b
 }
 
-// endKeepAlives closes idle connections, and busy ones after their current request.
-func (s *callerServer) endKeepAlives() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, b := range s.servers {
-		b.server.SetKeepAlivesEnabled(false)
-	}
-}
-
 // Accept implements net.Listener.
 func (b *boundServer) Accept() (net.Conn, error) {
 	select {
--- a/gateway/caller_server_test.go
+++ b/gateway/caller_server_test.go
@@ -53,7 +53,7 @@
 	g.Expect(later.SetReadDeadline(time.Now().Add(2 * time.Second))).To(Succeed())
 	_, err = later.ReadByte()
 	g.Expect(err).To(MatchError("EOF"), "closed after the idle timeout")
-	server.endKeepAlives()
+	go server.connections.Drain(t.Context(), 0)
 	g.Eventually(func() error {
 		g.Expect(open.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
 		_, err := open.ReadByte()
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/jacinthplank/jacinthplank/drain"
 	"github.com/jacinthplank/jacinthplank/outcome"
 	"github.com/jacinthplank/jacinthplank/schedule"
 	"github.com/jacinthplank/jacinthplank/timeline"
@@ -15,7 +16,7 @@
 func (f *inflightRequest) fail(e *outcome.Error) {
 	if f.r.Context().Err() != nil {
 		result := "caller_left"
-		if closedByEntry(f.r) {
+		if drain.ClosedHere(f.r) {
 			cutTotal.Inc()
 			result = "cut"
 		}
@@ -54,6 +55,7 @@
 		retryAfter = max(e.RetryAfter, minRetryAfter)
 	}
 	h := f.w.Header()
+	f.g.callerServer.connections.MarkResponse(h)
 	f.g.dialect.SetErrorHeaders(h, f.request.ID, retryAfter)
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -33,7 +33,11 @@
 // Guards against a shutdown that closes a kept connection as idle while the next request on it is already being read.
 func TestShutdownAnswersRequestThatIsBeingRead(t *testing.T) {
 	g := NewWithT(t)
-	s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }))
+	var s *callerServer
+	s = newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s.connections.MarkResponse(w.Header())
+		_, _ = io.WriteString(w, "answer")
+	}))
 	s.setLimits(route.HeaderLimits{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).ToNot(HaveOccurred())
@@ -45,7 +49,8 @@
 	_, err = io.WriteString(conn, "GET /second HTTP/1.1\r\n")
 	g.Expect(err).ToNot(HaveOccurred())
 	time.Sleep(100 * time.Millisecond) // the server has read the first line
-	s.endKeepAlives()
+	go s.connections.Drain(t.Context(), 0)
+	time.Sleep(100 * time.Millisecond) // an idle connection is closed by then
 	_, err = io.WriteString(conn, "Host: h\r\n\r\n")
 	g.Expect(err).ToNot(HaveOccurred())
 	response, err := http.ReadResponse(reader, nil)
@@ -94,7 +99,7 @@
 		}
 		close(begin)
 		time.Sleep(spread)
-		s.endKeepAlives()
+		go s.connections.Drain(t.Context(), 0)
 		wait.Wait()
 		g.Expect(listener.Close()).To(Succeed())
 		g.Expect(cut.Load()).To(BeZero(), "requests that were passed on and got no answer")
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -37,10 +37,7 @@
 		return f.classifyRelayError(e)
 	}
 	f.recordFirstByte()
-	h := f.w.Header()
-	for name, values := range f.g.dialect.ResponseHeaders(reply.Header) {
-		h[name] = values
-	}
+	h := f.responseHeaders(reply)
 	if f.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
@@ -103,10 +100,7 @@
 
 func (f *inflightRequest) startStream(reply *forward.Reply) {
 	f.recordFirstByte()
-	h := f.w.Header()
-	for name, values := range f.g.dialect.ResponseHeaders(reply.Header) {
-		h[name] = values
-	}
+	f.responseHeaders(reply)
 	f.headSent = true
 	f.w.WriteHeader(reply.Status)
 	if f.isEngineService() {
@@ -114,6 +108,16 @@
 	}
 }
 
+// responseHeaders sets the headers of the response to the caller.
+func (f *inflightRequest) responseHeaders(reply *forward.Reply) http.Header {
+	h := f.w.Header()
+	for name, values := range f.g.dialect.ResponseHeaders(reply.Header) {
+		h[name] = values
+	}
+	f.g.callerServer.connections.MarkResponse(h)
+	return h
+}
+
 // isNextEvent reports whether an event id directly follows the last id sent to the
 // caller. It reports true for empty and non-numeric ids.
 func isNextEvent(id, last string) bool {
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -14,6 +14,7 @@
 	shutdownMargin      = 500 * time.Millisecond  // before the process is killed
 	leaveTimeout        = 300 * time.Millisecond
 	drainPollInterval   = 20 * time.Millisecond
+	newConnGracePeriod  = 500 * time.Millisecond // for the first request of a connection accepted last
 )
 
 // shutDown stops the gateway gracefully: it reports not ready, then closes the listener
@@ -21,13 +22,16 @@
 func (g *Gateway) shutDown(l *listeners) {
 	deadline := time.Now().Add(g.settings.ShutdownTimeout - shutdownMargin)
 	g.stopping.Store(true)
+	g.callerServer.connections.Start()
 	g.mesh.SetReady(false)
 	g.log.Info("shutting down", "step", "gateway.shutdown", "running", g.running.Load())
 	// Another entry takes over as coordinator before this one stops responding.
 	go g.mesh.TransferLeadership()
 	sleepUntil(time.Now().Add(balancerGracePeriod), deadline)
 	g.log.Info("closing idle connections", "step", "gateway.shutdown", "running", g.running.Load())
-	g.callerServer.endKeepAlives()
+	draining, stopDraining := context.WithDeadline(context.Background(), deadline)
+	defer stopDraining()
+	go g.callerServer.connections.Drain(draining, newConnGracePeriod)
 	if err := l.callers.Close(); err != nil {
 		g.log.Warn("failed to close caller listener", "step", "gateway.shutdown", "error", err.Error())
 	}
