gateway: a shutdown waits for connections, not for requests in progress

A request is counted as running once its handler starts. A shutdown that saw none running ended the process while a request was still being read on a connection, and its caller got no answer. Found by reading the shutdown for the class of the lost request: a check of one state, an action on another.

The shutdown now ends when no caller's connection is left, or at its deadline. An idle connection is closed by then, and one with a request ends with its answer.

TestShutdownWaitsForRequestThatIsBeingRead failed before: the process ended 1.5 s after the first line of a request had arrived.

--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -13,12 +13,12 @@
 	balancerGracePeriod = 2500 * time.Millisecond // two failed readiness checks 1 s apart, plus latency
 	shutdownMargin      = 500 * time.Millisecond  // before the process is killed
 	leaveTimeout        = 300 * time.Millisecond
-	drainPollInterval   = 20 * time.Millisecond
 	newConnGracePeriod  = 500 * time.Millisecond // for the first request of a connection accepted last
 )
 
 // shutDown stops the gateway gracefully: it reports not ready, then closes the listener
-// and idle connections, then waits for running requests until the shutdown deadline.
+// and idle connections, then waits until no connection is left or for the shutdown
+// deadline. It waits for connections, as a request that is being read isn't running yet.
 func (g *Gateway) shutDown(l *listeners) {
 	deadline := time.Now().Add(g.settings.ShutdownTimeout - shutdownMargin)
 	g.stopping.Store(true)
@@ -29,16 +29,13 @@
 	go g.mesh.TransferLeadership()
 	sleepUntil(time.Now().Add(balancerGracePeriod), deadline)
 	g.log.Info("closing idle connections", "step", "gateway.shutdown", "running", g.running.Load())
-	draining, stopDraining := context.WithDeadline(context.Background(), deadline)
-	defer stopDraining()
-	go g.callerServer.connections.Drain(draining, newConnGracePeriod)
 	if err := l.callers.Close(); err != nil {
 		g.log.Warn("failed to close caller listener", "step", "gateway.shutdown", "error", err.Error())
 	}
-	for g.running.Load() > 0 && time.Now().Before(deadline) {
-		time.Sleep(drainPollInterval)
-	}
-	g.log.Info("stopping", "step", "gateway.shutdown", "cut", g.running.Load())
+	draining, stopDraining := context.WithDeadline(context.Background(), deadline)
+	defer stopDraining()
+	left := g.callerServer.connections.Drain(draining, newConnGracePeriod)
+	g.log.Info("stopping", "step", "gateway.shutdown", "cut", g.running.Load(), "connections", left)
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	g.mesh.Leave(ctx)
