gateway: a request that outlasts a shutdown gets an error response

A request that came over three seconds after the signal, on a connection whose caller didn't know of the shutdown yet, was accepted and cut the same way.

At the deadline the requests left are canceled with the shutdown as their cause: not run answers 503, what may have run 502, a stream that has begun is broken off. This comes 150 ms earlier than before, to leave time for the responses. A request that arrives once the callers have been told is refused at once, with a time to come back, unless its own deadline lies before the end of the process.

TestRequestThatOutlastsShutdownGetsAnError failed before (504 at the request's own deadline, after the process would have ended), and so did TestLateRequestThatDoesNotFitIntoShutdownIsRefused (200 from a process that may end first).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -105,16 +103,13 @@
 }
 
 // classifySendError accounts for an attempt that may have reached the endpoint and
-// reports the request deadline as the cause if it has passed.
+// reports the request's deadline or the shutdown as the cause if they ended it.
 func (f *inflightRequest) classifySendError(e *outcome.Error) *outcome.Error {
 	if e.State != outcome.NotRun {
 		f.sends++
 		f.mayHaveRun = true
 	}
-	if errors.Is(context.Cause(f.ctx), errDeadline) {
-		e = outcome.Fail(outcome.CodeDeadlinePassed, e.State, e.Step, errDeadline)
-	}
-	return e
+	return f.withEndCause(e, e.State)
 }
 
 // recordFailure excludes the endpoint from further attempts. The failure counts
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -45,6 +45,9 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), f.deadline, errDeadline)
 	defer cancel()
+	ctx, cancelForShutdown := context.WithCancelCause(ctx)
+	defer cancelForShutdown(nil)
+	defer context.AfterFunc(g.shutdown.ended, func() { cancelForShutdown(errShutdown) })()
 	f.ctx = ctx
 	f.serve()
 }
@@ -83,6 +86,9 @@
 	if request.Timeout > 0 && request.Timeout < f.route.Timeout {
 		f.deadline = f.arrived.Add(request.Timeout)
 	}
+	if f.g.shutdown.isTooLate(f.arrived, f.deadline) {
+		return refuseForShutdown(step)
+	}
 	f.spentEarlier = f.g.deadlines.spentEarlier(f.route.Name, request.Timeout, f.arrived)
 	f.service = f.route.Choose(rand.Uint64())
 	return nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,8 +70,8 @@
 
 	table      atomic.Pointer[route.Table]
 	configured chan struct{} // closed when the first table is set
-	stopping   atomic.Bool
 	running    atomic.Int64
+	shutdown   *shutdown
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.Window // by service
@@ -88,7 +88,7 @@
 		settings: s, dialect: d, logs: logs,
 		log:    logs.Logger(slog.LevelInfo).With("instance", s.Name),
 		client: forward.NewClient(d), breakers: breaker.NewSet(),
-		retryBudgets: map[string]*retry.Window{}, plain: newPlainPicker(), deadlines: newDeadlineHistory(), events: timeline.NewLog(s.Name, eventCapacity, time.Now), configured: make(chan struct{}),
+		retryBudgets: map[string]*retry.Window{}, plain: newPlainPicker(), deadlines: newDeadlineHistory(), events: timeline.NewLog(s.Name, eventCapacity, time.Now), configured: make(chan struct{}), shutdown: newShutdown(),
 	}
 	g.callerServer = newCallerServer(http.HandlerFunc(g.serveCaller))
 	g.callerServer.setLimits(route.HeaderLimits{})
@@ -125,7 +125,7 @@
 func (g *Gateway) refreshEndpoints() { g.placer.setEndpoints(g.mesh.ReadyEndpoints, time.Now()) }
 
 // isReady reports whether the load balancer may send requests.
-func (g *Gateway) isReady() bool { return g.table.Load() != nil && !g.stopping.Load() }
+func (g *Gateway) isReady() bool { return g.table.Load() != nil && !g.shutdown.begun() }
 
 // listeners holds the open listeners of a gateway. metrics and control may be nil.
 type listeners struct {
@@ -175,7 +175,7 @@
 	}()
 	go func() {
 		err := g.callerServer.serve(l.callers)
-		if !g.stopping.Load() {
+		if !g.shutdown.begun() {
 			g.log.Error("caller listener stopped accepting connections", "step", "gateway.serve", "error", err.Error())
 		}
 	}()
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -136,7 +136,7 @@
 	f.decision = d
 	switch {
 	case err != nil:
-		return announce.Record{}, outcome.Fail(outcome.CodeDeadlinePassed, outcome.NotRun, step, err)
+		return announce.Record{}, f.withEndCause(outcome.Fail(outcome.CodeDeadlinePassed, outcome.NotRun, step, err), outcome.NotRun)
 	case d.Refused():
 		e := outcome.Refuse(outcome.CodeOverloaded, step, "%s", d.Reason)
 		e.RetryAfter = max(d.RetryAfter, minRetryAfter)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -143,12 +144,21 @@
 	return f.classifyRelayError(e)
 }
 
-// classifyRelayError reports the request deadline as the cause if it has passed, and
-// marks the request as run.
+// classifyRelayError marks the request as run and reports its deadline or the shutdown
+// as the cause if they ended it.
 func (f *inflightRequest) classifyRelayError(e *outcome.Error) *outcome.Error {
-	if f.ctx.Err() != nil && f.r.Context().Err() == nil {
-		return outcome.Fail(outcome.CodeDeadlinePassed, outcome.Ran, e.Step, errDeadline)
-	}
 	e.State = outcome.Ran
+	return f.withEndCause(e, outcome.Ran)
+}
+
+// withEndCause replaces an error by the cause for which the gateway itself ended the
+// request, if there is one.
+func (f *inflightRequest) withEndCause(e *outcome.Error, state outcome.State) *outcome.Error {
+	switch cause := context.Cause(f.ctx); {
+	case errors.Is(cause, errDeadline):
+		return outcome.Fail(outcome.CodeDeadlinePassed, state, e.Step, cause)
+	case errors.Is(cause, errShutdown):
+		return outcome.Fail(outcome.CodeShuttingDown, state, e.Step, cause)
+	}
 	return e
 }
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -2,26 +2,72 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/jacinthplank/jacinthplank/outcome"
 )
 
 // Timing of a graceful shutdown.
 const (
-	balancerGracePeriod = 2500 * time.Millisecond // two failed readiness checks 1 s apart, plus latency
-	shutdownMargin      = 500 * time.Millisecond  // before the process is killed
-	leaveTimeout        = 300 * time.Millisecond
-	newConnGracePeriod  = 500 * time.Millisecond // for the first request of a connection accepted last
+	balancerGracePeriod  = 2500 * time.Millisecond // two failed readiness checks 1 s apart, plus latency
+	shutdownMargin       = 650 * time.Millisecond  // before the process is killed
+	errorResponseTimeout = 150 * time.Millisecond  // to write the error responses at the deadline
+	leaveTimeout         = 300 * time.Millisecond
+	newConnGracePeriod   = 500 * time.Millisecond // for the first request of a connection accepted last
 )
 
+// errShutdown is the cancellation cause of a request that outlasts the shutdown.
+var errShutdown = errors.New("this entry is stopping")
+
+// shutdown is the progress of a graceful shutdown.
+type shutdown struct {
+	deadlines atomic.Pointer[shutdownDeadlines] // nil before it begins
+	ended     context.Context                   // canceled at the deadline
+	end       context.CancelFunc
+}
+
+type shutdownDeadlines struct {
+	admission time.Time // later requests have to fit
+	requests  time.Time // requests in progress are ended
+}
+
+func newShutdown() *shutdown {
+	s := &shutdown{}
+	s.ended, s.end = context.WithCancel(context.Background())
+	return s
+}
+
+func (s *shutdown) begin(now time.Time, timeout time.Duration) shutdownDeadlines {
+	d := shutdownDeadlines{admission: now.Add(balancerGracePeriod + newConnGracePeriod), requests: now.Add(timeout - shutdownMargin)}
+	s.deadlines.Store(&d)
+	return d
+}
+
+func (s *shutdown) begun() bool { return s.deadlines.Load() != nil }
+
+// isTooLate reports whether a request came when most callers had left, and may take
+// longer than this process lives.
+func (s *shutdown) isTooLate(arrived, deadline time.Time) bool {
+	d := s.deadlines.Load()
+	return d != nil && arrived.After(d.admission) && deadline.After(d.requests)
+}
+
+func refuseForShutdown(step string) *outcome.Error {
+	e := outcome.Refuse(outcome.CodeShuttingDown, step, "%s", errShutdown.Error())
+	e.RetryAfter = minRetryAfter
+	return e
+}
+
 // shutDown stops the gateway gracefully: it reports not ready, then closes the listener
 // and idle connections, then waits until no connection is left or for the shutdown
 // deadline. It waits for connections, as a request that is being read isn't running yet.
 func (g *Gateway) shutDown(l *listeners) {
-	deadline := time.Now().Add(g.settings.ShutdownTimeout - shutdownMargin)
-	g.stopping.Store(true)
+	deadline := g.shutdown.begin(time.Now(), g.settings.ShutdownTimeout).requests
 	g.callerServer.connections.Start()
 	g.mesh.SetReady(false)
 	g.log.Info("shutting down", "step", "gateway.shutdown", "running", g.running.Load())
@@ -34,8 +80,10 @@
 	}
 	draining, stopDraining := context.WithDeadline(context.Background(), deadline)
 	defer stopDraining()
-	left := g.callerServer.connections.Drain(draining, newConnGracePeriod)
-	g.log.Info("stopping", "step", "gateway.shutdown", "cut", g.running.Load(), "connections", left)
+	if g.callerServer.connections.Drain(draining, newConnGracePeriod) > 0 {
+		g.failRemaining()
+	}
+	g.log.Info("stopping", "step", "gateway.shutdown", "cut", g.running.Load(), "connections", g.callerServer.connections.Count())
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	g.mesh.Leave(ctx)
@@ -43,6 +91,16 @@
 	g.logs.Flush()
 }
 
+// failRemaining ends the requests that outlast the shutdown, so that each gets an error
+// response rather than a closed connection.
+func (g *Gateway) failRemaining() {
+	g.log.Warn("requests outlast the shutdown", "step", "gateway.shutdown", "running", g.running.Load())
+	g.shutdown.end()
+	ctx, cancel := context.WithTimeout(context.Background(), errorResponseTimeout)
+	defer cancel()
+	g.callerServer.connections.Drain(ctx, 0)
+}
+
 func sleepUntil(t, limit time.Time) {
 	if t.After(limit) {
 		t = limit
