gateway: a shutdown answers the operators', endpoints' and entries' last requests

What they saw: the control and peer servers were closed at the end of a shutdown whatever they were reading or doing, so an announcement or a configuration that had been read got no answer.

Both servers now end as the callers' server does: no new connections, idle ones closed, requests in progress answered, control first, then the notice to the other entries, then their calls, all before the process is killed.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -32,8 +32,8 @@
 	open map[*Conn]struct{}
 }
 
-// Track adds an accepted connection. It returns the connection to serve.
-func (s *Connections) Track(c net.Conn) (net.Conn, error) {
+// track adds an accepted connection. It returns the connection to serve.
+func (s *Connections) track(c net.Conn) (net.Conn, error) {
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return c, nil // not drained
@@ -51,6 +51,29 @@
 	return tracked, nil
 }
 
+// Listener returns a listener whose connections are tracked.
+func (s *Connections) Listener(l net.Listener) net.Listener { return &listener{l, s} }
+
+type listener struct {
+	net.Listener
+	connections *Connections
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tracked, err := l.connections.track(c)
+		if err == nil {
+			return tracked, nil
+		}
+		_ = c.Close() // it is already broken
+	}
+}
+
 func (s *Connections) remove(c *Conn) {
 	s.mu.Lock()
 	delete(s.open, c)
@@ -88,7 +111,7 @@
 // MarkResponse tells the caller, in the headers of a response, that the connection ends
 // with it if the server drains.
 func (s *Connections) MarkResponse(h http.Header) {
-	if s.draining.Load() {
+	if s.Draining() {
 		h.Set("Connection", "close")
 	}
 }
@@ -97,6 +120,9 @@
 // told so opens another connection in good time.
 func (s *Connections) Start() { s.draining.Store(true) }
 
+// Draining reports whether Start was called.
+func (s *Connections) Draining() bool { return s.draining.Load() }
+
 // Drain closes each connection as soon as it is idle; new ones get newGrace for their
 // first request. It returns the number of connections that are left, either 0 or those
 // open when ctx ended.
--- a/gateway/caller_server.go
+++ b/gateway/caller_server.go
@@ -43,23 +43,19 @@
 // serve passes accepted connections to the server with the current limits until the
 // listener is closed.
 func (s *callerServer) serve(l net.Listener) error {
+	l = s.connections.Listener(l)
 	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return err
 		}
-		tracked, err := s.connections.Track(conn)
-		if err != nil {
-			_ = conn.Close() // it is already broken
-			continue
-		}
 		s.mu.Lock()
 		b := s.current
 		s.mu.Unlock()
 		select {
-		case b.conns <- tracked:
+		case b.conns <- conn:
 		case <-b.closed:
-			_ = tracked.Close() // the process is shutting down
+			_ = conn.Close() // the process is shutting down
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,18 +55,21 @@
 
 // Gateway is one entry of the serving layer on a platform.
 type Gateway struct {
-	settings     Settings
-	dialect      Dialect
-	log          *slog.Logger
-	logs         *decision.Log
-	events       *timeline.Log
-	mesh         *mesh.Mesh
-	client       *forward.Client
-	breakers     *breaker.Set
-	placer       *placer
-	plain        *plainPicker
-	deadlines    *deadlineHistory
-	callerServer *callerServer
+	settings  Settings
+	dialect   Dialect
+	log       *slog.Logger
+	logs      *decision.Log
+	events    *timeline.Log
+	mesh      *mesh.Mesh
+	client    *forward.Client
+	breakers  *breaker.Set
+	placer    *placer
+	plain     *plainPicker
+	deadlines *deadlineHistory
+
+	callerServer  *callerServer
+	peerServer    *server
+	controlServer *server // nil without a control address
 
 	table      atomic.Pointer[route.Table]
 	configured chan struct{} // closed when the first table is set
@@ -198,43 +201,24 @@
 }
 
 func (g *Gateway) duties(l *listeners) []supervise.Duty {
-	duties := []supervise.Duty{g.logs, &server{"peers", mesh.NewHTTPServer(g.mesh.Handler()), l.peers}}
-	duties = append(duties, g.mesh.Duties()...)
+	g.peerServer = newServer("peers", mesh.NewHTTPServer(g.mesh.Handler()), l.peers)
+	duties := append([]supervise.Duty{g.logs, g.peerServer}, g.mesh.Duties()...)
 	duties = append(
 		duties,
-		&server{"ready", mesh.NewHTTPServer(g.dialect.ReadyHandler(g.isReady)), l.ready},
+		newServer("ready", mesh.NewHTTPServer(g.dialect.ReadyHandler(g.isReady)), l.ready),
 		&placementDuty{g},
 		&probeDuty{g},
 	)
 	if l.control != nil {
-		duties = append(duties, &server{"control", mesh.NewHTTPServer(g.dialect.ControlHandler(g)), l.control})
+		g.controlServer = newServer("control", mesh.NewHTTPServer(g.dialect.ControlHandler(g)), l.control)
+		duties = append(duties, g.controlServer)
 	}
 	if l.metrics != nil {
-		duties = append(duties, &server{"metrics", mesh.NewHTTPServer(metricsHandler()), l.metrics})
+		duties = append(duties, newServer("metrics", mesh.NewHTTPServer(metricsHandler()), l.metrics))
 	}
 	return duties
 }
 
-// server runs an HTTP server as a duty.
-type server struct {
-	name     string
-	server   *http.Server
-	listener net.Listener
-}
-
-// Name implements supervise.Duty.
-func (s *server) Name() string { return s.name }
-
-// Serve implements supervise.Duty.
-func (s *server) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() {
-		// The process is exiting, so open requests are not drained.
-		_ = s.server.Close()
-	})
-	defer stop()
-	return s.server.Serve(s.listener)
-}
-
 // placementDuty refreshes the placer's view of endpoints and entries and retries queued
 // jobs every placementInterval.
 type placementDuty struct{ g *Gateway }
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -18,7 +18,9 @@
 	shutdownMargin       = 650 * time.Millisecond  // before the process is killed
 	errorResponseTimeout = 150 * time.Millisecond  // to write the error responses at the deadline
 	leaveTimeout         = 300 * time.Millisecond
-	newConnGracePeriod   = 500 * time.Millisecond // for the first request of a connection accepted last
+	leaveMargin          = leaveTimeout + 100*time.Millisecond // to leave the fleet, before the process is killed
+	peerDrainTimeout     = 200 * time.Millisecond              // for calls of other entries, most of which take a round trip
+	newConnGracePeriod   = 500 * time.Millisecond              // for the first request of a connection accepted last
 )
 
 // errShutdown is the cancellation cause of a request that outlasts the shutdown.
@@ -67,7 +69,8 @@
 // and idle connections, then waits until no connection is left or for the shutdown
 // deadline. It waits for connections, as a request that is being read isn't running yet.
 func (g *Gateway) shutDown(l *listeners) {
-	deadline := g.shutdown.begin(time.Now(), g.settings.ShutdownTimeout).requests
+	begun := time.Now()
+	deadline := g.shutdown.begin(begun, g.settings.ShutdownTimeout).requests
 	g.callerServer.connections.Start()
 	g.mesh.SetReady(false)
 	g.log.Info("shutting down", "step", "gateway.shutdown", "running", g.running.Load())
@@ -84,11 +87,23 @@
 		g.failRemaining()
 	}
 	g.log.Info("stopping", "step", "gateway.shutdown", "cut", g.running.Load(), "connections", g.callerServer.connections.Count())
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	g.leaveFleet(begun.Add(g.settings.ShutdownTimeout - leaveMargin))
+	g.logs.Flush()
+}
+
+// leaveFleet answers the last requests of operators, endpoints and other entries, and
+// tells the other entries that this one leaves.
+func (g *Gateway) leaveFleet(limit time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	g.mesh.Leave(ctx)
+	if g.controlServer != nil {
+		g.controlServer.drain(ctx, controlTimeout)
+	}
+	leaving, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancelLeave()
+	g.mesh.Leave(leaving)
+	g.peerServer.drain(ctx, peerDrainTimeout)
 	g.mesh.Stop()
-	g.logs.Flush()
 }
 
 // failRemaining ends the requests that outlast the shutdown, so that each gets an error
