drain: requests that wait to be accepted, or follow an unannounced end, are answered

The listener now closes when nothing waits on it, and once callers have gone or the period for late ones is over. - A connection between accept and its first tracking was not seen by a drain, which could end.

--- a/drain/conn.go
+++ b/drain/conn.go
@@ -25,33 +25,49 @@
 
 // connState is what decides whether a connection is idle.
 type connState struct {
-	accepted time.Time
-	used     bool // has carried a request
-	waiting  bool // a Read has found no data and blocks
-	begun    bool // a Read has returned data since the last response ended
-	active   bool // the server handles a request
+	lastActivity time.Time // when it was accepted, data was read, or a response ended
+	used         bool      // has carried a request
+	waiting      bool      // a Read has found no data and blocks
+	begun        bool      // a Read has returned data since the last response ended
+	active       bool      // the server handles a request
 }
 
-// isIdle reports whether the connection carries no part of a request. A Read has to be
-// blocked: while none is, the server may hold data that it has not looked at. A new
-// connection is idle only after a grace period, as its first request is on its way.
-func (s *connState) isIdle(now time.Time, newGrace time.Duration) bool {
-	if !s.used && now.Sub(s.accepted) < newGrace {
+// isIdle reports whether the connection carries no part of a request and none is
+// expected. A Read has to be blocked: while none is, the server may hold data that it
+// has not looked at.
+func (s *connState) isIdle(now time.Time, g Grace) bool {
+	if !s.waiting || s.active {
 		return false
 	}
-	return s.waiting && !s.begun && !s.active
+	quiet := now.Sub(s.lastActivity)
+	switch {
+	case s.begun:
+		return quiet >= stalledTimeout
+	case !s.used:
+		return quiet >= g.New
+	default:
+		return quiet >= g.Kept
+	}
 }
 
+func (s *connState) accepted(now time.Time) { s.lastActivity = now }
+
+func (s *connState) dataRead(now time.Time) { s.begun, s.lastActivity = true, now }
+
 func (s *connState) requestRead() { s.active, s.used = true, true }
 
-func (s *connState) responseEnded() { s.active, s.begun = false, false }
+func (s *connState) responseEnded(now time.Time) {
+	s.active, s.begun, s.lastActivity = false, false, now
+}
 
 func newConn(c *net.TCPConn, now time.Time, onClose func(*Conn)) (*Conn, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{TCPConn: c, raw: raw, onClose: onClose, state: connState{accepted: now}}, nil
+	out := &Conn{TCPConn: c, raw: raw, onClose: onClose}
+	out.state.accepted(now)
+	return out, nil
 }
 
 // Read implements net.Conn. Data is taken from the socket under the lock, so that
@@ -71,7 +87,9 @@
 		}
 		n, readErr = readSocket(int(fd), p)
 		c.state.waiting = errors.Is(readErr, syscall.EAGAIN)
-		c.state.begun = c.state.begun || n > 0
+		if n > 0 {
+			c.state.dataRead(time.Now())
+		}
 		return !c.state.waiting
 	})
 	if err != nil { // closed, or past its read deadline
@@ -107,9 +125,9 @@
 }
 
 // closeIfIdle closes the connection if it is idle and no data waits in its socket.
-func (c *Conn) closeIfIdle(now time.Time, newGrace time.Duration) {
+func (c *Conn) closeIfIdle(now time.Time, g Grace) {
 	c.mu.Lock()
-	idle := !c.closed && c.state.isIdle(now, newGrace) && !c.hasData()
+	idle := !c.closed && c.state.isIdle(now, g) && !c.hasData()
 	c.closed = c.closed || idle
 	c.mu.Unlock()
 	if idle {
@@ -150,14 +168,14 @@
 }
 
 // setState follows the server's view of the connection.
-func (c *Conn) setState(s http.ConnState) {
+func (c *Conn) setState(s http.ConnState, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch s {
 	case http.StateActive:
 		c.state.requestRead()
 	case http.StateIdle:
-		c.state.responseEnded()
+		c.state.responseEnded(now)
 	default: // new, hijacked or closed: nothing to decide
 	}
 }
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -20,16 +20,28 @@
 
 var idleClosed = metrics.NewCounter("jacinthplank_drain_idle_connections_closed_total")
 
-// pollInterval is the time between two looks for idle connections.
-const pollInterval = 20 * time.Millisecond
+const (
+	pollInterval = 20 * time.Millisecond // between two looks for idle connections
+	// stalledTimeout is the time after which a request that has arrived in part is
+	// given up.
+	stalledTimeout = 3 * time.Second
+)
+
+// Grace is how long a connection without a request is kept while its caller may be
+// sending one.
+type Grace struct {
+	New  time.Duration // after it was accepted
+	Kept time.Duration // after its last response, which did not say that it ends
+}
 
 // Connections are the open connections of a server. The zero value has none. It is safe
 // for concurrent use.
 type Connections struct {
 	draining atomic.Bool
 
-	mu   sync.Mutex
-	open map[*Conn]struct{}
+	mu        sync.Mutex
+	open      map[*Conn]struct{}
+	listeners []*listener
 }
 
 // track adds an accepted connection. It returns the connection to serve.
@@ -51,29 +63,6 @@
 	return tracked, nil
 }
 
-// Listener returns a listener whose connections are tracked.
-func (s *Connections) Listener(l net.Listener) net.Listener { return &listener{l, s} }
-
-type listener struct {
-	net.Listener
-	connections *Connections
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		tracked, err := l.connections.track(c)
-		if err == nil {
-			return tracked, nil
-		}
-		_ = c.Close() // it is already broken
-	}
-}
-
 func (s *Connections) remove(c *Conn) {
 	s.mu.Lock()
 	delete(s.open, c)
@@ -90,7 +79,7 @@
 // ConnState is the server's http.Server.ConnState.
 func (s *Connections) ConnState(c net.Conn, state http.ConnState) {
 	if tracked, ok := c.(*Conn); ok {
-		tracked.setState(state)
+		tracked.setState(state, time.Now())
 	}
 }
 
@@ -123,17 +112,21 @@
 // Draining reports whether Start was called.
 func (s *Connections) Draining() bool { return s.draining.Load() }
 
-// Drain closes each connection as soon as it is idle; new ones get newGrace for their
-// first request. It returns the number of connections that are left, either 0 or those
-// open when ctx ended.
-func (s *Connections) Drain(ctx context.Context, newGrace time.Duration) int {
+// Drain closes each connection as soon as it is idle, and the listeners once there is
+// none left or at acceptUntil. It returns the number of connections that are left,
+// either 0 or those open when ctx ended.
+func (s *Connections) Drain(ctx context.Context, acceptUntil time.Time, g Grace) int {
 	s.Start()
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	for {
-		s.closeIdle(time.Now(), newGrace)
-		left := s.Count()
-		if left == 0 || ctx.Err() != nil {
+	for accepting := true; ; {
+		now := time.Now()
+		s.closeIdle(now, g)
+		ended := ctx.Err() != nil
+		if accepting && (ended || s.Count() == 0 || !now.Before(acceptUntil)) {
+			accepting = s.closeListeners(ended)
+		}
+		if left := s.Count(); ended || (!accepting && left == 0) {
 			return left
 		}
 		select {
@@ -143,7 +136,7 @@
 	}
 }
 
-func (s *Connections) closeIdle(now time.Time, newGrace time.Duration) {
+func (s *Connections) closeIdle(now time.Time, g Grace) {
 	s.mu.Lock()
 	all := make([]*Conn, 0, len(s.open))
 	for c := range s.open {
@@ -151,6 +144,27 @@
 	}
 	s.mu.Unlock()
 	for _, c := range all {
-		c.closeIfIdle(now, newGrace)
+		c.closeIfIdle(now, g)
+	}
+}
+
+// closeListeners closes the listeners unless connections wait to be accepted, which
+// would be reset. It reports whether a listener is left open.
+func (s *Connections) closeListeners(force bool) bool {
+	s.mu.Lock()
+	listeners := s.listeners
+	s.listeners = nil
+	s.mu.Unlock()
+	var waiting []*listener
+	for _, l := range listeners {
+		if !force && l.hasBacklog() {
+			waiting = append(waiting, l)
+			continue
+		}
+		_ = l.Close() // its error has no consequence: nothing is accepted any more
 	}
+	s.mu.Lock()
+	s.listeners = append(s.listeners, waiting...)
+	s.mu.Unlock()
+	return len(waiting) > 0
 }
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -16,36 +16,48 @@
 )
 
 func TestIdleState(t *testing.T) {
-	accepted := time.Unix(1000, 0)
-	const grace = time.Second
+	start := time.Unix(1000, 0)
+	grace := Grace{New: time.Second, Kept: 100 * time.Millisecond}
 	for name, c := range map[string]struct {
 		state connState
-		after time.Duration
+		quiet time.Duration
 		idle  bool
 	}{
-		"new":                                {connState{waiting: true}, grace / 2, false},
-		"new for longer than the grace":      {connState{waiting: true}, grace, true},
-		"new with a part of a request":       {connState{waiting: true, begun: true}, time.Minute, false},
-		"kept":                               {connState{waiting: true, used: true}, 0, true},
-		"kept with a part of a request":      {connState{waiting: true, used: true, begun: true}, time.Minute, false},
+		"new":                                {connState{waiting: true}, grace.New / 2, false},
+		"new for longer than the grace":      {connState{waiting: true}, grace.New, true},
+		"new with a part of a request":       {connState{waiting: true, begun: true}, stalledTimeout / 2, false},
+		"new with a stalled request":         {connState{waiting: true, begun: true}, stalledTimeout, true},
+		"kept right after a response":        {connState{waiting: true, used: true}, grace.Kept / 2, false},
+		"kept":                               {connState{waiting: true, used: true}, grace.Kept, true},
+		"kept with a part of a request":      {connState{waiting: true, used: true, begun: true}, stalledTimeout / 2, false},
 		"kept with a request in progress":    {connState{waiting: true, used: true, active: true}, time.Minute, false},
 		"kept while the server holds data":   {connState{used: true}, time.Minute, false},
-		"kept after its response has ended":  {ended(connState{waiting: true, used: true, active: true, begun: true}), 0, true},
 		"new connection whose request began": {read(connState{waiting: true}), time.Minute, false},
 	} {
-		c.state.accepted = accepted
-		NewWithT(t).Expect(c.state.isIdle(accepted.Add(c.after), grace)).To(Equal(c.idle), name)
+		c.state.accepted(start)
+		NewWithT(t).Expect(c.state.isIdle(start.Add(c.quiet), grace)).To(Equal(c.idle), name)
 	}
 }
 
-func ended(s connState) connState {
-	s.responseEnded()
+func read(s connState) connState {
+	s.requestRead()
 	return s
 }
 
-func read(s connState) connState {
+func TestResponseEndBeginsTheGrace(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(1000, 0)
+	grace := Grace{Kept: 100 * time.Millisecond}
+	s := connState{waiting: true}
+	s.accepted(start)
+	s.dataRead(start)
 	s.requestRead()
-	return s
+	end := start.Add(time.Minute)
+	s.responseEnded(end)
+	g.Expect(s.isIdle(end.Add(grace.Kept/2), grace)).To(BeFalse())
+	g.Expect(s.isIdle(end.Add(grace.Kept), grace)).To(BeTrue())
+	s.dataRead(end.Add(grace.Kept))
+	g.Expect(s.isIdle(end.Add(3*grace.Kept), grace)).To(BeFalse())
 }
 
 // pair returns both ends of a tracked connection.
@@ -81,13 +93,13 @@
 		defer conn.mu.Unlock()
 		return conn.hasData()
 	}).Should(BeTrue())
-	conn.closeIfIdle(time.Now(), 0)
+	conn.closeIfIdle(time.Now(), Grace{})
 	g.Expect(conn.IsClosed()).To(BeFalse())
 	buffer := make([]byte, 8)
 	n, err := conn.Read(buffer)
 	g.Expect(err).ToNot(HaveOccurred())
 	g.Expect(string(buffer[:n])).To(Equal("GET"))
-	conn.closeIfIdle(time.Now(), 0)
+	conn.closeIfIdle(time.Now(), Grace{})
 	g.Expect(conn.IsClosed()).To(BeFalse(), "a request has begun")
 	g.Expect(s.Count()).To(Equal(1))
 }
@@ -144,7 +156,7 @@
 	g.Expect(err).ToNot(HaveOccurred())
 	time.Sleep(50 * time.Millisecond)
 	left := make(chan int, 1)
-	go func() { left <- s.Drain(t.Context(), 0) }()
+	go func() { left <- s.Drain(t.Context(), time.Time{}, Grace{}) }()
 	time.Sleep(50 * time.Millisecond)
 	close(release)
 	reader := bufio.NewReader(conn)
@@ -176,5 +188,60 @@
 	<-began
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
-	g.Expect(s.Drain(ctx, 0)).To(Equal(1))
+	g.Expect(s.Drain(ctx, time.Time{}, Grace{})).To(Equal(1))
+}
+
+// lateListener accepts each connection later than the kernel does, as a busy process.
+type lateListener struct {
+	*net.TCPListener
+	before, after time.Duration // around the kernel's accept
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	time.Sleep(l.before)
+	c, err := l.TCPListener.Accept()
+	if err == nil {
+		time.Sleep(l.after)
+	}
+	return c, err
+}
+
+// answersLateAccepted drains a server while whole requests wait on connections that it has not tracked yet.
+func answersLateAccepted(t *testing.T, before, after time.Duration) {
+	t.Helper()
+	g := NewWithT(t)
+	var s Connections
+	web := &http.Server{ConnState: s.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s.MarkResponse(w.Header())
+		_, _ = io.WriteString(w, "answer")
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).ToNot(HaveOccurred())
+	tcp, ok := l.(*net.TCPListener)
+	g.Expect(ok).To(BeTrue())
+	go func() { _ = web.Serve(s.Listener(&lateListener{tcp, before, after})) }() // until Drain closes it
+	var conns []net.Conn
+	for range 3 {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		g.Expect(err).ToNot(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).ToNot(HaveOccurred())
+		conns = append(conns, conn)
+	}
+	g.Expect(s.Drain(t.Context(), time.Now(), Grace{New: time.Second})).To(BeZero())
+	for _, conn := range conns {
+		_, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		g.Expect(err).ToNot(HaveOccurred(), "a whole request got no answer")
+	}
+}
+
+// Guards against a listener that is closed, and so resets them, while connections with whole requests wait to be accepted.
+func TestDrainAnswersRequestsInTheBacklog(t *testing.T) {
+	answersLateAccepted(t, 50*time.Millisecond, 0)
+}
+
+// Guards against a drain that ends between the accept of a connection and its first sight of it.
+func TestDrainWaitsForConnectionThatIsBeingAccepted(t *testing.T) {
+	answersLateAccepted(t, 0, 50*time.Millisecond)
 }
--- a/gateway/caller_server_test.go
+++ b/gateway/caller_server_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/jacinthplank/jacinthplank/drain"
 	"github.com/jacinthplank/jacinthplank/route"
 )
 
@@ -53,7 +54,7 @@
 	g.Expect(later.SetReadDeadline(time.Now().Add(2 * time.Second))).To(Succeed())
 	_, err = later.ReadByte()
 	g.Expect(err).To(MatchError("EOF"), "closed after the idle timeout")
-	go server.connections.Drain(t.Context(), 0)
+	go server.connections.Drain(t.Context(), time.Time{}, drain.Grace{})
 	g.Eventually(func() error {
 		g.Expect(open.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
 		_, err := open.ReadByte()
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/jacinthplank/jacinthplank/drain"
 	"github.com/jacinthplank/jacinthplank/route"
 )
 
@@ -49,7 +50,7 @@
 	_, err = io.WriteString(conn, "GET /second HTTP/1.1\r\n")
 	g.Expect(err).ToNot(HaveOccurred())
 	time.Sleep(100 * time.Millisecond) // the server has read the first line
-	go s.connections.Drain(t.Context(), 0)
+	go s.connections.Drain(t.Context(), time.Time{}, drain.Grace{})
 	time.Sleep(100 * time.Millisecond) // an idle connection is closed by then
 	_, err = io.WriteString(conn, "Host: h\r\n\r\n")
 	g.Expect(err).ToNot(HaveOccurred())
@@ -99,9 +100,47 @@
 		}
 		close(begin)
 		time.Sleep(spread)
-		go s.connections.Drain(t.Context(), 0)
+		go s.connections.Drain(t.Context(), time.Time{}, drain.Grace{})
 		wait.Wait()
-		g.Expect(listener.Close()).To(Succeed())
+		_ = listener.Close() // the drain may have closed it
 		g.Expect(cut.Load()).To(BeZero(), "requests that were passed on and got no answer")
 	}
 }
+
+// Guards against a connection that is closed right after a stream whose headers did not say so, while the caller's next
+// request is on its way.
+func TestShutdownAnswersRequestThatFollowsStream(t *testing.T) {
+	g := NewWithT(t)
+	const roundTrip = 50 * time.Millisecond // of the caller
+	release := make(chan struct{})
+	var s *callerServer
+	s = newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.connections.MarkResponse(w.Header())
+		_, _ = io.WriteString(w, "event")
+		if r.URL.Path == "/stream" {
+			_ = http.NewResponseController(w).Flush()
+			<-release
+		}
+	}))
+	s.setLimits(route.HeaderLimits{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).ToNot(HaveOccurred())
+	go func() { _ = s.serve(listener) }()
+	conn, reader := keptConnection(g, listener.Addr().String())
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).ToNot(HaveOccurred())
+	stream, err := http.ReadResponse(reader, nil)
+	g.Expect(err).ToNot(HaveOccurred())
+	go s.connections.Drain(t.Context(), time.Time{}, callerGrace)
+	time.Sleep(roundTrip)
+	close(release)
+	_, err = io.Copy(io.Discard, stream.Body)
+	g.Expect(err).ToNot(HaveOccurred())
+	time.Sleep(roundTrip)
+	_, err = io.WriteString(conn, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).ToNot(HaveOccurred())
+	response, err := http.ReadResponse(reader, nil)
+	g.Expect(err).ToNot(HaveOccurred(), "the request got no answer")
+	g.Expect(response.Close).To(BeTrue())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -194,7 +194,7 @@
 			waiting = false
 		}
 	}
-	g.shutDown(l)
+	g.shutDown()
 	cancel()
 	<-ended
 	return nil
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -47,12 +47,15 @@
 	return err
 }
 
-// drain accepts no new connections and waits until the open ones have ended, up to a
-// timeout.
-func (s *server) drain(ctx context.Context, timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// drain accepts no new connections and waits until the open ones have ended. Those that
+// are left at the limit are closed.
+func (s *server) drain(limit time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	s.connections.Start()
-	_ = s.listener.Close() // already closed if the duty failed
-	s.connections.Drain(ctx, 0)
+	s.connections.Drain(ctx, time.Time{}, keptGrace)
+	_ = s.server.Close() // the process is exiting
 }
+
+// keptGrace is how long a connection between processes is kept after a response that did
+// not say that it ends.
+var keptGrace = drain.Grace{New: 50 * time.Millisecond, Kept: 50 * time.Millisecond}
