gateway: a shutdown does not wait for the body of a request

What callers saw: a request whose body was still arriving at the end of a shutdown got no response, and one that came late was refused only after its body, up to 5 s later.

A late request is refused before its body is read, and a body is read until the shutdown's deadline at most. net/http reads what is left of a body before it sends a response; that is limited to 100 ms, for every early error.

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -79,9 +79,6 @@
 			return outcome.Refuse(outcome.CodeInvalidKey, step, "unknown API key")
 		}
 	}
-	if e := f.readBody(); e != nil {
-		return e
-	}
 	f.deadline = f.arrived.Add(f.route.Timeout)
 	if request.Timeout > 0 && request.Timeout < f.route.Timeout {
 		f.deadline = f.arrived.Add(request.Timeout)
@@ -89,6 +86,9 @@
 	if f.g.shutdown.isTooLate(f.arrived, f.deadline) {
 		return refuseForShutdown(step)
 	}
+	if e := f.readBody(); e != nil {
+		return e
+	}
 	f.spentEarlier = f.g.deadlines.spentEarlier(f.route.Name, request.Timeout, f.arrived)
 	f.service = f.route.Choose(rand.Uint64())
 	return nil
@@ -123,7 +123,7 @@
 		return outcome.Refuse(outcome.CodeBodyTooLarge, step, "request body has %d bytes, the limit is %d", f.r.ContentLength, limit)
 	}
 	control := http.NewResponseController(f.w)
-	if err := control.SetReadDeadline(f.arrived.Add(bodyTimeout)); err != nil {
+	if err := control.SetReadDeadline(f.g.shutdown.limit(f.arrived.Add(bodyTimeout))); err != nil {
 		return outcome.Fail(outcome.CodeInternal, outcome.NotRun, step, err)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(f.w, f.r.Body, limit))
@@ -131,6 +131,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return outcome.Refuse(outcome.CodeBodyTooLarge, step, "request body exceeds the limit of %d bytes", limit)
+	case err != nil && f.g.shutdown.isOver(time.Now()):
+		return refuseForShutdown(step)
 	case err != nil:
 		e := outcome.Fail(outcome.CodeInvalidRequest, outcome.NotRun, step, err)
 		e.Message = "request body could not be read completely"
@@ -139,7 +141,7 @@
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		return outcome.Fail(outcome.CodeInternal, outcome.NotRun, step, err)
 	}
-	f.body = body
+	f.body, f.bodyRead = body, true
 	return nil
 }
 
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -56,6 +56,7 @@
 	}
 	h := f.w.Header()
 	f.g.callerServer.connections.MarkResponse(h)
+	f.limitUnreadBody()
 	f.g.dialect.SetErrorHeaders(h, f.request.ID, retryAfter)
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -65,6 +66,21 @@
 	}
 }
 
+// unreadBodyTimeout is how long an error response waits for the rest of a body that was
+// not read.
+const unreadBodyTimeout = 100 * time.Millisecond
+
+// limitUnreadBody bounds the time for which net/http reads an unread body before it sends
+// the response.
+func (f *inflightRequest) limitUnreadBody() {
+	if f.bodyRead || f.r.ContentLength == 0 {
+		return
+	}
+	if err := http.NewResponseController(f.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)); err != nil {
+		f.g.log.Debug("no read deadline for an unread body", "request", f.request.ID, "error", err.Error())
+	}
+}
+
 // logAttempt logs and records one failed attempt.
 func (f *inflightRequest) logAttempt(endpoint string, e *outcome.Error) {
 	f.recordEvent(timeline.KindRetried, endpoint, e)
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -29,6 +29,7 @@
 	request  Request
 	service  string
 	body     []byte
+	bodyRead bool
 	deadline time.Time
 
 	excluded        []string // endpoints that failed or rejected this request
