coord/budget: a request sent before the return of a lease is granted after it

What an operator could see: a holder gives up waiting for the answer to a renewal and returns its lease; the renewal, still on its way, arrives afterwards and is granted. Nobody spends the amount, but it counts until the lease expires: with the two loads of the weight store, one instance that could load is refused for two minutes (five at most). The sum of what is granted stays within the limit, because the stray lease is counted.

Cause: the sequence number was kept only with the lease, which a return deleted, so the older number compared with 0.

Evidence, before: TestRequestSentBeforeReturnIsNotGranted, all three cases (renewal after the return, first request after the return, renewal after a duplicate return): "Expected <int64>: 100 to be zero-valued".

Now a return is remembered with its number for MaxLeaseDuration, even if there was no lease: its request may be the late one. What is kept is bounded by that time and by 4,096 returns for a budget; when it is full the oldest is forgotten, ties by name, so that all replicas forget the same one.

--- a/coord/budget/budget.go
+++ b/coord/budget/budget.go
@@ -9,12 +9,17 @@
 package budget
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
-// MaxLeaseDuration is the maximum duration of a lease.
-const MaxLeaseDuration = 5 * time.Minute
+const (
+	// MaxLeaseDuration is the maximum duration of a lease.
+	MaxLeaseDuration = 5 * time.Minute
+	// MaxReturned is the maximum number of returned leases that a budget remembers.
+	MaxReturned = 4096
+)
 
 // Request requests a new lease or renews one. A request with a Want of 0 or less
 // returns the lease: the holder has stopped spending it.
@@ -69,9 +74,17 @@
 
 // Budget is a budget and its leases by holder.
 type Budget struct {
-	Limit    int64            `json:"limit"`
-	Revision uint64           `json:"revision"`
-	Leases   map[string]Lease `json:"leases,omitempty"`
+	Limit    int64                    `json:"limit"`
+	Revision uint64                   `json:"revision"`
+	Leases   map[string]Lease         `json:"leases,omitempty"`
+	Returned map[string]ReturnedLease `json:"returned,omitempty"`
+}
+
+// ReturnedLease remembers the return of a lease, so that a delayed request sent
+// before it is not granted.
+type ReturnedLease struct {
+	Sequence uint64 `json:"sequence"`
+	Expires  int64  `json:"expires"`
 }
 
 // Table holds all budgets and token buckets by name. Its fields are exported only
@@ -85,13 +98,14 @@
 func (t *Table) Lease(now int64, r Request) Grant {
 	b := t.findOrCreateBudget(r)
 	b.removeExpired(now)
-	if r.Sequence < b.Leases[r.Holder].Sequence {
+	if r.Sequence < max(b.Leases[r.Holder].Sequence, b.Returned[r.Holder].Sequence) {
 		return Grant{Budget: r.Budget}
 	}
 	if r.Want <= 0 {
-		delete(b.Leases, r.Holder)
+		b.returnLease(now, r)
 		return Grant{Budget: r.Budget}
 	}
+	delete(b.Returned, r.Holder)
 	duration := min(max(r.Duration, 0), MaxLeaseDuration)
 	amount := b.grantAmount(now, r)
 	b.replaceLease(now, r, amount, now+duration.Microseconds())
@@ -133,6 +147,37 @@
 	if b.Leases == nil {
 		b.Leases = make(map[string]Lease)
 	}
+	for holder, l := range b.Returned {
+		if l.Expires <= now {
+			delete(b.Returned, holder)
+		}
+	}
+}
+
+// returnLease removes the lease of a holder. The return is remembered even if
+// there is no lease, because the request for one may still be on its way.
+func (b *Budget) returnLease(now int64, r Request) {
+	delete(b.Leases, r.Holder)
+	if b.Returned == nil {
+		b.Returned = make(map[string]ReturnedLease)
+	}
+	b.Returned[r.Holder] = ReturnedLease{Sequence: r.Sequence, Expires: now + MaxLeaseDuration.Microseconds()}
+	if len(b.Returned) > MaxReturned {
+		delete(b.Returned, b.oldestReturned())
+	}
+}
+
+// oldestReturned returns the holder that returned its lease first. Ties are broken
+// by name: all replicas must forget the same one.
+func (b *Budget) oldestReturned() string {
+	var oldest string
+	var expires int64 = math.MaxInt64
+	for holder, l := range b.Returned {
+		if l.Expires < expires || (l.Expires == expires && holder < oldest) {
+			oldest, expires = holder, l.Expires
+		}
+	}
+	return oldest
 }
 
 // grantAmount returns the amount granted to a request: the holder's fair share,
