coord/state: a test that a resend is answered for the whole once_retention

plainservice keeps dispatched claims for 24 h while limits.once_retention is 7 days by default. Nor does that memory outlive the process. It holds back duplicates of one dispatch, which the deadline (24 h at most) ends. Keeping claims for 7 days would only cost memory.

The constant's comment says what it is for.

--- a/coord/state/state_test.go
+++ b/coord/state/state_test.go
@@ -85,6 +85,32 @@
 	g.Expect(f.claim(73, "k", "r2", "body").Verdict).To(Equal(once.IsDone))
 }
 
+// A caller that sends its key again, with a new request, is answered from the record
+// for as long as the configuration says, whatever an endpoint process remembers.
+func TestRecordAnswersResendsForItsWholeRetention(t *testing.T) {
+	const day = 24 * 60 * 60
+	const sevenDays = 7 * day
+	g := NewWithT(t)
+	f := newFixture()
+	claim := func(seconds int64, key, request string) once.Verdict {
+		return f.apply(seconds, state.Command{Claim: &once.Claim{
+			Key: once.Key{Account: "a", Service: "s", Key: key}, Request: request, Body: "body",
+			Remaining: time.Minute, Retention: sevenDays * time.Second,
+		}}).Claim.Verdict
+	}
+	g.Expect(claim(0, "done", "r1")).To(Equal(once.Granted))
+	g.Expect(claim(0, "lost", "r1")).To(Equal(once.Granted))
+	f.record(0, "done", "r1", once.Done, &once.Reply{Status: 201})
+	for _, seconds := range []int64{day + 1, 2 * day, sevenDays - 1} {
+		restored := newMachine()
+		g.Expect(restored.Restore(must(f.Snapshot()))).To(Succeed())
+		f.Machine = restored
+		g.Expect(claim(seconds, "done", "r2")).To(Equal(once.IsDone), "second %d", seconds)
+		g.Expect(claim(seconds, "lost", "r2")).To(Equal(once.IsUnknown), "second %d", seconds)
+	}
+	g.Expect(claim(sevenDays+1, "done", "r3")).To(Equal(once.Granted))
+}
+
 func TestReleaseBeforeClaimPreventsGrant(t *testing.T) {
 	g := NewWithT(t)
 	f := newFixture()
--- a/plainservice/plainservice.go
+++ b/plainservice/plainservice.go
@@ -20,12 +20,15 @@
 )
 
 const (
-	dialTimeout    = time.Second
-	maxReplyBytes  = 16 << 20
-	idleTimeout    = time.Minute
-	maxIdlePerURL  = 64
-	pruneInterval  = time.Minute
-	claimRetention = 24 * time.Hour // how long dispatched claims are kept
+	dialTimeout   = time.Second
+	maxReplyBytes = 16 << 20
+	idleTimeout   = time.Minute
+	maxIdlePerURL = 64
+	pruneInterval = time.Minute
+	// claimRetention is how long dispatched claims are kept. It covers duplicates of
+	// one grant, which end with the longest deadline. A caller's resend of a key is
+	// answered from the once-record in the quorum, for limits.once_retention.
+	claimRetention = 24 * time.Hour
 )
 
 var (
