mesh: a failed write of the endpoints file counted as written

What an operator saw: one line "writing the endpoints file failed", after which the file stayed as it was until an endpoint announced a change. With steady endpoints an entry that restarts hours later starts without them, or with old ones, and refuses requests until the next announcements arrive.

Cause: the version was noted as written whether or not the write succeeded.

The version is now noted only after a write that succeeded, so that the next tick (0.5 s, as after a change) tries again. There is one line when writing begins to fail and one when it works again, not one for each attempt.

--- a/mesh/endpoint_store.go
+++ b/mesh/endpoint_store.go
@@ -39,6 +39,7 @@
 	ticker := time.NewTicker(writeInterval)
 	defer ticker.Stop()
 	var writtenVersion uint64
+	failing := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -50,9 +51,16 @@
 			continue
 		}
 		if err := writeEndpoints(r.folder(), endpoints); err != nil {
-			// The file only speeds up a start, so the write is retried at the next change.
-			r.mesh.log.Warn("writing the endpoints file failed", "step", "mesh.remember", "error", err.Error())
+			if !failing {
+				r.mesh.log.Warn("writing the endpoints file failed", "step", "mesh.remember", "error", err.Error())
+			}
+			failing = true
+			continue
+		}
+		if failing {
+			r.mesh.log.Info("endpoints file written again", "step", "mesh.remember")
 		}
+		failing = false
 		writtenVersion = version
 	}
 }
