mesh: an entry that stops may start its quorum member once more

What an operator saw: at the end of a shutdown "starting the quorum member failed ... in use by another process", an error where nothing is wrong. If the first member had closed its files by then, a second one began on them and was stopped in the background while the process ended.

Cause: stop removed the member and the duty, still running, took the gap for a member that failed; that the entry stops was looked at only after the start.

Evidence, before: TestQuorumMemberIsNotStartedAfterStop (a start is tried after Stop: ensureNode false) and TestStopWaitsForQuorumMemberThatStarts ("... is in use by another process" after Stop had returned).

Starting and stopping now exclude each other: a start in progress is waited for and its member stopped, a later one isn't begun. Stop can thus wait for a disk that is slow at a start, as it does for one under a running member.

--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -33,6 +33,10 @@
 	log      *slog.Logger
 	register *document.Register
 
+	// starting is held while the member is started or stopped, which may take as long
+	// as the disk does. It is locked before mu.
+	starting sync.Mutex
+
 	mu         sync.Mutex
 	node       *quorum.Node
 	founders   []quorum.Member
@@ -125,7 +129,10 @@
 	return c.node
 }
 
+// stop stops the member for good. It waits for one that is being started.
 func (c *quorumManager) stop() {
+	c.starting.Lock()
+	defer c.starting.Unlock()
 	c.mu.Lock()
 	node := c.node
 	c.node, c.stopped = nil, true
@@ -172,9 +179,16 @@
 }
 
 // ensureNode starts the member on its disk if it is not running, also after a disk
-// failure. It returns false if the start failed.
+// failure and unless stop was called. It returns false if the start failed.
 func (c *quorumManager) ensureNode() bool {
-	node := c.currentNode()
+	c.starting.Lock()
+	defer c.starting.Unlock()
+	c.mu.Lock()
+	node, stopped := c.node, c.stopped
+	c.mu.Unlock()
+	if stopped {
+		return true
+	}
 	if node != nil {
 		err := node.Status().Err
 		if err == nil {
@@ -261,10 +275,6 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stopped {
-		go node.Stop()
-		return true
-	}
 	c.node = node
 	c.log.Info("quorum member started", "step", "mesh.core", "disk", node.Status().DiskIdentity, "members", len(members))
 	return true
