coord/wal: a failed Create returned a log, and failed calls kept files open

What a caller could see: after a failed Create the returned log has no file, so that Close on it panics. After a failed Create, Rotate or Open a file of the folder stays open until the garbage collector finds it, also after the folder's lock is released; a member whose disk fails is started again every half second.

Cause: Create passed on the error with the log; Rotate dropped the next log with its file; Open dropped the log, or, if only the removal of old files failed, returned it with the error.

Evidence, before: TestFailedCreateReturnsNoLogAndNoOpenFile (six operations: a log that isn't nil; file open after five of them), TestFailedRotateLeavesOnlyTheOldFileOpen (write, sync, rename, sync_folder: 2 files open, 1 expected; create passed before), TestFailedOpenReturnsNoLogAndNoOpenFile (sync: 1 open file; remove: a log that isn't nil).

Each failure now closes what it opened and returns no log. A failed Rotate keeps the old file open until Close, as before.

--- a/coord/wal/log.go
+++ b/coord/wal/log.go
@@ -49,7 +49,11 @@
 // checksum; Open needs the same salt.
 func Create(folder Folder, salt string, first []byte) (*Log, error) {
 	l := &Log{folder: folder, salt: salt}
-	return l, l.Rotate(first)
+	if err := l.Rotate(first); err != nil {
+		l.closeFile()
+		return nil, err
+	}
+	return l, nil
 }
 
 // Open opens a log and returns its batches. It truncates an unacknowledged last
@@ -68,9 +72,14 @@
 		return nil, nil, err
 	}
 	if err := l.openForAppend(validSize); err != nil {
+		l.closeFile()
+		return nil, nil, err
+	}
+	if err := l.removeOldFiles(); err != nil {
+		l.closeFile()
 		return nil, nil, err
 	}
-	return l, batches, l.removeOldFiles()
+	return l, batches, nil
 }
 
 // Append writes one batch and syncs it.
@@ -106,11 +115,10 @@
 	}
 	next := &Log{folder: l.folder, salt: l.salt, number: l.number + 1}
 	if err := next.createFile(first); err != nil {
+		next.closeFile()
 		return l.fail(err)
 	}
-	if l.file != nil {
-		_ = l.file.Close()
-	}
+	l.closeFile()
 	*l = *next
 	rotations.Inc()
 	return l.removeOldFiles()
@@ -127,6 +135,13 @@
 	return trace.Wrap(l.file.Close())
 }
 
+// closeFile closes the file of a log that is not used any more.
+func (l *Log) closeFile() {
+	if l.file != nil {
+		_ = l.file.Close()
+	}
+}
+
 func (l *Log) fileName() string { return fmt.Sprintf("%s%016x", logPrefix, l.number) }
 
 // createFile durably creates the file of l with first as its only batch.
--- a/coord/wal/log_test.go
+++ b/coord/wal/log_test.go
@@ -186,6 +186,109 @@
 	})
 }
 
+// countingFolder counts open files. Remove fails if removeErr is set.
+type countingFolder struct {
+	*wal.MemoryFolder
+	open      int
+	removeErr error
+}
+
+type countingFile struct {
+	wal.File
+	folder *countingFolder
+}
+
+func (f *countingFolder) Create(name string) (wal.File, error) {
+	return f.count(f.MemoryFolder.Create(name))
+}
+
+func (f *countingFolder) Append(name string) (wal.File, error) {
+	return f.count(f.MemoryFolder.Append(name))
+}
+
+func (f *countingFolder) Remove(name string) error {
+	if f.removeErr != nil {
+		return f.removeErr
+	}
+	return f.MemoryFolder.Remove(name)
+}
+
+func (f *countingFolder) count(file wal.File, err error) (wal.File, error) {
+	if err != nil {
+		return nil, err
+	}
+	f.open++
+	return &countingFile{file, f}, nil
+}
+
+func (c *countingFile) Close() error {
+	c.folder.open--
+	return c.File.Close()
+}
+
+// failOn makes one operation of the folder fail.
+func (f *countingFolder) failOn(operation string) {
+	if operation == "remove" {
+		f.removeErr = errors.New("broken")
+		return
+	}
+	f.SetFault(func(op, _ string) error {
+		if op == operation {
+			return errors.New("broken")
+		}
+		return nil
+	})
+}
+
+func TestFailedCreateReturnsNoLogAndNoOpenFile(t *testing.T) {
+	for _, operation := range []string{"create", "write", "sync", "rename", "sync_folder", "remove"} {
+		t.Run(operation, func(t *testing.T) {
+			g := NewWithT(t)
+			folder := &countingFolder{MemoryFolder: wal.NewMemoryFolder()}
+			_, err := folder.MemoryFolder.Create("log-0000000000000009.tmp")
+			g.Expect(err).NotTo(HaveOccurred())
+			folder.failOn(operation)
+			log, err := wal.Create(folder, salt, []byte("first"))
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(log).To(BeNil())
+			g.Expect(folder.open).To(BeZero())
+		})
+	}
+}
+
+func TestFailedRotateLeavesOnlyTheOldFileOpen(t *testing.T) {
+	for _, operation := range []string{"create", "write", "sync", "rename", "sync_folder"} {
+		t.Run(operation, func(t *testing.T) {
+			g := NewWithT(t)
+			folder := &countingFolder{MemoryFolder: wal.NewMemoryFolder()}
+			log, err := wal.Create(folder, salt, []byte("first"))
+			g.Expect(err).NotTo(HaveOccurred())
+			folder.failOn(operation)
+			g.Expect(log.Rotate([]byte("second"))).NotTo(Succeed())
+			g.Expect(folder.open).To(Equal(1))
+			g.Expect(log.Close()).To(Succeed())
+			g.Expect(folder.open).To(BeZero())
+		})
+	}
+}
+
+func TestFailedOpenReturnsNoLogAndNoOpenFile(t *testing.T) {
+	for _, operation := range []string{"sync", "remove"} {
+		t.Run(operation, func(t *testing.T) {
+			g := NewWithT(t)
+			inner, _ := newLog(g, "first")
+			_, err := inner.Create("log-0000000000000002.tmp")
+			g.Expect(err).NotTo(HaveOccurred())
+			folder := &countingFolder{MemoryFolder: inner}
+			folder.failOn(operation)
+			log, _, err := wal.Open(folder, salt)
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(log).To(BeNil())
+			g.Expect(folder.open).To(BeZero())
+		})
+	}
+}
+
 func TestReadFileDetectsCorruption(t *testing.T) {
 	g := NewWithT(t)
 	folder := wal.NewMemoryFolder()
