wire: Reserve with the release flag reserved memory

What a caller of the endpoint service could see: a Reserve with release set, which the interface defines as giving the memory back, reserved it until the deadline. Our own client releases with Cancel and never sets the flag, so no fleet of our programs meets it.

Cause: the handler didn't read the field.

Evidence, before: TestReserveWithReleaseFlagReleases: {r, attempt 1}: 1000 tokens still reserved, none expected.

The handler now calls Release, which is idempotent, if the flag is set.

--- a/wire/server.go
+++ b/wire/server.go
@@ -107,7 +107,12 @@
 	}
 	m := req.Msg
 	k := engine.Key{Request: m.GetId(), Attempt: m.GetAttempt()}
-	err := s.Endpoint.Reserve(ctx, k, int(m.GetTokens()), microseconds(m.GetRemainingUs()))
+	var err error
+	if m.GetRelease() {
+		err = s.Endpoint.Release(ctx, k)
+	} else {
+		err = s.Endpoint.Reserve(ctx, k, int(m.GetTokens()), microseconds(m.GetRemainingUs()))
+	}
 	return connect.NewResponse(&pb.ReserveResponse{Failure: s.failureFromError(err)}), nil
 }
 
