control: Identify left the member's address empty

What a caller of the control service could see: the response of Identify names the member and its disk, but its address is empty, though the interface has it. Our own clients use the address that they called.

Cause: the field was never set.

Evidence, before: TestIdentifyReturnsTheMembersAddress: "" instead of 127.0.0.1:28638.

The server now knows the address that the member advertises and returns it.

--- a/control/control.go
+++ b/control/control.go
@@ -69,7 +69,7 @@
 	}
 	m.node = node
 	m.server = &server{
-		log: node, machine: m.machine,
+		address: o.Address, log: node, machine: m.machine,
 		members: memberService{log: node, identify: m.identify, logger: o.Log},
 	}
 	return m, nil
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -6,12 +6,14 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	. "github.com/onsi/gomega"
 
 	"github.com/jacinthplank/jacinthplank/control"
 	"github.com/jacinthplank/jacinthplank/coord/revision"
 	"github.com/jacinthplank/jacinthplank/fleet"
 	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
+	"github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1/jacinthplankv1connect"
 	"github.com/jacinthplank/jacinthplank/outcome"
 	"github.com/jacinthplank/jacinthplank/services"
 	"github.com/jacinthplank/jacinthplank/settings"
@@ -163,6 +165,18 @@
 	}).WithTimeout(20 * time.Second).WithPolling(100 * time.Millisecond).Should(Equal(reply))
 }
 
+func TestIdentifyReturnsTheMembersAddress(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(t, 1)
+	m := c.leader()
+	client := jacinthplankv1connect.NewControlServiceClient(c.network.Client(), c.network.URL(m.Address))
+	r, err := client.Identify(t.Context(), connect.NewRequest(&pb.IdentifyRequest{}))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Msg.GetName()).To(Equal(m.Name))
+	g.Expect(r.Msg.GetAddress()).To(Equal(m.Address))
+	g.Expect(r.Msg.GetDisk()).NotTo(BeEmpty())
+}
+
 func TestMemberReplacementKeepsQuorum(t *testing.T) {
 	g := NewWithT(t)
 	c := newCluster(t, 3)
--- a/control/server.go
+++ b/control/server.go
@@ -28,6 +28,7 @@
 
 // server implements ControlService and QuorumService on one member.
 type server struct {
+	address string // advertised to the other members
 	log     Log
 	machine *state.Machine
 	members memberService
@@ -89,7 +90,7 @@
 func (s *server) Identify(context.Context, *connect.Request[pb.IdentifyRequest]) (*connect.Response[pb.IdentifyResponse], error) {
 	status := s.log.Status()
 	return connect.NewResponse(&pb.IdentifyResponse{
-		Name: status.Name, Disk: string(status.DiskIdentity), Status: QuorumToProto(status),
+		Name: status.Name, Address: s.address, Disk: string(status.DiskIdentity), Status: QuorumToProto(status),
 	}), nil
 }
 
