api, fleet: a limit of 0 had two defaults

What a caller could see: where a configuration is built without limits (an accepted one can't be: the check wants each above 0), the API allowed 4,096 tokens for an answer and 30 minutes for a long prompt; package fleet, which writes and documents the defaults, says 8,192 and 2 hours.

Cause: the API had a second list of defaults.

The defaults now stand in package fleet only, and Limits.WithDefaults puts them in place of a 0.

--- a/api/request.go
+++ b/api/request.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,14 +18,8 @@
 	"github.com/jacinthplank/jacinthplank/submit"
 )
 
-// Limits used when the configuration does not set them.
-const (
-	defaultMaxBodyBytes    = 16 << 20
-	defaultMaxAnswerTokens = 4_096
-	defaultShortDeadline   = 60 * time.Second
-	defaultLongDeadline    = 30 * time.Minute
-	maxDeadline            = 24 * time.Hour
-)
+// maxDeadline is the longest deadline that a client may set.
+const maxDeadline = 24 * time.Hour
 
 // message is a single chat message.
 type message struct {
@@ -131,12 +126,12 @@
 	return b.String()
 }
 
+// limits returns the fleet's limits.
+func (x *exchange) limits() fleet.Limits { return x.config.Limits.WithDefaults() }
+
 // decodeBody decodes the JSON body into v, limited to the configured size.
 func (x *exchange) decodeBody(v any) error {
-	limit := x.config.Limits.MaxBody
-	if limit == 0 {
-		limit = defaultMaxBodyBytes
-	}
+	limit := x.limits().MaxBody
 	data, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, int64(limit)))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -207,10 +202,7 @@
 }
 
 func (x *exchange) maxTokens(o options) (int, error) {
-	limit := x.config.Limits.MaxAnswer
-	if limit == 0 {
-		limit = defaultMaxAnswerTokens
-	}
+	limit := x.limits().MaxAnswer
 	requested, field := o.MaxCompletionTokens, "max_completion_tokens"
 	if requested == nil {
 		requested, field = o.MaxTokens, "max_tokens"
@@ -231,9 +223,9 @@
 		return parseTimeout(text)
 	}
 	if tokens <= submit.MediumTokens {
-		return firstPositive(x.account.ShortDeadline.D(), x.config.Limits.ShortDeadline.D(), defaultShortDeadline), nil
+		return cmp.Or(x.account.ShortDeadline, x.limits().ShortDeadline).D(), nil
 	}
-	return firstPositive(x.account.LongDeadline.D(), x.config.Limits.LongDeadline.D(), defaultLongDeadline), nil
+	return cmp.Or(x.account.LongDeadline, x.limits().LongDeadline).D(), nil
 }
 
 func parseTimeout(text string) (time.Duration, error) {
@@ -257,12 +249,3 @@
 	}
 	return submit.HugeTokens
 }
-
-func firstPositive(values ...time.Duration) time.Duration {
-	for _, v := range values {
-		if v > 0 {
-			return v
-		}
-	}
-	return 0
-}
--- a/api/service.go
+++ b/api/service.go
@@ -57,9 +57,9 @@
 	if path == "" {
 		path = "/"
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, defaultMaxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, fleet.DefaultMaxBody))
 	if err != nil {
-		return submit.Call{}, outcome.Refuse(outcome.CodeInvalidRequest, "entry.read", "the request body could not be read or exceeds %d bytes", defaultMaxBodyBytes)
+		return submit.Call{}, outcome.Refuse(outcome.CodeInvalidRequest, "entry.read", "the request body could not be read or exceeds %d bytes", fleet.DefaultMaxBody)
 	}
 	remaining, err := x.requestTimeout(0)
 	if err != nil {
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Default values of Limits.
 const (
@@ -29,3 +32,17 @@
 		WeightStoreLoad: DefaultWeightStoreLoad,
 	}
 }
+
+// WithDefaults returns the limits with the default of each that is 0, which an
+// accepted configuration never has.
+func (l Limits) WithDefaults() Limits {
+	d := DefaultLimits()
+	return Limits{
+		MaxBody:         cmp.Or(l.MaxBody, d.MaxBody),
+		MaxAnswer:       cmp.Or(l.MaxAnswer, d.MaxAnswer),
+		ShortDeadline:   cmp.Or(l.ShortDeadline, d.ShortDeadline),
+		LongDeadline:    cmp.Or(l.LongDeadline, d.LongDeadline),
+		OnceRetention:   cmp.Or(l.OnceRetention, d.OnceRetention),
+		WeightStoreLoad: cmp.Or(l.WeightStoreLoad, d.WeightStoreLoad),
+	}
+}
