api: service bodies ignored limits.max_body

What a caller saw: a body over limits.max_body was passed on to a service, up to 16 MB, though chat and completion refuse it; with a limit above 16 MB the rest was refused. A refusal was a 400 invalid_request, which the same body on a model's path gets as 413.

Cause: the path of plain services read its body by itself, with the default as the limit.

Evidence, before: TestServiceBodiesAreLimitedAsConfigured: 204 instead of 413 over a limit of 10 bytes; 400 instead of 204 within a limit over 16 MB; 400 instead of 413 over the default.

Both paths now read the body in one place.

--- a/api/limits_test.go
+++ b/api/limits_test.go
@@ -67,3 +67,33 @@
 	g.Expect(r.post(fleet.Limits{}, "/v1/completions", strings.Repeat(" ", fleet.DefaultMaxBody+1)).Code).
 		To(Equal(http.StatusRequestEntityTooLarge))
 }
+
+func TestServiceBodiesAreLimitedAsConfigured(t *testing.T) {
+	const limit = 10
+	const larger = fleet.DefaultMaxBody + limit
+	tests := []struct {
+		name   string
+		limit  int
+		body   int
+		status int
+	}{
+		{"at the limit", limit, limit, http.StatusNoContent},
+		{"over the limit", limit, limit + 1, http.StatusRequestEntityTooLarge},
+		{"over the default, within a larger limit", larger, larger, http.StatusNoContent},
+		{"over the default", 0, fleet.DefaultMaxBody + 1, http.StatusRequestEntityTooLarge},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := &recorder{}
+			response := r.post(fleet.Limits{MaxBody: test.limit}, "/v1/services/s/path", strings.Repeat("x", test.body))
+			g.Expect(response.Code).To(Equal(test.status), "%s", response.Body)
+			if test.status != http.StatusNoContent {
+				g.Expect(r.calls).To(BeEmpty())
+				return
+			}
+			g.Expect(r.calls).To(HaveLen(1))
+			g.Expect(r.calls[0].Body).To(HaveLen(test.body))
+		})
+	}
+}
--- a/api/request.go
+++ b/api/request.go
@@ -129,16 +129,25 @@
 // limits returns the fleet's limits.
 func (x *exchange) limits() fleet.Limits { return x.config.Limits.WithDefaults() }
 
-// decodeBody decodes the JSON body into v, limited to the configured size.
-func (x *exchange) decodeBody(v any) error {
+// readBody reads the body, limited to the configured size.
+func (x *exchange) readBody() ([]byte, error) {
 	limit := x.limits().MaxBody
 	data, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, int64(limit)))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return outcome.Refuse(outcome.CodeBodyTooLarge, "entry.read", "the request body exceeds the limit of %d bytes", limit)
+		return nil, outcome.Refuse(outcome.CodeBodyTooLarge, "entry.read", "the request body exceeds the limit of %d bytes", limit)
+	}
+	if err != nil {
+		return nil, outcome.Refuse(outcome.CodeInvalidRequest, "entry.read", "the request body could not be read")
 	}
+	return data, nil
+}
+
+// decodeBody decodes the JSON body into v.
+func (x *exchange) decodeBody(v any) error {
+	data, err := x.readBody()
 	if err != nil {
-		return outcome.Refuse(outcome.CodeInvalidRequest, "entry.read", "the request body could not be read")
+		return err
 	}
 	if err := json.Unmarshal(data, v); err != nil {
 		return outcome.Refuse(outcome.CodeInvalidRequest, "entry.read", "the body is not valid: %v", err)
--- a/api/service.go
+++ b/api/service.go
@@ -1,7 +1,6 @@
 package api
 
 import (
-	"io"
 	"net/http"
 	"strings"
 
@@ -57,9 +56,9 @@
 	if path == "" {
 		path = "/"
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, fleet.DefaultMaxBody))
+	body, err := x.readBody()
 	if err != nil {
-		return submit.Call{}, outcome.Refuse(outcome.CodeInvalidRequest, "entry.read", "the request body could not be read or exceeds %d bytes", fleet.DefaultMaxBody)
+		return submit.Call{}, err
 	}
 	remaining, err := x.requestTimeout(0)
 	if err != nil {
