control: the test of a replacement's order looks at kind and disk

TestReplacementOrderDependsOnOldMember compared only the disk of each step, the last two letters, and so could not tell a learner that is added from one that is promoted. It now compares whole steps and the voters and learners at the end.

Shown in a scratch copy: with promote adding the learner once more instead of making it a voter, the old test passes, the new one fails (["add_learner d4", "add_learner d4", "remove d3"]).

--- a/control/members_test.go
+++ b/control/members_test.go
@@ -43,8 +43,8 @@
 		oldUnreachable bool
 		steps          []string
 	}{
-		{false, []string{"learner d4", "promote d4", "remove d3"}},
-		{true, []string{"learner d4", "remove d3", "promote d4"}},
+		{false, []string{"add_learner d4", "promote d4", "remove d3"}},
+		{true, []string{"add_learner d4", "remove d3", "promote d4"}},
 	} {
 		g := NewWithT(t)
 		log := &fakeLog{}
@@ -70,9 +70,12 @@
 			Kind: pb.ChangeMemberRequest_KIND_REPLACE, Name: "c4", Address: "4", Replaces: "c3",
 		})
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(log.steps).To(HaveLen(len(c.steps)))
-		for i, step := range c.steps {
-			g.Expect(log.steps[i]).To(HaveSuffix(step[len(step)-2:]), "%v", log.steps)
+		g.Expect(log.steps).To(Equal(c.steps))
+		var voters []string
+		for _, v := range log.voters {
+			voters = append(voters, string(v.Disk))
 		}
+		g.Expect(voters).To(ConsistOf("d1", "d2", "d4"))
+		g.Expect(log.learners).To(BeEmpty())
 	}
 }
