drain, daemon: a shutdown of `jacinthplankd run` cuts no request that is being read

Callers of an entry lost a request that they sent on a kept connection, or as the first of a new one, while the entry shut down: the connection was closed without an answer. Other processes lost calls that lasted more than 2 s.

Cause: closeServer called http.Server.Shutdown, which closes a connection as idle until the head of its next request has been read, and drops the request that is read then. It waited for requests that had reached the handler only, none at all for other processes, and cut all connections 2 s later.

drain.Server closes the listener, drains the HTTP/1 connections as the gateway does, and calls http.Server.Shutdown only when none is left. HTTP/2 connections are recognised by their preface and leave the drain once net/http knows them, so that each gets its GOAWAY; they are cut only after 2 s without a stream. From the start of the drain each response to a caller says that the connection ends, which HTTP/2 tells as GOAWAY. A call of another process has 5 s instead of 2 s, since a frozen one would hold up the end.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -131,7 +131,7 @@
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	tree := supervise.New(d.settings.Instance.Name, d.log)
-	server := d.network.Server(d.peerHandler())
+	server := d.network.newPeerServer(d.peerHandler())
 	tree.Add(&listenerDuty{"peers", server, d.listener})
 	for _, duty := range d.duties() {
 		tree.Add(duty)
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/jacinthplank/jacinthplank/daemon"
+	"github.com/jacinthplank/jacinthplank/fleet"
 	"github.com/jacinthplank/jacinthplank/settings"
 )
 
@@ -48,6 +49,32 @@
 	g.Eventually(done, shutdownTimeout).Should(Receive(BeNil()))
 }
 
+// TestShutdownTellsCallersFromItsStart guards against callers that keep their connections to an entry that drains, and
+// send on them until it closes them.
+func TestShutdownTellsCallersFromItsStart(t *testing.T) {
+	g := NewWithT(t)
+	s := settings.Defaults()
+	s.Instance = settings.Instance{
+		Name: "entry-1", FailureDomain: "north", Listen: "127.0.0.1:0",
+		Duties: []settings.Duty{settings.DutyEntry},
+	}
+	s.Entry = settings.Entry{Listen: "127.0.0.1:0", BalancerDelay: fleet.Duration(time.Second)}
+	d, err := daemon.New(s, daemon.Options{Log: slog.New(slog.DiscardHandler)})
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	url := "http://" + d.CallerAddress() + "/healthz"
+	g.Eventually(func() int { return getStatus(url) }, shutdownTimeout).Should(Equal(http.StatusOK))
+	cancel()
+	time.Sleep(300 * time.Millisecond) // less than the balancer's delay
+	response, err := http.Get(url)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	g.Expect(response.Close).To(BeTrue(), "the caller is told that the connection ends")
+	g.Eventually(done, shutdownTimeout).Should(Receive(BeNil()))
+}
+
 func getStatus(url string) int {
 	response, err := http.Get(url)
 	if err != nil {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -9,6 +9,7 @@
 	"github.com/jacinthplank/jacinthplank/api"
 	"github.com/jacinthplank/jacinthplank/control"
 	"github.com/jacinthplank/jacinthplank/directory"
+	"github.com/jacinthplank/jacinthplank/drain"
 	"github.com/jacinthplank/jacinthplank/entry"
 	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
 	"github.com/jacinthplank/jacinthplank/limits"
@@ -21,7 +22,7 @@
 	api      *api.Server
 	router   *entry.Router
 	limiter  *limits.Limiter
-	server   *http.Server
+	server   *drain.Server
 	listener net.Listener
 }
 
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -6,13 +6,14 @@
 	"net"
 	"net/http"
 
+	"github.com/jacinthplank/jacinthplank/drain"
 	"github.com/jacinthplank/jacinthplank/supervise"
 )
 
 // listenerDuty serves one listener until its server is shut down.
 type listenerDuty struct {
 	name     string
-	server   *http.Server
+	server   *drain.Server
 	listener net.Listener
 }
 
@@ -21,7 +22,7 @@
 
 // Serve implements supervise.Duty.
 func (l *listenerDuty) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = l.server.Close() })
+	stop := context.AfterFunc(ctx, l.server.Close)
 	defer stop()
 	err := l.server.Serve(l.listener)
 	if errors.Is(err, http.ErrServerClosed) || ctx.Err() != nil {
--- a/daemon/network.go
+++ b/daemon/network.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/jacinthplank/jacinthplank/drain"
 	"github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1/jacinthplankv1connect"
 	"github.com/jacinthplank/jacinthplank/settings"
 	"github.com/jacinthplank/jacinthplank/timeline"
@@ -59,16 +60,19 @@
 	return wire.NewClient(name, n.URL(address), n.Client(), n.clockOption)
 }
 
-// newCallerServer returns an HTTP server for callers. Callers may use HTTP/1 or
+// newPeerServer returns a server for other processes.
+func (n *network) newPeerServer(h http.Handler) *drain.Server { return drain.NewServer(n.Server(h)) }
+
+// newCallerServer returns a server for callers. Callers may use HTTP/1 or
 // unencrypted HTTP/2.
-func newCallerServer(h http.Handler) *http.Server {
+func newCallerServer(h http.Handler) *drain.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
+	return drain.NewServer(&http.Server{
 		Handler:           h,
 		Protocols:         protocols,
 		ReadHeaderTimeout: callerHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
-	}
+	})
 }
--- a/daemon/provision.go
+++ b/daemon/provision.go
@@ -88,8 +88,8 @@
 	return d.endpoint.backlog()
 }
 
-// drain announces to the members that the daemon is leaving and makes its
-// endpoint refuse new work.
+// drain announces to the members that the daemon is leaving, makes its endpoint
+// refuse new work and ends each caller's connection with its next response.
 func (d *Daemon) drain(ctx context.Context) {
 	if d.draining.Swap(true) {
 		return
@@ -98,5 +98,8 @@
 	if d.endpoint != nil {
 		d.endpoint.drain()
 	}
+	if d.entry != nil {
+		d.entry.server.StartDrain()
+	}
 	d.announceLeaving(ctx)
 }
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -2,26 +2,26 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/jacinthplank/jacinthplank/coord/membership"
+	"github.com/jacinthplank/jacinthplank/drain"
 	"github.com/jacinthplank/jacinthplank/timeline"
 )
 
 // Timeouts and intervals of a graceful shutdown.
 const (
 	leaveTimeout      = 2 * time.Second        // for announcing the state to gossip partners
-	drainPollInterval = 20 * time.Millisecond  // between checks for running requests
+	drainPollInterval = 20 * time.Millisecond  // between checks for running attempts
 	maxDrainTime      = 24 * time.Hour         // no request has a longer deadline
-	closeTimeout      = 2 * time.Second        // for closing idle connections
+	peerDrainTimeout  = 5 * time.Second        // for other processes' calls, which one that is frozen never ends
 	streamFlushDelay  = 200 * time.Millisecond // for sending the last frames
 )
 
 // shutDown stops the daemon without interrupting a request: it reports not ready,
 // waits out the load balancer's delay, closes the listeners and waits for running
 // requests to finish.
-func (d *Daemon) shutDown(server *http.Server) {
+func (d *Daemon) shutDown(peers *drain.Server) {
 	d.recorder.Record(timeline.Event{Kind: timeline.KindShutdown})
 	d.log.Info("shutting down")
 	ctx, cancel := context.WithTimeout(context.Background(), maxDrainTime)
@@ -34,7 +34,7 @@
 		d.waitForEndpoint(ctx)
 	}
 	d.announceLeft(ctx)
-	closeServer(ctx, server, func() int { return 0 })
+	shutDownPeers(ctx, peers)
 	if d.control != nil {
 		d.control.Stop()
 	}
@@ -45,28 +45,13 @@
 // the last response is written.
 func (d *Daemon) stopEntry(ctx context.Context) {
 	sleep(ctx, d.settings.Entry.BalancerDelay.D())
-	closeServer(ctx, d.entry.server, d.entry.api.Running)
+	d.entry.server.Shutdown(ctx)
 }
 
-// closeServer accepts no new connections, waits for the requests in progress and
-// closes the remaining connections. http.Server.Shutdown alone may never notify a
-// connection established at the same moment, and would wait for its idle timeout.
-func closeServer(ctx context.Context, server *http.Server, running func() int) {
-	closed := make(chan struct{})
-	go func() {
-		defer close(closed)
-		_ = server.Shutdown(ctx)
-	}()
-	for running() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPollInterval)
-	}
-	timer := time.NewTimer(closeTimeout)
-	defer timer.Stop()
-	select {
-	case <-closed:
-	case <-timer.C:
-		_ = server.Close()
-	}
+func shutDownPeers(ctx context.Context, peers *drain.Server) {
+	ctx, cancel := context.WithTimeout(ctx, peerDrainTimeout)
+	defer cancel()
+	peers.Shutdown(ctx)
 }
 
 func (d *Daemon) waitForEndpoint(ctx context.Context) {
--- /dev/null
+++ b/drain/server.go
@@ -0,0 +1,249 @@
+package drain
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// newGrace is the time that a connection accepted last gets for its first request.
+	newGrace = 500 * time.Millisecond
+	// goAwayTimeout is the time that HTTP/2 connections without a stream get to end.
+	// net/http closes them 1 s after the client was told.
+	goAwayTimeout = 2 * time.Second
+)
+
+// Server is an http.Server whose shutdown loses no request. HTTP/1 connections are
+// drained by this package; HTTP/2 connections end with net/http's GOAWAY, after which
+// a client may repeat what was not read. It serves one listener, with or without TLS;
+// HTTP/1 over TLS is not drained.
+type Server struct {
+	http        *http.Server
+	connections Connections
+
+	mu       sync.Mutex
+	closing  bool
+	listener net.Listener
+	served   chan struct{}         // closed when Serve no longer accepts connections
+	streams  map[net.Conn]struct{} // HTTP/2 connections with open streams
+}
+
+// NewServer returns a server with the settings of s, which is not used otherwise and
+// has no connection hooks.
+func NewServer(s *http.Server) *Server {
+	d := &Server{http: s, streams: map[net.Conn]struct{}{}}
+	handler := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		marked := &responseWriter{ResponseWriter: w, connections: &d.connections}
+		handler.ServeHTTP(marked, r)
+		marked.mark() // of a response without a body
+	})
+	s.ConnState = d.connState
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if server, ok := c.(*serverConn); ok {
+			c = server.Conn
+		}
+		return d.connections.ConnContext(ctx, c)
+	}
+	return d
+}
+
+// Serve accepts connections until the server is shut down or closed. It then returns
+// http.ErrServerClosed.
+func (s *Server) Serve(l net.Listener) error {
+	served := make(chan struct{})
+	s.mu.Lock()
+	if s.closing {
+		s.mu.Unlock()
+		_ = l.Close()
+		return http.ErrServerClosed
+	}
+	s.listener, s.served = l, served
+	s.mu.Unlock()
+	defer close(served)
+	err := s.http.Serve(&listener{l, s})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// StartDrain makes each connection end with its next response.
+func (s *Server) StartDrain() { s.connections.Start() }
+
+// Shutdown closes the listener, serves the requests that have begun to arrive and ends
+// each connection that carries none. Connections that are left when ctx ends are cut.
+// It returns once no connection is left.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.StartDrain()
+	s.stopAccepting()
+	s.connections.Drain(ctx, newGrace)
+	// Every HTTP/2 connection without TLS is known to the http.Server by now, so that
+	// it tells each of them.
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = s.http.Shutdown(ctx)
+	}()
+	s.awaitStreams(stopped)
+	s.Close()
+}
+
+// stopAccepting returns once each accepted connection is tracked.
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	s.closing = true
+	listener, served := s.listener, s.served
+	s.mu.Unlock()
+	if listener == nil {
+		return
+	}
+	_ = listener.Close() // its error has no consequence: nothing is accepted any more
+	<-served
+}
+
+// awaitStreams returns when stopped is closed or no HTTP/2 connection has had a stream
+// for goAwayTimeout. A connection that doesn't end by itself then was not told, or its
+// client doesn't read.
+func (s *Server) awaitStreams(stopped <-chan struct{}) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	idleSince := time.Now()
+	for time.Since(idleSince) < goAwayTimeout {
+		select {
+		case <-stopped:
+			return
+		case <-ticker.C:
+		}
+		if s.hasStreams() {
+			idleSince = time.Now()
+		}
+	}
+}
+
+func (s *Server) hasStreams() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.streams) > 0
+}
+
+// Close closes the listener and all connections at once.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	_ = s.http.Close() // its error has no consequence: nothing is accepted any more
+}
+
+// connState is the http.Server's ConnState.
+func (s *Server) connState(c net.Conn, state http.ConnState) {
+	if server, ok := c.(*serverConn); ok {
+		if !server.isHTTP2() {
+			s.connections.ConnState(server.Conn, state)
+			return
+		}
+		// The first state is set after the connection was added to those that
+		// http.Server.Shutdown tells.
+		s.connections.remove(server.Conn)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		s.streams[c] = struct{}{}
+	case http.StateIdle, http.StateClosed, http.StateHijacked:
+		delete(s.streams, c)
+	default: // new: it has no stream
+	}
+}
+
+// listener tracks the connections that it accepts.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tracked, err := l.server.connections.Track(c)
+		if err != nil {
+			_ = c.Close() // it is already broken
+			continue
+		}
+		if conn, ok := tracked.(*Conn); ok {
+			return &serverConn{Conn: conn}, nil
+		}
+		return tracked, nil
+	}
+}
+
+// http2Preface begins each HTTP/2 connection.
+const http2Preface = "PRI * HTTP/2.0\r\n"
+
+// serverConn is a tracked connection that tells whether its client speaks HTTP/2. Its
+// methods are called by one goroutine at a time.
+type serverConn struct {
+	*Conn
+	start string // the first bytes read, up to the length of http2Preface
+}
+
+// Read implements net.Conn.
+func (c *serverConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if missing := len(http2Preface) - len(c.start); missing > 0 && n > 0 {
+		c.start += string(p[:min(n, missing)])
+	}
+	return n, err
+}
+
+func (c *serverConn) isHTTP2() bool { return c.start == http2Preface }
+
+// responseWriter marks a response before its headers are written.
+type responseWriter struct {
+	http.ResponseWriter
+	connections *Connections
+	marked      bool
+}
+
+func (w *responseWriter) mark() {
+	if !w.marked {
+		w.marked = true
+		w.connections.MarkResponse(w.Header())
+	}
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *responseWriter) WriteHeader(status int) {
+	if status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+		w.mark()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	w.mark()
+	return w.ResponseWriter.Write(p)
+}
+
+// Flush implements http.Flusher.
+func (w *responseWriter) Flush() { _ = w.FlushError() }
+
+// FlushError flushes for http.ResponseController.
+func (w *responseWriter) FlushError() error {
+	w.mark()
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
