engine-emulator: the process ends after its last answer

An engine under a request that got SIGTERM ended at once: its caller got an answer without its end.

Cause: http.Server.Shutdown makes ListenAndServe return at once; serve then closed the engine and returned while Shutdown was still waiting.

The limit of 5 s for the shutdown stays: an answer that takes longer is cut.

--- a/engine/emulator/cmd/engine-emulator/main.go
+++ b/engine/emulator/cmd/engine-emulator/main.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -14,6 +14,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/jacinthplank/jacinthplank/drain"
 	"github.com/jacinthplank/jacinthplank/engine/emulator"
 )
 
@@ -67,17 +68,21 @@
 		LoadLag:              o.LoadLag,
 		ChecksFencing:        o.ChecksFencing,
 	})
-	server := &http.Server{Addr: o.Listen, Handler: emulator.Handler(e), ReadHeaderTimeout: shutdownTimeout}
-	cancelShutdown := context.AfterFunc(ctx, func() {
-		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		_ = server.Shutdown(shutdownCtx)
-	})
-	defer cancelShutdown()
-	err := server.ListenAndServe()
-	e.Close()
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+	defer e.Close()
+	listener, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return err
+	}
+	server := drain.NewServer(&http.Server{Handler: emulator.Handler(e), ReadHeaderTimeout: shutdownTimeout})
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
 	}
-	return err
+	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	server.Shutdown(shutdownCtx)
+	return nil
 }
