plainservice: no call is sent on a connection that the service is about to close

A call to a plain service failed, and whether it ran was unknown, although the service was up: it was sent on a kept connection at the moment at which the service closed it as idle. Connections were kept for a minute, while many services close theirs after 5 s.

Evidence: TestCallIsNotSentOnConnectionThatServiceIsAboutToClose, 400 calls within 5 ms of a service's idle timeout of 5 s, failed 3 of 3 before, with 128, 24 and 18 failed calls, and passes 5 of 5 after. The process now closes its connections after 4 s, as package forward does. net/http closes or takes an idle connection in one step, so that its own close can't hit a call.

--- a/plainservice/plainservice.go
+++ b/plainservice/plainservice.go
@@ -22,7 +22,7 @@
 const (
 	dialTimeout    = time.Second
 	maxReplyBytes  = 16 << 20
-	idleTimeout    = time.Minute
+	idleTimeout    = 4 * time.Second // less than the 5 s after which many services close a connection
 	maxIdlePerURL  = 64
 	pruneInterval  = time.Minute
 	claimRetention = 24 * time.Hour // how long dispatched claims are kept
