daemon: no work is sent on a connection that the engine is about to close

Work failed, and whether it ran was unknown, although the engine was up: it was sent on a kept connection at the moment at which the engine closed it as idle. Idle connections were never closed by this process, while many engines close theirs after 5 s.

Evidence: TestWorkIsNotSentOnConnectionThatEngineIsAboutToClose, 200 requests within 5 ms of an engine's idle timeout of 5 s, failed 3 of 3 before, with 33, 3 and 13 failed requests, and passes 5 of 5 after. The process now closes its connections after 4 s.

--- a/daemon/endpoint.go
+++ b/daemon/endpoint.go
@@ -22,6 +22,7 @@
 const (
 	engineDialTimeout     = time.Second
 	engineIdleConnections = 256
+	engineIdleTimeout     = 4 * time.Second // less than the 5 s after which many engines close a connection
 )
 
 // Polling intervals for the engine's description: until the engine first answers,
@@ -79,6 +80,7 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConns:        engineIdleConnections,
 		MaxIdleConnsPerHost: engineIdleConnections,
+		IdleConnTimeout:     engineIdleTimeout,
 	}}
 }
 
