forward: an idle connection that makes room is closed before the next is opened

An endpoint with a limit of connections could see one more than the limit. The oldest idle connection was closed by another goroutine while the new one was already being opened, and an endpoint that keeps its limit refuses the new one. No idle connection that is taken by a request could be closed by this: it leaves the pool's list under the lock.

--- a/forward/pool.go
+++ b/forward/pool.go
@@ -30,6 +30,13 @@
 	})
 }
 
+// closeForNext closes an idle connection and leaves its pool slot to the next one.
+func (c *connection) closeForNext() {
+	c.closeOnce.Do(func() {
+		_ = c.Close()
+	})
+}
+
 // pool holds the idle connections to an address and counts the open ones.
 type pool struct {
 	mu   sync.Mutex
@@ -41,16 +48,19 @@
 // the limit it closes the oldest idle connection to make room.
 func (p *pool) acquireSlot(limit int) bool {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if limit > 0 && p.open >= limit {
-		if len(p.idle) == 0 {
-			return false
-		}
-		oldest := p.idle[0]
-		p.idle = p.idle[1:]
-		go oldest.abort()
+	if limit <= 0 || p.open < limit {
+		p.open++
+		p.mu.Unlock()
+		return true
 	}
-	p.open++
+	if len(p.idle) == 0 {
+		p.mu.Unlock()
+		return false
+	}
+	oldest := p.idle[0]
+	p.idle = p.idle[1:]
+	p.mu.Unlock()
+	oldest.closeForNext()
 	return true
 }
 
