load: no request is sent on a connection that the entry is about to close

The load report counted requests as failed, with an unknown state, that were sent on a kept connection at the moment at which an entry closed it as idle. The load caller never closed idle connections; an entry on a platform closes them after 15 s by default.

The caller now closes its connections after 10 s.

--- a/load/caller.go
+++ b/load/caller.go
@@ -39,6 +39,10 @@
 // prefixTokens is the length of a shared prompt prefix.
 const prefixTokens = 512
 
+// idleTimeout is less than the 15 s after which an entry on a platform closes a
+// connection by default.
+const idleTimeout = 10 * time.Second
+
 // HTTP is a Caller that sends requests to the entries of a fleet.
 type HTTP struct {
 	clients   []openai.Client
@@ -51,7 +55,11 @@
 // URLs. timeout is sent with each request; 0 uses the fleet's default.
 func NewHTTP(urls []string, key, model string, maxTokens int, timeout time.Duration) *HTTP {
 	h := &HTTP{model: model, maxTokens: maxTokens, timeout: timeout}
-	transport := &http.Transport{MaxIdleConnsPerHost: 1000, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 1000,
+		IdleConnTimeout:     idleTimeout,
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+	}
 	for _, url := range urls {
 		h.clients = append(h.clients, openai.NewClient(
 			option.WithBaseURL(strings.TrimSuffix(url, "/")+"/v1/"),
