drain: a connection that is being opened at a shutdown gets its GOAWAY with TLS too

Another process that opened a connection with TLS while a daemon shut down could see it closed without a GOAWAY, and could not tell whether a request on its way had been read. http.Server.Shutdown tells the connections that have been opened only; the others were closed after 2 s without a stream.

The shutdown now waits until each accepted connection has been opened or closed, within the time limit of the handshake and its own, before it calls http.Server.Shutdown.

--- a/drain/server.go
+++ b/drain/server.go
@@ -28,13 +28,14 @@
 	closing  bool
 	listener net.Listener
 	served   chan struct{}         // closed when Serve no longer accepts connections
+	opening  map[net.Conn]struct{} // connections with TLS that are not open yet
 	streams  map[net.Conn]struct{} // HTTP/2 connections with open streams
 }
 
 // NewServer returns a server with the settings of s, which is not used otherwise and
 // has no connection hooks.
 func NewServer(s *http.Server) *Server {
-	d := &Server{http: s, streams: map[net.Conn]struct{}{}}
+	d := &Server{http: s, opening: map[net.Conn]struct{}{}, streams: map[net.Conn]struct{}{}}
 	handler := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		marked := &responseWriter{ResponseWriter: w, connections: &d.connections}
@@ -83,8 +84,9 @@
 	s.StartDrain()
 	s.stopAccepting()
 	s.connections.Drain(ctx, newGrace)
-	// Every HTTP/2 connection without TLS is known to the http.Server by now, so that
-	// it tells each of them.
+	s.awaitOpening(ctx)
+	// Every HTTP/2 connection is known to the http.Server by now, so that it tells
+	// each of them.
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -107,9 +109,22 @@
 	<-served
 }
 
+// awaitOpening waits until each connection with TLS has been opened or closed. The
+// http.Server's ReadHeaderTimeout limits the time that this takes.
+func (s *Server) awaitOpening(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for s.count(s.opening) > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // awaitStreams returns when stopped is closed or no HTTP/2 connection has had a stream
-// for goAwayTimeout. A connection that doesn't end by itself then was not told, or its
-// client doesn't read.
+// for goAwayTimeout. The client of a connection that is left then doesn't read.
 func (s *Server) awaitStreams(stopped <-chan struct{}) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
@@ -120,16 +135,16 @@
 			return
 		case <-ticker.C:
 		}
-		if s.hasStreams() {
+		if s.count(s.streams) > 0 {
 			idleSince = time.Now()
 		}
 	}
 }
 
-func (s *Server) hasStreams() bool {
+func (s *Server) count(conns map[net.Conn]struct{}) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.streams) > 0
+	return len(conns)
 }
 
 // Close closes the listener and all connections at once.
@@ -153,12 +168,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.opening, c)
+	delete(s.streams, c)
 	switch state {
+	case http.StateNew:
+		s.opening[c] = struct{}{}
 	case http.StateActive:
 		s.streams[c] = struct{}{}
-	case http.StateIdle, http.StateClosed, http.StateHijacked:
-		delete(s.streams, c)
-	default: // new: it has no stream
+	default: // idle, hijacked or closed
 	}
 }
 
--- a/drain/server_test.go
+++ b/drain/server_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -128,3 +131,79 @@
 	_, err = net.Dial("tcp", l.Addr().String())
 	g.Expect(err).To(HaveOccurred())
 }
+
+// Guards against a shutdown that cuts an HTTP/2 stream on a connection with TLS, which isn't tracked as those of HTTP/1.
+func TestShutdownCutsNoStreamWithTLS(t *testing.T) {
+	g := NewWithT(t)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(true)
+	pair := httptest.NewTLSServer(nil) // for its certificate
+	defer pair.Close()
+	s := drain.NewServer(&http.Server{Protocols: protocols, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(3 * time.Second) // more than a shutdown waits for connections without a stream
+		_, _ = io.WriteString(w, "answer")
+	})})
+	l, err := tls.Listen("tcp", "127.0.0.1:0", &tls.Config{Certificates: pair.TLS.Certificates, NextProtos: []string{"h2"}})
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Close)
+	roots := x509.NewCertPool()
+	roots.AddCert(pair.Certificate())
+	client := &http.Client{Transport: &http.Transport{Protocols: protocols, TLSClientConfig: &tls.Config{RootCAs: roots}}}
+	done := make(chan struct{})
+	time.AfterFunc(step, func() {
+		defer close(done)
+		s.Shutdown(t.Context())
+	})
+	response, err := client.Get("https://" + l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred(), "the request got no answer")
+	g.Expect(response.ProtoMajor).To(Equal(2))
+	g.Expect(io.ReadAll(response.Body)).To(BeEquivalentTo("answer"))
+	g.Eventually(done, 3*time.Second).Should(BeClosed())
+}
+
+// Guards against a shutdown that closes an HTTP/2 connection without a GOAWAY, which tells its client what was not read,
+// because the connection was being opened.
+func TestShutdownTellsConnectionInTLSHandshake(t *testing.T) {
+	g := NewWithT(t)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(true)
+	pair := httptest.NewTLSServer(nil) // for its certificate
+	defer pair.Close()
+	s := drain.NewServer(&http.Server{Protocols: protocols, Handler: http.NotFoundHandler()})
+	l, err := tls.Listen("tcp", "127.0.0.1:0", &tls.Config{Certificates: pair.TLS.Certificates, NextProtos: []string{"h2"}})
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Close)
+	conn, err := net.Dial("tcp", l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	time.Sleep(step) // the server has accepted it
+	done := shutDown(t, s)
+	time.Sleep(step)
+
+	roots := x509.NewCertPool()
+	roots.AddCert(pair.Certificate())
+	client := tls.Client(conn, &tls.Config{RootCAs: roots, ServerName: "example.com", NextProtos: []string{"h2"}})
+	const emptySettings = "\x00\x00\x00\x04\x00\x00\x00\x00\x00"
+	_, err = io.WriteString(client, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"+emptySettings)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(frameTypes(client)).To(ContainElement(byte(7)), "the client got no GOAWAY")
+	g.Eventually(done, 3*time.Second).Should(BeClosed())
+}
+
+// frameTypes returns the types of the HTTP/2 frames that arrive until the connection ends.
+func frameTypes(r io.Reader) []byte {
+	var types []byte
+	for {
+		var header [9]byte
+		if _, err := io.ReadFull(r, header[:]); err != nil {
+			return types
+		}
+		types = append(types, header[3])
+		length := int64(header[0])<<16 | int64(header[1])<<8 | int64(header[2])
+		if _, err := io.CopyN(io.Discard, r, length); err != nil {
+			return types
+		}
+	}
+}
