Merge the daemon's shutdown and the other servers

gateway: control and peer servers are run by drain.Server. drain.Server closes its listener as Connections.Drain does, when nothing waits to be accepted.

--- a/gateway/server.go
+++ b/gateway/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -12,22 +13,14 @@
 
 // server runs an HTTP server as a duty.
 type server struct {
-	name        string
-	server      *http.Server
-	listener    net.Listener
-	connections drain.Connections
+	name     string
+	server   *drain.Server
+	listener net.Listener
 }
 
-// newServer returns a duty that serves l and can be drained.
+// newServer returns a duty that serves l.
 func newServer(name string, s *http.Server, l net.Listener) *server {
-	out := &server{name: name, server: s, listener: l}
-	next := s.Handler
-	s.ConnState = out.connections.ConnState
-	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		out.connections.MarkResponse(w.Header())
-		next.ServeHTTP(w, r)
-	})
-	return out
+	return &server{name, drain.NewServer(s), l}
 }
 
 // Name implements supervise.Duty.
@@ -35,13 +28,10 @@
 
 // Serve implements supervise.Duty.
 func (s *server) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() {
-		// The process is exiting. Where requests have to be answered, drain was called.
-		_ = s.server.Close()
-	})
+	stop := context.AfterFunc(ctx, s.server.Close)
 	defer stop()
-	err := s.server.Serve(s.connections.Listener(s.listener))
-	if s.connections.Draining() {
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
 		return supervise.ErrDone
 	}
 	return err
@@ -52,10 +42,5 @@
 func (s *server) drain(limit time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	s.connections.Drain(ctx, time.Time{}, keptGrace)
-	_ = s.server.Close() // the process is exiting
+	s.server.Shutdown(ctx)
 }
-
-// keptGrace is how long a connection between processes is kept after a response that did
-// not say that it ends.
-var keptGrace = drain.Grace{New: 50 * time.Millisecond, Kept: 50 * time.Millisecond}
