breaker, entry: a probe that ends without a result is released

A probe whose caller left or whose deadline passed, and a probe of an endpoint ejected as slow that was refused or answered without a token, told the breaker nothing. The breaker stayed half-open, so the endpoint took no other request until the probe's timeout of 30 s. With it being the only endpoint of a model, callers got "no endpoint takes work" all that time; an operator saw a healthy endpoint without work.

Cause: recordFailure and Close of a request return without a call of the breaker once the request's context has ended, and RecordRefusal and RecordSuccess leave a breaker half-open that ejected for latency.

Release is called at the end of each attempt. It finds the probe by the time of its Acquire, so the end of another request changes nothing. Such a probe shows neither health nor failure, so the breaker opens for the same pause again and then lets the next probe pass: a frozen endpoint gets one probe a pause, and a success without a latency does not close a breaker that ejected for latency, but the next one with a latency does.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -3,8 +3,9 @@
 // an argument.
 //
 // Consecutive failures open an endpoint's breaker. After a pause one probe request
-// passes; its result closes the breaker or opens it for twice as long. A refusal
-// shows that the endpoint is alive, so it does not count as a failure.
+// passes; its result closes the breaker or opens it for twice as long. A probe that
+// ends without a result opens it for the same pause again. A refusal shows that the
+// endpoint is alive, so it does not count as a failure.
 package breaker
 
 import (
@@ -71,7 +72,7 @@
 
 // Acquire must be called before a request is sent to an endpoint. It reports
 // whether the request may pass: it may not when another request became the probe
-// in the meantime.
+// in the meantime. After a request that passed, Release must be called.
 func (s *Set) Acquire(now time.Time, endpoint string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -87,6 +88,21 @@
 	return true
 }
 
+// Release must be called when a request has ended, after its result was recorded, if
+// it has one. acquired is the time passed to Acquire. If the request was the probe and
+// its result did not decide, for example because its caller left, the breaker opens for
+// the same pause again.
+func (s *Set) Release(now time.Time, endpoint string, acquired time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.breakers[endpoint]
+	if b == nil || b.state != HalfOpen || !b.until.Equal(acquired.Add(probeTimeout)) {
+		return
+	}
+	b.state = Open
+	b.until = now.Add(b.pause)
+}
+
 // RecordRefusal records that an endpoint refused a request, which shows that it is
 // alive.
 func (s *Set) RecordRefusal(now time.Time, endpoint string) {
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -67,3 +67,39 @@
 	s.RecordLatency(later, "e0", time.Second, time.Second)
 	g.Expect(s.State("e0")).To(Equal(breaker.Closed))
 }
+
+// A probe may end without a result, for example because its caller left. The breaker
+// then opens for the same pause again and does not wait for the probe's timeout.
+func TestReleasedProbeOpensBreakerForSamePause(t *testing.T) {
+	g := NewWithT(t)
+	s := breaker.NewSet()
+	for range 3 {
+		s.RecordFailure(start, "a")
+	}
+	acquired := start.Add(2 * time.Second)
+	g.Expect(s.Acquire(acquired, "a")).To(BeTrue())
+	released := acquired.Add(time.Second)
+	s.Release(released, "a", acquired)
+	g.Expect(s.State("a")).To(Equal(breaker.Open))
+	g.Expect(s.Blocked(released.Add(900*time.Millisecond), "a")).To(BeTrue())
+	g.Expect(s.Acquire(released.Add(time.Second), "a")).To(BeTrue())
+}
+
+func TestReleaseOfOtherRequestKeepsProbe(t *testing.T) {
+	g := NewWithT(t)
+	s := breaker.NewSet()
+	s.Release(start, "a", start)
+	g.Expect(s.Acquire(start, "a")).To(BeTrue(), "a request that is no probe")
+	for range 3 {
+		s.RecordFailure(start, "a")
+	}
+	later := start.Add(2 * time.Second)
+	g.Expect(s.Acquire(later, "a")).To(BeTrue())
+	s.Release(later.Add(time.Second), "a", start)
+	g.Expect(s.State("a")).To(Equal(breaker.HalfOpen))
+	g.Expect(s.Blocked(later.Add(10*time.Second), "a")).To(BeTrue())
+
+	s.RecordSuccess(later.Add(10*time.Second), "a")
+	s.Release(later.Add(10*time.Second), "a", later)
+	g.Expect(s.State("a")).To(Equal(breaker.Closed))
+}
--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -32,6 +32,7 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	group    []*directory.Member // members of a group; nil for an attempt at a single endpoint
+	acquired time.Time           // time at which the endpoint's breaker let the attempt pass
 	sent     time.Time
 	started  atomic.Bool  // the first token has arrived
 	progress atomic.Int64 // unix nanoseconds of the last frame
--- a/entry/inflight.go
+++ b/entry/inflight.go
@@ -145,19 +145,20 @@
 func (f *inflightRequest) submit(choice placement.Choice) error {
 	member := choice.Member
 	f.tried = append(f.tried, member.Name)
-	if !f.router.breakers.Acquire(time.Now(), member.Name) {
+	acquired := time.Now()
+	if !f.router.breakers.Acquire(acquired, member.Name) {
 		return outcome.Refuse(outcome.CodeNoEndpoint, stepSubmit, "the endpoint's circuit breaker is open or has a probe in flight")
 	}
 	f.assembler.BeginAttempt(f.request.Attempt)
 	f.recordEvent(timeline.KindPlaced, member.Name, "")
 	a := newAttempt(f.ctx, choice)
+	a.acquired = acquired
 	member.AddSent(f.request.Prompt.Tokens-choice.Cached, choice.Long)
 	f.router.attempts.add(a)
 	stream, err := f.router.endpointClient(member).Submit(a.ctx, f.endpointRequest())
 	if err != nil {
 		err = f.recordFailure(a, err)
-		f.router.attempts.remove(a)
-		a.cancel(nil)
+		f.end(a)
 		return err
 	}
 	a.answer = stream
@@ -361,12 +362,20 @@
 	if f.current == nil {
 		return
 	}
-	f.router.attempts.remove(f.current)
-	f.current.cancel(nil)
+	f.end(f.current)
 	f.current.answer.Close()
 	f.current = nil
 }
 
+// end removes an attempt from the active ones, cancels it and releases its breaker.
+func (f *inflightRequest) end(a *attempt) {
+	f.router.attempts.remove(a)
+	a.cancel(nil)
+	if a.group == nil {
+		f.router.breakers.Release(time.Now(), a.member.Name, a.acquired)
+	}
+}
+
 // Close implements submit.Answer.
 func (f *inflightRequest) Close() error {
 	f.cancel()
