breaker: results after the pause decide without Acquire too

In a gateway a breaker worked once in the life of the process. After its first pause of 1 s it never blocked the endpoint again however often it failed, so callers' requests kept going to a broken endpoint and spent retries there; and no success closed it, so an operator saw no "closed" after "open" in the log.

Cause: a gateway only asks Blocked and reports results; it never calls Acquire. So its breakers were never half-open, and RecordFailure and RecordSuccess act on closed and half-open ones only.

Evidence: on the code before, TestResultsWithoutAcquireAfterPause failed with "still failing: the pause doubles, once: expected false to be true" and TestCoordinatorBreakerDecidesAgainAfterPause with "it failed again after the pause: expected false to be true".

An open breaker whose pause is over now takes the next result as it takes a probe's. A gateway gives no probe away one by one because the coordinator decides for all entries; several requests may pass until the first result. Blocked endpoints are still used there when no other has room.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -6,6 +6,9 @@
 // passes; its result closes the breaker or opens it for twice as long. A probe that
 // ends without a result opens it for the same pause again. A refusal shows that the
 // endpoint is alive, so it does not count as a failure.
+//
+// A caller that can't hold requests back one by one asks Blocked and never calls
+// Acquire. All its requests pass after the pause, and the first result decides.
 package breaker
 
 import (
@@ -70,7 +73,7 @@
 	return b != nil && b.state != Closed && now.Before(b.until)
 }
 
-// Acquire must be called before a request is sent to an endpoint. It reports
+// Acquire is called before a request is sent to an endpoint. It reports
 // whether the request may pass: it may not when another request became the probe
 // in the meantime. After a request that passed, Release must be called.
 func (s *Set) Acquire(now time.Time, endpoint string) bool {
@@ -113,7 +116,7 @@
 		return
 	}
 	b.failures = 0
-	if b.state == HalfOpen && !b.ejectedSlow {
+	if b.awaitsResult(now) && !b.ejectedSlow {
 		s.close(endpoint, b)
 	}
 }
@@ -128,13 +131,19 @@
 	b := s.getOrCreate(endpoint)
 	b.failures++
 	switch {
-	case b.state == HalfOpen:
+	case b.awaitsResult(now):
 		s.open(now, endpoint, b, "probe failed")
 	case b.state == Closed && b.failures >= failuresToOpen:
 		s.open(now, endpoint, b, "failing")
 	}
 }
 
+// awaitsResult reports whether the next result closes the breaker or opens it again:
+// a probe is in flight, or the pause is over and requests may pass without Acquire.
+func (b *breaker) awaitsResult(now time.Time) bool {
+	return b.state == HalfOpen || (b.state == Open && !now.Before(b.until))
+}
+
 // State returns the state of an endpoint's breaker.
 func (s *Set) State(endpoint string) State {
 	s.mu.Lock()
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -103,3 +103,37 @@
 	s.Release(later.Add(10*time.Second), "a", later)
 	g.Expect(s.State("a")).To(Equal(breaker.Closed))
 }
+
+// Callers that only ask Blocked let all requests pass after the pause. Their results
+// decide as a probe's would.
+func TestResultsWithoutAcquireAfterPause(t *testing.T) {
+	g := NewWithT(t)
+	s := breaker.NewSet()
+	for range 3 {
+		s.RecordFailure(start, "a")
+	}
+	later := start.Add(1500 * time.Millisecond)
+	g.Expect(s.Blocked(later, "a")).To(BeFalse())
+	for range 3 {
+		s.RecordFailure(later, "a")
+	}
+	g.Expect(s.Blocked(later.Add(1500*time.Millisecond), "a")).To(BeTrue(), "still failing: the pause doubles, once")
+	later = later.Add(2 * time.Second)
+	g.Expect(s.Blocked(later, "a")).To(BeFalse())
+	s.RecordSuccess(later, "a")
+	g.Expect(s.State("a")).To(Equal(breaker.Closed))
+}
+
+// The result of a request that was sent before the breaker opened is no probe's.
+func TestResultsDuringPauseDoNotDecide(t *testing.T) {
+	g := NewWithT(t)
+	s := breaker.NewSet()
+	for range 3 {
+		s.RecordFailure(start, "a")
+	}
+	during := start.Add(500 * time.Millisecond)
+	s.RecordSuccess(during, "a")
+	s.RecordFailure(during, "a")
+	g.Expect(s.State("a")).To(Equal(breaker.Open))
+	g.Expect(s.Blocked(start.Add(time.Second), "a")).To(BeFalse())
+}
--- a/breaker/latency.go
+++ b/breaker/latency.go
@@ -40,7 +40,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.getOrCreate(endpoint)
-	if b.state != HalfOpen || !b.ejectedSlow {
+	if !b.awaitsResult(now) || !b.ejectedSlow {
 		b.latency.add(ratio)
 		return
 	}
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -281,6 +283,38 @@
 	g.Expect(p.breakers.State("e-near")).To(Equal(breaker.Open))
 }
 
+// TestCoordinatorBreakerDecidesAgainAfterPause checks that failures after a breaker's
+// pause block the endpoint again, and that a success closes the breaker.
+func TestCoordinatorBreakerDecidesAgainAfterPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newTestPlacer(&fakeCoordinator{})
+		n := 0
+		report := func(end schedule.Outcome, started bool) {
+			n++
+			id := fmt.Sprint("j", n)
+			j := testJob(id)
+			j.Owner = "a"
+			p.reconcile("a", []schedule.PlacedJob{{Job: j, Decision: schedule.Decision{Job: id, Endpoint: "e-near"}, Decoding: started}})
+			p.recordRemoteOutcome(jobReport{Job: id, End: end})
+		}
+		blocked := func() bool { return p.breakers.Blocked(time.Now(), "e-near") }
+		for range 3 {
+			report(schedule.Failed, false)
+		}
+		g.Expect(blocked()).To(BeTrue())
+		time.Sleep(2 * time.Second)
+		g.Expect(blocked()).To(BeFalse())
+		for range 5 {
+			report(schedule.Failed, false)
+		}
+		g.Expect(blocked()).To(BeTrue(), "it failed again after the pause")
+		time.Sleep(3 * time.Second)
+		report(schedule.Done, true)
+		g.Expect(p.breakers.State("e-near")).To(Equal(breaker.Closed))
+	})
+}
+
 // TestLocallyQueuedJobMovesToNewCoordinator guards against requests that stay queued on
 // an entry which started without a coordinator and without capacity.
 func TestLocallyQueuedJobMovesToNewCoordinator(t *testing.T) {
