schedule: retry delays follow the pace that engines report

A caller refused while the engines were slow was told to come back too soon, by the factor of their slowdown, and was refused again; jobs were queued that the backlog would keep longer than their maximum wait.

Cause: predictWait took backlog and pass time at the profile's pace, while placement scales both by the reported slowdown.

Evidence: on the code before, TestRetryAfterFollowsReportedSlowdown got 10.84 s and not 17.34 s, 1.6 times as long, from an engine that reports a slowdown of 1.6.

predictWait scales its prediction by the same value as the views do. A report that expired counts as a healthy one, as it does there.

--- a/schedule/observe_test.go
+++ b/schedule/observe_test.go
@@ -34,6 +34,28 @@
 	g.Expect(s.Submit(shortJob("a"), simStart)[0].Endpoint).To(Equal(engineName(1)))
 }
 
+// The retry delay of a refused job covers the backlog at the pace that the engine
+// reports, for as long as the report is fresh.
+func TestRetryAfterFollowsReportedSlowdown(t *testing.T) {
+	job := func(id string) schedule.Job {
+		return schedule.Job{ID: id, Prompt: 440_000, Answer: 100, Goal: 10 * time.Second, PauseGoal: time.Second, Remaining: time.Minute}
+	}
+	prefill := modelProfile.PrefillTime(440_000, 1)
+	retryAfter := func(slowdown float64, age time.Duration) time.Duration {
+		s := newScheduler(workload{engines: 1})
+		NewWithT(t).Expect(s.Submit(job("a"), simStart)[0].Refused()).To(BeFalse())
+		s.ObserveLoad(engineName(0), schedule.Load{Running: 1, Slowdown: slowdown}, simStart.Add(-age))
+		d := s.Submit(job("s"), simStart) // an id whose delay to spread retries is shorter than the backlog
+		NewWithT(t).Expect(d).To(HaveLen(1))
+		return d[0].RetryAfter
+	}
+	g := NewWithT(t)
+	healthy := retryAfter(1, 0)
+	g.Expect(healthy).To(BeNumerically("~", prefill, 500*time.Millisecond))
+	g.Expect(retryAfter(1.6, 0)).To(BeNumerically("~", 1.6*float64(healthy), float64(time.Millisecond)))
+	g.Expect(retryAfter(1.6, 5*time.Second)).To(Equal(healthy), "an expired report is ignored")
+}
+
 // A report that lags still counts jobs that have just ended.
 func TestLaggingReportIsNotUntrackedWork(t *testing.T) {
 	g := NewWithT(t)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -389,11 +389,13 @@
 	}
 }
 
-// predictWait returns the shortest time until any engine has completed its backlog.
+// predictWait returns the shortest time until any engine has completed its backlog at
+// the pace that it reports.
 func (s *Scheduler) predictWait(now time.Time) time.Duration {
 	shortest := time.Duration(-1)
 	for _, e := range s.order {
 		wait := e.prefillBacklog(now) + s.profile.PassTime(len(e.assigned), s.profile.MeanPrompt*len(e.assigned))
+		wait = time.Duration(float64(wait) * e.reportedSlowdown(now))
 		if shortest < 0 || wait < shortest {
 			shortest = wait
 		}
