schedule: PlacedJobs takes the time as an argument

Package schedule promises to take the time as an argument, and PlacedJobs read the wall clock. In a gateway both are the same clock and callers saw nothing; a scheduler on a clock of its own, as in simulations and table tests, told a next coordinator ages that have nothing to do with its placements, and that one took the jobs for decades old.

No other call of time.Now or time.Since is left in the package.

--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -439,9 +439,10 @@
 func (p *placer) runningJobs() []schedule.PlacedJob {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	var out []schedule.PlacedJob
 	for _, s := range p.schedulers {
-		out = append(out, s.PlacedJobs(p.self)...)
+		out = append(out, s.PlacedJobs(p.self, now)...)
 	}
 	return out
 }
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -199,16 +199,32 @@
 	now := simStart
 	s.Submit(job("lost"), now)
 	s.Submit(job("kept"), now)
-	kept := slices.DeleteFunc(s.PlacedJobs("o"), func(r schedule.PlacedJob) bool { return r.Job.ID != "kept" })
+	kept := slices.DeleteFunc(s.PlacedJobs("o", now), func(r schedule.PlacedJob) bool { return r.Job.ID != "kept" })
 	s.Reconcile("o", kept, now.Add(100*time.Millisecond))
-	g.Expect(s.PlacedJobs("o")).To(HaveLen(2), "a recent decision may not have reached the owner")
+	g.Expect(s.PlacedJobs("o", now)).To(HaveLen(2), "a recent decision may not have reached the owner")
 	s.Reconcile("o", kept, now.Add(5*time.Second))
-	g.Expect(s.PlacedJobs("o")).To(HaveLen(1))
+	g.Expect(s.PlacedJobs("o", now)).To(HaveLen(1))
 	other := schedule.PlacedJob{Job: job("new"), Decision: schedule.Decision{Job: "new", Endpoint: engineName(1)}}
 	s.Reconcile("o", append(kept, other), now.Add(5*time.Second))
-	g.Expect(s.PlacedJobs("o")).To(HaveLen(2))
+	g.Expect(s.PlacedJobs("o", now)).To(HaveLen(2))
 	s.DropOwner("o", now)
-	g.Expect(s.PlacedJobs("o")).To(BeEmpty())
+	g.Expect(s.PlacedJobs("o", now)).To(BeEmpty())
+}
+
+// The age of a placed job is counted on the scheduler's clock, so that the next
+// scheduler knows when the job was placed.
+func TestPlacedJobsAge(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(workload{engines: 1})
+	j := shortJob("j")
+	j.Owner = "o"
+	s.Submit(j, simStart)
+	placed := s.PlacedJobs("o", simStart.Add(3*time.Second))
+	g.Expect(placed).To(HaveLen(1))
+	g.Expect(placed[0].Age).To(Equal(3 * time.Second))
+	next := newScheduler(workload{engines: 1})
+	next.Adopt(placed[0], simStart.Add(3*time.Second))
+	g.Expect(next.PlacedJobs("o", simStart.Add(5*time.Second))[0].Age).To(Equal(5 * time.Second))
 }
 
 func TestDecisionsIndependentOfEndpointOrder(t *testing.T) {
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -216,12 +216,12 @@
 	}
 }
 
-// PlacedJobs returns the placed jobs of an owner.
-func (s *Scheduler) PlacedJobs(owner string) []PlacedJob {
+// PlacedJobs returns the placed jobs of an owner, with their age now.
+func (s *Scheduler) PlacedJobs(owner string, now time.Time) []PlacedJob {
 	var out []PlacedJob
 	for _, r := range s.jobs {
 		if r.job.Owner == owner {
-			out = append(out, PlacedJob{Job: *r.job, Decision: r.decision, Age: time.Since(r.placedAt), Decoding: r.isDecoding})
+			out = append(out, PlacedJob{Job: *r.job, Decision: r.decision, Age: now.Sub(r.placedAt), Decoding: r.isDecoding})
 		}
 	}
 	return out
