forward, gateway: idle connections to endpoints that left are closed

An entry kept its idle connections to every endpoint it had ever used, and the pool of every address, until the process ended. An operator saw open connections and file descriptors grow with each endpoint replaced; an endpoint that drained kept connections that nobody would use again.

Cause: Client.CloseIdleConnections had no caller. With one it would have leaked as well: it took the pool out of the map while connections were in use, which later went back into a pool that nothing looks at, and whose count no longer stood against the address's limit.

Connections for another endpoint at the same address are closed too. Only connections in a pool's idle list are closed, and they are taken from it under its lock, so none in use is touched; one in use is closed by the next round after its exchange. A pool with open connections stays in the map, so the limit of its address keeps counting them. A call that looked up a pool just before it was removed gets its connection closed on return.

--- a/announce/announce.go
+++ b/announce/announce.go
@@ -185,6 +185,17 @@
 	return out
 }
 
+// ReadyAddresses returns the id of the endpoint that accepts requests at each address.
+func (r *Registry) ReadyAddresses() map[string]string {
+	out := make(map[string]string, len(r.addresses))
+	for address, id := range r.addresses {
+		if h := r.endpoints[id]; h != nil && h.State == Ready {
+			out[address] = id
+		}
+	}
+	return out
+}
+
 // Expire removes endpoints that left, or stopped announcing themselves, longer than
 // retention ago.
 func (r *Registry) Expire(now time.Time) {
--- a/announce/announce_test.go
+++ b/announce/announce_test.go
@@ -57,10 +57,13 @@
 				g.Expect(r.Apply(e, at(i))).To(Equal(test.results[i]), "step %d", i)
 			}
 			var ready []string
+			addresses := map[string]string{}
 			for _, h := range r.Ready("s") {
 				ready = append(ready, h.ID)
+				addresses[h.Address] = h.ID
 			}
 			g.Expect(ready).To(Equal(test.ready))
+			g.Expect(r.ReadyAddresses()).To(Equal(addresses))
 		})
 	}
 }
--- a/forward/client.go
+++ b/forward/client.go
@@ -127,15 +127,19 @@
 	return p
 }
 
-// CloseIdleConnections closes the idle connections to the address of an endpoint
-// that has left.
-func (c *Client) CloseIdleConnections(address string) {
+// CloseIdleConnections closes the idle connections that no call will use any more.
+// endpoints holds the id of the endpoint at each address that takes calls. It is meant
+// to be called periodically: a connection in use is closed by the first call after its
+// exchange.
+func (c *Client) CloseIdleConnections(endpoints map[string]string) {
 	c.mu.Lock()
-	p := c.pools[address]
-	delete(c.pools, address)
-	c.mu.Unlock()
-	if p != nil {
-		p.closeIdle()
+	defer c.mu.Unlock()
+	for address, p := range c.pools {
+		endpoint, found := endpoints[address]
+		p.closeIdle(endpoint)
+		if !found && p.retire() {
+			delete(c.pools, address)
+		}
 	}
 }
 
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -32,9 +33,10 @@
 
 // pool holds the idle connections to an address and counts the open ones.
 type pool struct {
-	mu   sync.Mutex
-	idle []*connection // most recently used last
-	open int
+	mu      sync.Mutex
+	idle    []*connection // most recently used last
+	open    int
+	retired bool // removed from the client
 }
 
 // acquireSlot counts a new connection and reports whether the limit allows it. At
@@ -88,13 +90,48 @@
 func (p *pool) put(c *connection) {
 	c.idleSince = time.Now()
 	c.used = true
+	if !p.addIdle(c) {
+		c.abort()
+	}
+}
+
+func (p *pool) addIdle(c *connection) bool {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.retired {
+		return false
+	}
 	p.idle = append(p.idle, c)
-	p.mu.Unlock()
+	return true
 }
 
-func (p *pool) closeIdle() {
-	for c := p.pop(); c != nil; c = p.pop() {
+// closeIdle closes the idle connections that were opened for other endpoints.
+func (p *pool) closeIdle(endpoint string) {
+	for _, c := range p.takeUnusable(endpoint) {
 		c.abort()
 	}
 }
+
+func (p *pool) takeUnusable(endpoint string) []*connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var unusable []*connection
+	p.idle = slices.DeleteFunc(p.idle, func(c *connection) bool {
+		if c.endpoint == endpoint {
+			return false
+		}
+		unusable = append(unusable, c)
+		return true
+	})
+	return unusable
+}
+
+// retire marks the pool as removed unless it has open connections, which count towards
+// the limit of the address. A call that got the pool before may still open a
+// connection; put closes it.
+func (p *pool) retire() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retired = p.open == 0
+	return p.retired
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -220,7 +220,8 @@
 }
 
 // placementDuty refreshes the placer's view of endpoints and entries and retries queued
-// jobs every placementInterval.
+// jobs every placementInterval. Every reconcileInterval it closes idle connections to
+// endpoints that accept no more requests.
 type placementDuty struct{ g *Gateway }
 
 // Name implements supervise.Duty.
@@ -251,6 +252,7 @@
 		p.g.placer.setPeerCount(peers)
 		if ticks%int(reconcileInterval/placementInterval) == 0 {
 			go p.g.placer.resyncJobs(ctx)
+			p.g.client.CloseIdleConnections(p.g.mesh.ReadyAddresses())
 		}
 		p.g.placer.tick(time.Now())
 	}
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -259,6 +259,13 @@
 	return m.registry.Ready(service)
 }
 
+// ReadyAddresses returns the id of the endpoint that accepts requests at each address.
+func (m *Mesh) ReadyAddresses() map[string]string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.registry.ReadyAddresses()
+}
+
 // IsLeaving reports whether an endpoint is known to accept no more requests.
 func (m *Mesh) IsLeaving(id string) bool {
 	m.mu.Lock()
