forward: idle connections are closed when they expire

Connections that a burst opened and no later call needed stayed open on the entry's side for good: the endpoint closes them after its idle timeout, and the entry held as many dead sockets as the largest burst to that endpoint had used. An operator saw the entry's file descriptors never fall after a peak.

Cause: the most recently used connection is taken first, and a connection's idle timeout was looked at only when it was taken, so those at the bottom were never looked at.

--- a/forward/client.go
+++ b/forward/client.go
@@ -134,9 +134,10 @@
 func (c *Client) CloseIdleConnections(endpoints map[string]string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
 	for address, p := range c.pools {
 		endpoint, found := endpoints[address]
-		p.closeIdle(endpoint)
+		p.closeIdle(endpoint, now)
 		if !found && p.retire() {
 			delete(c.pools, address)
 		}
--- a/forward/idle_test.go
+++ b/forward/idle_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -97,3 +98,38 @@
 	g.Expect(p.openCount()).To(BeZero())
 	g.Expect(p.pop()).To(BeNil())
 }
+
+// TestExpiredIdleConnectionsAreClosed checks that connections which a burst opened and
+// no later call needs are closed once they may no longer be reused.
+func TestExpiredIdleConnectionsAreClosed(t *testing.T) {
+	g := NewWithT(t)
+	_, target := startEndpoint(t, func(_ int64, r *http.Request, c net.Conn) bool {
+		return writeResponse(c, "HTTP/1.1 200 OK\nX-Id: "+r.URL.Path[1:]+"\nKeep-Alive: timeout=2\nContent-Length: 2\n\nhi")
+	})
+	c := NewClient(testDialect{})
+	endpoints := map[string]string{target.Address: target.ID}
+	burst := func(n int) {
+		var replies []*Reply
+		for range n {
+			reply, err := get(t, c, target, "a")
+			g.Expect(err).ToNot(HaveOccurred())
+			replies = append(replies, reply)
+		}
+		for _, reply := range replies {
+			_, err := reply.ReadAll()
+			g.Expect(err).ToNot(HaveOccurred())
+			reply.Close()
+		}
+	}
+	burst(5)
+	p := c.pool(target.Address)
+	c.CloseIdleConnections(endpoints)
+	g.Expect(p.openCount()).To(Equal(5))
+	for range 4 {
+		time.Sleep(500 * time.Millisecond)
+		burst(1)
+	}
+	c.CloseIdleConnections(endpoints)
+	g.Expect(p.openCount()).To(Equal(1))
+	g.Expect(c.poolCount()).To(Equal(1))
+}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -31,6 +31,12 @@
 	})
 }
 
+// mayServe reports whether an idle connection was opened for the endpoint and its idle
+// timeout has not passed.
+func (c *connection) mayServe(endpoint string, now time.Time) bool {
+	return c.endpoint == endpoint && now.Sub(c.idleSince) < c.idleTimeout
+}
+
 // pool holds the idle connections to an address and counts the open ones.
 type pool struct {
 	mu      sync.Mutex
@@ -69,7 +75,7 @@
 		if c == nil {
 			return nil
 		}
-		if c.endpoint == endpoint && now.Sub(c.idleSince) < c.idleTimeout && c.isReusable() {
+		if c.mayServe(endpoint, now) && c.isReusable() {
 			return c
 		}
 		c.abort()
@@ -105,19 +111,20 @@
 	return true
 }
 
-// closeIdle closes the idle connections that were opened for other endpoints.
-func (p *pool) closeIdle(endpoint string) {
-	for _, c := range p.takeUnusable(endpoint) {
+// closeIdle closes the idle connections that were opened for other endpoints or have
+// been idle for too long.
+func (p *pool) closeIdle(endpoint string, now time.Time) {
+	for _, c := range p.takeUnusable(endpoint, now) {
 		c.abort()
 	}
 }
 
-func (p *pool) takeUnusable(endpoint string) []*connection {
+func (p *pool) takeUnusable(endpoint string, now time.Time) []*connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var unusable []*connection
 	p.idle = slices.DeleteFunc(p.idle, func(c *connection) bool {
-		if c.endpoint == endpoint {
+		if c.mayServe(endpoint, now) {
 			return false
 		}
 		unusable = append(unusable, c)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -220,8 +220,8 @@
 }
 
 // placementDuty refreshes the placer's view of endpoints and entries and retries queued
-// jobs every placementInterval. Every reconcileInterval it closes idle connections to
-// endpoints that accept no more requests.
+// jobs every placementInterval. Every reconcileInterval it closes idle connections
+// that expired or go to endpoints that accept no more requests.
 type placementDuty struct{ g *Gateway }
 
 // Name implements supervise.Duty.
