forward: a success without the request's id fails at once

A caller whose request met a kept connection to an endpoint that leaves the id out of its successes waited until its deadline and got 504. As the request's time was up, nothing was tried elsewhere and the endpoint's breaker counted no failure, so the next callers fared alike.

Cause: such a response was taken for a late one to an earlier request, skipped, and another one awaited on the connection. On a new connection the exchange failed at once already, so calls that may run once were never held up: they always have a new connection.

A late response to an earlier request that has an id carries that id and is still skipped, and a call without an id gives its connection back only after its own response. What is left is the endpoint's own answer without the id. It is never given to the caller: the result is unknown, reported at once, so that an idempotent request can be repeated elsewhere and the breaker counts it.

--- a/forward/client.go
+++ b/forward/client.go
@@ -4,7 +4,8 @@
 //
 // A pooled connection is closed whenever responses could be mixed up: on
 // unsolicited bytes, on a response before the request was sent completely, and on
-// a response that is truncated or carries another request's id.
+// a response that is truncated, carries another request's id or is a success without
+// an id.
 package forward
 
 import (
@@ -172,8 +173,12 @@
 	return e
 }
 
-// errMismatchedResponse is returned for a response to another request.
-var errMismatchedResponse = errors.New("response belongs to another request")
+var (
+	// errMismatchedResponse is returned for a response to another request.
+	errMismatchedResponse = errors.New("response belongs to another request")
+	// errMissingID is returned for a success without the request's id.
+	errMissingID = errors.New("successful response carries no request id")
+)
 
 // writeHead writes the request line and headers. The caller has sanitized the
 // headers.
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -52,6 +52,10 @@
 		if response.StatusCode < http.StatusOK {
 			continue // informational; the final response follows
 		}
+		if x.lacksID(response) {
+			mismatchedResponses.Inc()
+			return nil, x.wrapError("forward.answer", errMissingID)
+		}
 		if x.isMismatched(response) {
 			mismatchedResponses.Inc()
 			if err := x.skip(response); err != nil {
@@ -86,19 +90,21 @@
 	return nil
 }
 
+// lacksID reports whether r is a success that can't be matched to a request. It is
+// never used as an answer. No other response is awaited either: a late response to an
+// earlier request would carry that request's id, so this is most likely the only one.
+func (x *exchange) lacksID(r *http.Response) bool {
+	return !x.call.NoID && r.StatusCode < http.StatusMultipleChoices && x.dialect.RequestID(r.Header) == ""
+}
+
 // isMismatched reports whether r is a late response to an earlier request on a
-// reused connection.
+// reused connection. An endpoint that rejects a request early may not know its id.
 func (x *exchange) isMismatched(r *http.Response) bool {
 	id := x.dialect.RequestID(r.Header)
 	if x.call.NoID {
 		return id != ""
 	}
-	if id == "" {
-		// An endpoint that rejects a request early may not know its id. A
-		// successful response always carries it.
-		return r.StatusCode < http.StatusMultipleChoices
-	}
-	return id != x.call.RequestID
+	return id != "" && id != x.call.RequestID
 }
 
 // skip discards a mismatched response, so that the next one can be read. It fails
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -196,6 +196,37 @@
 	g.Expect(outcome.StateOf(err)).To(Equal(outcome.Unknown))
 }
 
+// TestSuccessWithoutRequestIDFailsAtOnce checks that no further response is awaited
+// after a success that can't be matched to a request: on a new connection none can
+// follow, and on a reused one a late response would carry its request's id.
+func TestSuccessWithoutRequestIDFailsAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		reuse bool
+	}{{"new connection", false}, {"reused connection", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			e, target := startEndpoint(t, func(n int64, _ *http.Request, c net.Conn) bool {
+				if n == 1 {
+					return writeOK(c, "a", "one")
+				}
+				return writeResponse(c, "HTTP/1.1 200 OK\nContent-Length: 2\n\nhi")
+			})
+			c := NewClient(testDialect{})
+			_, err := send(t, c, target, "a", false)
+			g.Expect(err).ToNot(HaveOccurred())
+			started := time.Now()
+			body, err := send(t, c, target, "b", !test.reuse)
+			g.Expect(body).To(BeEmpty())
+			g.Expect(outcome.StateOf(err)).To(Equal(outcome.Unknown))
+			g.Expect(outcome.From(err).Code).To(Equal(outcome.CodeTransport))
+			g.Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+			g.Expect(e.requests.Load()).To(Equal(int64(2)), "the request must not be sent again")
+			g.Expect(e.connections.Load()).To(Equal(map[bool]int64{false: 2, true: 1}[test.reuse]))
+		})
+	}
+}
+
 func TestTruncatedResponseFails(t *testing.T) {
 	g := NewWithT(t)
 	_, target := startEndpoint(t, func(_ int64, _ *http.Request, c net.Conn) bool {
