gateway: a response head is no success for the breaker

An endpoint that began every answer and broke it off was never blocked: callers kept being sent there, each paid a retry or got a broken stream, and an operator saw no breaker open.

Cause: attempt recorded a success as soon as the head had arrived and a failure when the relay broke, so the number of consecutive failures went from 0 to 1 and back.

Evidence: on the code before, TestReplicaThatFailsEveryRequestIsBlocked saw no breaker open after three streams in a row that broke.

The success is recorded after the complete response, as the coordinator does for jobs of other entries.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -48,12 +48,12 @@
 			Message: "endpoint answered with status " + strconv.Itoa(reply.Status),
 		}
 	}
-	f.g.breakers.RecordSuccess(time.Now(), h.ID)
-	e := f.relay(reply)
-	if e != nil {
+	if e := f.relay(reply); e != nil {
 		end = f.recordFailure(h, e)
+		return e
 	}
-	return e
+	f.g.breakers.RecordSuccess(time.Now(), h.ID)
+	return nil
 }
 
 // canFailOver reports whether a 5xx response may be retried on another endpoint.
