gateway: a misdirected response counts against the breaker

An endpoint that answers every request with 421, because another one has taken its address or it has left, was never blocked: requests kept being sent there, each of them a retry, for as long as its announcement stood.

Cause: handleRejection recorded a refusal, which sets the number of consecutive failures to 0, and then the failure of the same endpoint, so it never got past 1.

Evidence: on the code before, the case "is another replica" of TestReplicaThatFailsEveryRequestIsBlocked saw no breaker open after three such responses in a row.

A refusal is recorded only where the response says that the endpoint itself is well.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -135,10 +135,14 @@
 	if _, err := reply.ReadAll(); err != nil {
 		f.logAttempt(h.ID, outcome.From(err))
 	}
-	f.g.breakers.RecordRefusal(time.Now(), h.ID)
-	if reply.Status == http.StatusMisdirectedRequest || faulty != h.ID {
+	now := time.Now()
+	misdirected := reply.Status == http.StatusMisdirectedRequest
+	if faulty != h.ID || !misdirected {
+		f.g.breakers.RecordRefusal(now, h.ID)
+	}
+	if faulty != h.ID || misdirected {
 		e.Code = outcome.CodeEndpointLeaving
-		f.g.breakers.RecordFailure(time.Now(), faulty)
+		f.g.breakers.RecordFailure(now, faulty)
 	}
 	f.logAttempt(faulty, e)
 	return e
