gateway, mesh: a restarted endpoint's breaker starts anew

Breakers of endpoints that left were kept for good.

Cause: nothing in a gateway removed a breaker.

The mesh tells the gateway when an announcement ends an endpoint's run: it left, or its start time is another one.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -36,6 +36,9 @@
 	OnDocument func(document.Document)
 	// OnEndpointsChanged is called after a change of endpoints.
 	OnEndpointsChanged func()
+	// OnEndpointRunEnded is called with the id of an endpoint that left or announced a
+	// new run. It must not call the Mesh.
+	OnEndpointRunEnded func(id string)
 	// OnEntryDown is called with the name of an entry that stopped or restarted.
 	// It must not call the Mesh.
 	OnEntryDown func(name string)
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -174,10 +174,14 @@
 // applyAnnouncement applies an announcement; direct is set if the endpoint made it
 // to this entry. The caller holds the lock.
 func (m *Mesh) applyAnnouncement(e announce.Endpoint, at time.Time, direct bool) announce.ApplyResult {
+	previous, known := m.registry.Get(e.ID)
 	result := m.registry.Apply(e, at)
 	if result == announce.Stale {
 		return result
 	}
+	if known && (e.State == announce.Left || e.StartedAtMs != previous.StartedAtMs) && m.options.OnEndpointRunEnded != nil {
+		m.options.OnEndpointRunEnded(e.ID)
+	}
 	m.updateSeq++
 	m.endpointSeqs[e.ID] = m.updateSeq
 	m.receivedDirectly[e.ID] = direct
