--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -3,8 +3,12 @@
 // an argument.
 //
 // Consecutive failures open an endpoint's breaker. After a pause one probe request
-// passes; its result closes the breaker or opens it for twice as long. A refusal
-// shows that the endpoint is alive, so it does not count as a failure.
+// passes; its result closes the breaker or opens it for twice as long. A probe that
+// ends without a result opens it for the same pause again. A refusal shows that the
+// endpoint is alive, so it does not count as a failure.
+//
+// A caller that can't hold requests back one by one asks Blocked and never calls
+// Acquire. All its requests pass after the pause, and the first result decides.
 package breaker
 
 import (
@@ -69,9 +73,9 @@
 	return b != nil && b.state != Closed && now.Before(b.until)
 }
 
-// Acquire must be called before a request is sent to an endpoint. It reports
+// Acquire is called before a request is sent to an endpoint. It reports
 // whether the request may pass: it may not when another request became the probe
-// in the meantime.
+// in the meantime. After a request that passed, Release must be called.
 func (s *Set) Acquire(now time.Time, endpoint string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -87,6 +91,21 @@
 	return true
 }
 
+// Release must be called when a request has ended, after its result was recorded, if
+// it has one. acquired is the time passed to Acquire. If the request was the probe and
+// its result did not decide, for example because its caller left, the breaker opens for
+// the same pause again.
+func (s *Set) Release(now time.Time, endpoint string, acquired time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.breakers[endpoint]
+	if b == nil || b.state != HalfOpen || !b.until.Equal(acquired.Add(probeTimeout)) {
+		return
+	}
+	b.state = Open
+	b.until = now.Add(b.pause)
+}
+
 // RecordRefusal records that an endpoint refused a request, which shows that it is
 // alive.
 func (s *Set) RecordRefusal(now time.Time, endpoint string) {
@@ -97,7 +116,7 @@
 		return
 	}
 	b.failures = 0
-	if b.state == HalfOpen && !b.ejectedSlow {
+	if b.awaitsResult(now) && !b.ejectedSlow {
 		s.close(endpoint, b)
 	}
 }
@@ -112,13 +131,19 @@
 	b := s.getOrCreate(endpoint)
 	b.failures++
 	switch {
-	case b.state == HalfOpen:
+	case b.awaitsResult(now):
 		s.open(now, endpoint, b, "probe failed")
 	case b.state == Closed && b.failures >= failuresToOpen:
 		s.open(now, endpoint, b, "failing")
 	}
 }
 
+// awaitsResult reports whether the next result closes the breaker or opens it again:
+// a probe is in flight, or the pause is over and requests may pass without Acquire.
+func (b *breaker) awaitsResult(now time.Time) bool {
+	return b.state == HalfOpen || (b.state == Open && !now.Before(b.until))
+}
+
 // State returns the state of an endpoint's breaker.
 func (s *Set) State(endpoint string) State {
 	s.mu.Lock()
--- a/forward/client.go
+++ b/forward/client.go
@@ -4,7 +4,8 @@
 //
 // A pooled connection is closed whenever responses could be mixed up: on
 // unsolicited bytes, on a response before the request was sent completely, and on
-// a response that is truncated or carries another request's id.
+// a response that is truncated, carries another request's id or is a success without
+// an id.
 package forward
 
 import (
@@ -127,15 +128,20 @@
 	return p
 }
 
-// CloseIdleConnections closes the idle connections to the address of an endpoint
-// that has left.
-func (c *Client) CloseIdleConnections(address string) {
+// CloseIdleConnections closes the idle connections that no call will use any more.
+// endpoints holds the id of the endpoint at each address that takes calls. It is meant
+// to be called periodically: a connection in use is closed by the first call after its
+// exchange.
+func (c *Client) CloseIdleConnections(endpoints map[string]string) {
 	c.mu.Lock()
-	p := c.pools[address]
-	delete(c.pools, address)
-	c.mu.Unlock()
-	if p != nil {
-		p.closeIdle()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for address, p := range c.pools {
+		endpoint, found := endpoints[address]
+		p.closeIdle(endpoint, now)
+		if !found && p.retire() {
+			delete(c.pools, address)
+		}
 	}
 }
 
@@ -167,8 +173,12 @@
 	return e
 }
 
-// errMismatchedResponse is returned for a response to another request.
-var errMismatchedResponse = errors.New("response belongs to another request")
+var (
+	// errMismatchedResponse is returned for a response to another request.
+	errMismatchedResponse = errors.New("response belongs to another request")
+	// errMissingID is returned for a success without the request's id.
+	errMissingID = errors.New("successful response carries no request id")
+)
 
 // writeHead writes the request line and headers. The caller has sanitized the
 // headers.
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -37,11 +38,18 @@
 	})
 }
 
+// mayServe reports whether an idle connection was opened for the endpoint and its idle
+// timeout has not passed.
+func (c *connection) mayServe(endpoint string, now time.Time) bool {
+	return c.endpoint == endpoint && now.Sub(c.idleSince) < c.idleTimeout
+}
+
 // pool holds the idle connections to an address and counts the open ones.
 type pool struct {
-	mu   sync.Mutex
-	idle []*connection // most recently used last
-	open int
+	mu      sync.Mutex
+	idle    []*connection // most recently used last
+	open    int
+	retired bool // removed from the client
 }
 
 // acquireSlot counts a new connection and reports whether the limit allows it. At
@@ -77,7 +85,7 @@
 		if c == nil {
 			return nil
 		}
-		if c.endpoint == endpoint && now.Sub(c.idleSince) < c.idleTimeout && c.isReusable() {
+		if c.mayServe(endpoint, now) && c.isReusable() {
 			return c
 		}
 		c.abort()
@@ -98,13 +106,49 @@
 func (p *pool) put(c *connection) {
 	c.idleSince = time.Now()
 	c.used = true
+	if !p.addIdle(c) {
+		c.abort()
+	}
+}
+
+func (p *pool) addIdle(c *connection) bool {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.retired {
+		return false
+	}
 	p.idle = append(p.idle, c)
-	p.mu.Unlock()
+	return true
 }
 
-func (p *pool) closeIdle() {
-	for c := p.pop(); c != nil; c = p.pop() {
+// closeIdle closes the idle connections that were opened for other endpoints or have
+// been idle for too long.
+func (p *pool) closeIdle(endpoint string, now time.Time) {
+	for _, c := range p.takeUnusable(endpoint, now) {
 		c.abort()
 	}
 }
+
+func (p *pool) takeUnusable(endpoint string, now time.Time) []*connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var unusable []*connection
+	p.idle = slices.DeleteFunc(p.idle, func(c *connection) bool {
+		if c.mayServe(endpoint, now) {
+			return false
+		}
+		unusable = append(unusable, c)
+		return true
+	})
+	return unusable
+}
+
+// retire marks the pool as removed unless it has open connections, which count towards
+// the limit of the address. A call that got the pool before may still open a
+// connection; put closes it.
+func (p *pool) retire() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retired = p.open == 0
+	return p.retired
+}
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -174,10 +174,14 @@
 // applyAnnouncement applies an announcement; direct is set if the endpoint made it
 // to this entry. The caller holds the lock.
 func (m *Mesh) applyAnnouncement(e announce.Endpoint, at time.Time, direct bool) announce.ApplyResult {
+	previous, known := m.registry.Get(e.ID)
 	result := m.registry.Apply(e, at)
 	if result == announce.Stale {
 		return result
 	}
+	if known && (e.State == announce.Left || e.StartedAtMs != previous.StartedAtMs) && m.options.OnEndpointRunEnded != nil {
+		m.options.OnEndpointRunEnded(e.ID)
+	}
 	m.updateSeq++
 	m.endpointSeqs[e.ID] = m.updateSeq
 	m.receivedDirectly[e.ID] = direct
@@ -259,6 +263,13 @@
 	return m.registry.Ready(service)
 }
 
+// ReadyAddresses returns the id of the endpoint that accepts requests at each address.
+func (m *Mesh) ReadyAddresses() map[string]string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.registry.ReadyAddresses()
+}
+
 // IsLeaving reports whether an endpoint is known to accept no more requests.
 func (m *Mesh) IsLeaving(id string) bool {
 	m.mu.Lock()
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -216,12 +216,12 @@
 	}
 }
 
-// PlacedJobs returns the placed jobs of an owner.
-func (s *Scheduler) PlacedJobs(owner string) []PlacedJob {
+// PlacedJobs returns the placed jobs of an owner, with their age now.
+func (s *Scheduler) PlacedJobs(owner string, now time.Time) []PlacedJob {
 	var out []PlacedJob
 	for _, r := range s.jobs {
 		if r.job.Owner == owner {
-			out = append(out, PlacedJob{Job: *r.job, Decision: r.decision, Age: time.Since(r.placedAt), Decoding: r.isDecoding})
+			out = append(out, PlacedJob{Job: *r.job, Decision: r.decision, Age: now.Sub(r.placedAt), Decoding: r.isDecoding})
 		}
 	}
 	return out
@@ -389,11 +389,13 @@
 	}
 }
 
-// predictWait returns the shortest time until any engine has completed its backlog.
+// predictWait returns the shortest time until any engine has completed its backlog at
+// the pace that it reports.
 func (s *Scheduler) predictWait(now time.Time) time.Duration {
 	shortest := time.Duration(-1)
 	for _, e := range s.order {
 		wait := e.prefillBacklog(now) + s.profile.PassTime(len(e.assigned), s.profile.MeanPrompt*len(e.assigned))
+		wait = time.Duration(float64(wait) * e.reportedSlowdown(now))
 		if shortest < 0 || wait < shortest {
 			shortest = wait
 		}
