gateway: a caller that leaves is no failure of its endpoint

A write to a caller that has gone fails before the request's context ends, and counted against the endpoint: three such callers in a row would open its breaker, now that a breaker counts broken streams. Such a request ends as left by its caller.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -116,7 +116,7 @@
 // against its circuit breaker unless the caller left or the deadline passed.
 func (f *inflightRequest) recordFailure(h announce.Record, e *outcome.Error) schedule.Outcome {
 	f.excluded = append(f.excluded, h.ID)
-	if f.ctx.Err() != nil {
+	if f.ctx.Err() != nil || f.callerLeft {
 		return schedule.Done
 	}
 	f.g.breakers.RecordFailure(time.Now(), h.ID)
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -14,7 +14,7 @@
 
 // fail ends the request without a complete response.
 func (f *inflightRequest) fail(e *outcome.Error) {
-	if f.r.Context().Err() != nil {
+	if f.r.Context().Err() != nil || f.callerLeft {
 		result := "caller_left"
 		if drain.ClosedHere(f.r) {
 			cutTotal.Inc()
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -40,6 +40,7 @@
 	decision        schedule.Decision
 	timeToFirstByte time.Duration // since arrival; 0 before the first byte
 	headSent        bool
+	callerLeft      bool   // a write to the caller failed
 	lastEventID     string // id of the last event sent to the caller
 	eventCount      int
 	placementWait   time.Duration // total over all placements
@@ -97,7 +98,7 @@
 // canRetry reports whether the request may be retried after a failure. It takes a retry
 // out of the budget if an endpoint may have been reached.
 func (f *inflightRequest) canRetry(e *outcome.Error) bool {
-	if f.ctx.Err() != nil {
+	if f.ctx.Err() != nil || f.callerLeft {
 		return false
 	}
 	if e.State != outcome.NotRun && !f.route.MayRepeat() {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -70,10 +70,10 @@
 			f.startStream(reply)
 		}
 		if _, err := f.w.Write(event.Data); err != nil {
-			return f.streamError(err)
+			return f.callerError(err)
 		}
 		if err := flush.Flush(); err != nil {
-			return f.streamError(err)
+			return f.callerError(err)
 		}
 		f.recordEventGap()
 		f.eventCount++
@@ -144,6 +144,12 @@
 	return f.classifyRelayError(e)
 }
 
+// callerError returns the error of a stream whose caller can't be written to.
+func (f *inflightRequest) callerError(cause error) *outcome.Error {
+	f.callerLeft = true
+	return outcome.Fail(outcome.CodeCanceled, outcome.Ran, "gateway.stream", cause)
+}
+
 // classifyRelayError marks the request as run and reports its deadline or the shutdown
 // as the cause if they ended it.
 func (f *inflightRequest) classifyRelayError(e *outcome.Error) *outcome.Error {
