soak: callers that keep connections, runs of planned work only

The soak opened a connection for each call and treated SIGTERM as a fault, so it could not see a request that a planned shutdown passed on and lost.

Callers with one kept connection send back to back or with pauses, some requests in two parts, and obey Connection: close. Each request is judged by what disturbed its entry and the replicas that ran it: after SIGTERM or SIGHUP only, a request that a replica ran has to be answered unless the entry reached the end of its grace period. Runs of the kind planned stop entries in series and in pairs, repeat signals during a shutdown, and replace replicas that drain and leave. At the start and the end of each run every entry has to know all others and the configuration in force.

Each replica, caller and schedule of faults has a random sequence of its own. All replicas shared one, as all their ids have the same length, and the schedule of faults depended on the order in which callers drew from it.

An entry that ends without being told so, or with an error after SIGTERM, fails the run; before, its calls were not checked. A failed unary call at an entry without fault stays a violation. The files are split by duty.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -1,14 +1,17 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -20,40 +23,50 @@
 	callerPort  = 17360
 	readyPort   = 17361
 	controlPort = 17362
-	entryCount  = 4
-	diskCount   = 3
 )
 
+// gracePeriod is the time from SIGTERM until the platform kills an entry.
+const gracePeriod = 8 * time.Second
+
+// diskCount is the number of entries with a disk.
+const diskCount = 3
+
 // process is one entry process.
 type process struct {
 	name, ip, dataDir, settings string
+	requests                    atomic.Int64 // in progress, as callers see it
 
 	mu      sync.Mutex
 	command *exec.Cmd
 	paused  bool // by SIGSTOP
-	starts  int
-	faulted bool
+	claimed bool // by a fault or by planned work
+	ending  bool // the current run was told to end
+	faults  int  // odd while the process is faulted
+	stops   int  // odd from a planned SIGTERM until the next run is ready
+	stopAt  time.Time
 }
 
 // fleet holds the entries of one run.
 type fleet struct {
 	t         *testing.T
 	binary    string
-	subnet    byte // third octet of the addresses, to separate the fleets of different seeds
 	processes []*process
 	log       *os.File
 }
 
-func newFleet(t *testing.T, binary string, subnet byte) *fleet {
+// newFleet starts the entries. Fleets of different seeds or test processes have
+// different addresses.
+func newFleet(t *testing.T, binary string, seed uint64, entries int) *fleet {
 	t.Helper()
 	folder := t.TempDir()
 	log, err := os.Create(filepath.Join(folder, "log"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{t: t, binary: binary, subnet: subnet, log: log}
-	for i := range entryCount {
-		p := &process{name: fmt.Sprintf("entry-%d", i), ip: fmt.Sprintf("127.0.%d.%d", subnet, i+1)}
+	f := &fleet{t: t, binary: binary, log: log}
+	for i := range entries {
+		ip := net.IPv4(127, byte(1+os.Getpid()%254), byte(seed%200)+byte(i/250), byte(1+i%250))
+		p := &process{name: fmt.Sprintf("entry-%d", i), ip: ip.String()}
 		if i < diskCount {
 			p.dataDir = filepath.Join(folder, p.name)
 		}
@@ -71,7 +84,7 @@
 	f.t.Helper()
 	var seeds []string
 	for _, o := range f.processes[:diskCount] {
-		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", o.ip, controlPort)))
+		seeds = append(seeds, fmt.Sprintf("%q", o.address(controlPort)))
 	}
 	data := ""
 	if p.dataDir != "" {
@@ -88,12 +101,12 @@
 ready = "%s:%d"
 control = "%s:%d"
 [bounds]
-grace_s = 8
+grace_s = %d
 budget_ratio = 0.2
 budget_window_s = 10
 retry_slack = 100
 `, p.name, p.ip, peerPort, peerPort+9, strings.Join(seeds, ","), first, data,
-		p.ip, callerPort, p.ip, readyPort, p.ip, controlPort)
+		p.ip, callerPort, p.ip, readyPort, p.ip, controlPort, gracePeriod/time.Second)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -115,22 +128,59 @@
 		f.t.Error(err)
 		return
 	}
-	p.command, p.paused = c, false
-	p.starts++
+	p.command, p.paused, p.ending = c, false, false
 	go func() {
 		err := c.Wait()
-		var exit *exec.ExitError
-		if err != nil && !errors.As(err, &exit) {
-			f.t.Log(err)
-		}
 		p.mu.Lock()
-		if p.command == c {
-			p.command = nil
+		defer p.mu.Unlock()
+		if p.command != c {
+			return
+		}
+		p.command = nil
+		if !p.ending || (err != nil && p.faults%2 == 0) {
+			f.t.Errorf("%s ended, told so: %t, with the error %v", p.name, p.ending, err)
 		}
-		p.mu.Unlock()
 	}()
 }
 
+// claim reserves a process for a fault or for planned work.
+func (p *process) claim() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.claimed {
+		return false
+	}
+	p.claimed = true
+	return true
+}
+
+func (p *process) release() {
+	p.mu.Lock()
+	p.claimed = false
+	p.mu.Unlock()
+}
+
+// setFaulted marks the begin or the end of a fault.
+func (p *process) setFaulted(faulted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if faulted != (p.faults%2 == 1) {
+		p.faults++
+	}
+}
+
+// setStopping marks the begin or the end of a planned stop.
+func (p *process) setStopping(stopping bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if stopping != (p.stops%2 == 1) {
+		p.stops++
+	}
+	if stopping {
+		p.stopAt = time.Now()
+	}
+}
+
 // signal sends a signal to the process if it is running.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
@@ -139,6 +189,7 @@
 		return
 	}
 	p.paused = s == syscall.SIGSTOP
+	p.ending = p.ending || s == syscall.SIGKILL || s == syscall.SIGTERM
 	// The process may have exited in the meantime.
 	_ = p.command.Process.Signal(s)
 }
@@ -149,27 +200,55 @@
 	return p.command != nil && !p.paused
 }
 
+// isReady reports whether the entry passes the balancer's readiness check.
+func (p *process) isReady() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return send(ctx, http.MethodGet, "http://"+p.address(readyPort)+wire.Ready, "ready", "", nil).status == http.StatusOK
+}
+
 // kill sends SIGKILL and waits up to 2 s for the process to exit.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
-	for range 200 {
+	eventually(2*time.Second, func() bool {
 		p.mu.Lock()
-		gone := p.command == nil
-		p.mu.Unlock()
-		if gone {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+		defer p.mu.Unlock()
+		return p.command == nil
+	})
 }
 
 func (f *fleet) shutdown() {
+	var wait sync.WaitGroup
 	for _, p := range f.processes {
-		p.kill()
+		p.setFaulted(true)
+		wait.Go(p.kill)
 	}
+	wait.Wait()
 	if err := f.log.Close(); err != nil {
 		f.t.Log(err)
 	}
 }
 
+// residentMB returns the memory of all entries.
+func (f *fleet) residentMB() (total int) {
+	for _, p := range f.processes {
+		p.mu.Lock()
+		c := p.command
+		p.mu.Unlock()
+		if c == nil {
+			continue
+		}
+		var size, resident int
+		// An entry that has just ended counts nothing.
+		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", c.Process.Pid))
+		if err != nil && !errors.Is(err, os.ErrNotExist) {
+			f.t.Log(err)
+		}
+		if _, err := fmt.Sscan(string(data), &size, &resident); err == nil {
+			total += resident * os.Getpagesize() >> 20
+		}
+	}
+	return total
+}
+
 func (p *process) address(port int) string { return net.JoinHostPort(p.ip, fmt.Sprint(port)) }
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -12,9 +12,10 @@
 	listener net.Listener
 	target   string
 
-	mu    sync.Mutex
-	mode  string // "", "delay", "reset", "silence" or "oneway"
-	conns map[net.Conn]bool
+	mu     sync.Mutex
+	mode   string // "", "delay", "reset", "silence" or "oneway"
+	faults int    // odd while a mode is set
+	conns  map[net.Conn]bool
 }
 
 const proxyDelay = 60 * time.Millisecond
@@ -38,7 +39,7 @@
 func (p *proxy) setMode(mode string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mode = mode
+	p.setModeLocked(mode)
 	if mode != "reset" {
 		return
 	}
@@ -49,7 +50,31 @@
 		}
 		_ = c.Close()
 	}
-	p.mode = ""
+	p.setModeLocked("")
+}
+
+func (p *proxy) setModeLocked(mode string) {
+	if (mode != "") != (p.mode != "") {
+		p.faults++
+	}
+	p.mode = mode
+}
+
+// faultCount returns a number that changes with each fault and is odd during one.
+func (p *proxy) faultCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+// close ends the proxy and its connections.
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.Close()
+	}
 }
 
 func (p *proxy) currentMode() string {
--- a/soak/replica_test.go
+++ b/soak/replica_test.go
@@ -6,80 +6,146 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // replica is a fake endpoint that records the requests it runs.
 type replica struct {
-	id, address string
-	runs        *runLog
+	id      string
+	run     string // differs between two runs of the same replica
+	runs    *runLog
+	server  *http.Server
+	proxy   *proxy
+	running atomic.Int64
+	born    time.Time
 
-	mu     sync.Mutex
-	random *rand.Rand
-	fault  string // "", "refuse", "reset", "break" or "slow"
+	mu       sync.Mutex
+	random   *rand.Rand
+	fault    string // "", "refuse", "reset", "break" or "slow"
+	faults   int    // odd while there is a fault
+	state    string // announced: "ready", "draining" or "" after the replica has left
+	sequence int    // of the announcements
 }
 
 // runLog records the runs of all replicas by request ID.
 type runLog struct {
-	mu        sync.Mutex
-	runs      map[string]int
-	lastStart map[string]time.Time
+	mu   sync.Mutex
+	runs map[string][]string // runs of replicas
 }
 
-func newRunLog() *runLog { return &runLog{runs: map[string]int{}, lastStart: map[string]time.Time{}} }
+func newRunLog() *runLog { return &runLog{runs: map[string][]string{}} }
 
-func (b *runLog) record(id string) {
+func (b *runLog) record(id, run string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.runs[id]++
-	b.lastStart[id] = time.Now()
+	b.runs[id] = append(b.runs[id], run)
 }
 
-func (b *runLog) count(id string) int {
+// of returns the runs of replicas that ran a request.
+func (b *runLog) of(id string) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.runs[id]
+	return slices.Clone(b.runs[id])
 }
 
-// newReplica starts a replica that serves on l.
-func newReplica(id string, l net.Listener, b *runLog, seed uint64) *replica {
-	r := &replica{id: id, address: l.Addr().String(), runs: b, random: rand.New(rand.NewPCG(seed, uint64(len(id))))}
+func (b *runLog) count(id string) int { return len(b.of(id)) }
+
+// newReplica starts a replica and a proxy in front of it.
+func newReplica(id, run string, b *runLog, random *rand.Rand) (*replica, error) {
+	backend, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	frontend, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		_ = backend.Close()
+		return nil, err
+	}
+	r := &replica{id: id, run: run, runs: b, random: random, born: time.Now(), state: "ready"}
+	r.proxy = newProxy(frontend, backend.Addr().String())
+	r.server = &http.Server{Handler: r}
 	go func() {
-		// The listener is closed at the end of the run.
-		_ = (&http.Server{Handler: r}).Serve(l)
+		// The server is closed by close.
+		_ = r.server.Serve(backend)
 	}()
-	return r
+	return r, nil
+}
+
+// close ends the replica and its connections.
+func (r *replica) close() {
+	r.proxy.close()
+	_ = r.server.Close()
+}
+
+// heartbeat returns the next announcement, or "" after the replica has left.
+func (r *replica) heartbeat() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == "" {
+		return ""
+	}
+	r.sequence++
+	return fmt.Sprintf(`{"service":"s","addr":%q,"zone":"z","slots":6,"state":%q,"call_seq":%d,"born":%d}`,
+		r.proxy.listener.Addr(), r.state, r.sequence, r.born.UnixMilli())
+}
+
+func (r *replica) setState(state string) {
+	r.mu.Lock()
+	r.state = state
+	r.mu.Unlock()
 }
 
 func (r *replica) setFault(fault string) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	if (fault != "") != (r.fault != "") {
+		r.faults++
+	}
 	r.fault = fault
-	r.mu.Unlock()
 }
 
-// drawFault returns the active fault for one request in three, otherwise "".
-func (r *replica) drawFault() string {
+// faultCounts returns the fault counts of the replica and its proxy. They change with
+// each fault and are odd during one.
+func (r *replica) faultCounts() [2]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return [2]int{r.faults, r.proxy.faultCount()}
+}
+
+// draw returns the active fault for one request in three, otherwise "", and the
+// time that the request takes.
+func (r *replica) draw() (fault string, duration time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.fault != "" && r.random.IntN(3) == 0 {
-		return r.fault
+		fault = r.fault
+	}
+	duration = time.Duration(r.random.Int64N(int64(shortRun)))
+	if r.random.IntN(10) == 0 {
+		duration = time.Duration(r.random.Int64N(int64(longRun)))
 	}
-	return ""
+	return fault, duration
 }
 
 const (
 	streamEvents      = 8
 	eventInterval     = 15 * time.Millisecond
 	slowResponseDelay = 600 * time.Millisecond
+	shortRun          = 4 * time.Millisecond   // most requests
+	longRun           = 400 * time.Millisecond // one in ten
 )
 
 // ServeHTTP implements http.Handler.
 func (r *replica) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	r.running.Add(1)
+	defer r.running.Add(-1)
 	id := q.Header.Get(wire.Request)
 	w.Header().Set(wire.Request, id)
-	fault := r.drawFault()
+	fault, duration := r.draw()
 	if q.Header.Get(wire.Expect) != r.id || fault == "refuse" {
 		w.Header().Set(wire.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -89,13 +155,14 @@
 	if err != nil {
 		return
 	}
-	r.runs.record(id)
+	r.runs.record(id, r.run)
 	if fault == "slow" {
 		time.Sleep(slowResponseDelay)
 	}
 	if fault == "reset" {
 		panic(http.ErrAbortHandler)
 	}
+	time.Sleep(duration)
 	w.Header().Set(wire.Seal, r.id)
 	if !strings.Contains(q.URL.Path, "/gen/") {
 		// The caller may have disconnected.
