soak: callers that send when an entry closes its idle connections

The window in which a request was lost lies 2.5 s after SIGTERM and is shorter than a millisecond, so callers that send at any time seldom meet it.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 )
 
@@ -16,6 +18,13 @@
 
 var kinds = []string{"safe", "once", "gen"}
 
+// shortKind is an idempotent request that a replica answers at once.
+const shortKind = "safe/short"
+
+// maxExtraHeaders is the maximum number of headers of a request that the platform does
+// not define.
+const maxExtraHeaders = 100
+
 // runCaller sends requests on a connection each.
 func (s *soak) runCaller(random *rand.Rand) {
 	for s.stop.Err() == nil {
@@ -44,12 +53,16 @@
 type keptCaller struct {
 	s        *soak
 	random   *rand.Rand
+	entry    *process
+	conn     net.Conn
+	reader   *bufio.Reader
 	maxPause time.Duration // between two requests; 0 to send back to back
+	before   disturbances  // of the entry when the connection was last known to work
 }
 
 const (
 	maxCallerPause = 800 * time.Millisecond
-	maxHeadPause   = 30 * time.Millisecond // between two parts of a request
+	maxPartPause   = 30 * time.Millisecond // between two parts of a request
 )
 
 func (s *soak) runKeptCaller(i int) {
@@ -58,32 +71,17 @@
 		k.maxPause = maxCallerPause
 	}
 	for s.stop.Err() == nil {
-		p := s.fleet.processes[k.random.IntN(len(s.fleet.processes))]
-		before := p.disturbances()
-		conn, err := net.DialTimeout("tcp", p.address(callerPort), time.Second)
-		if err != nil {
-			if before.quietUntil(p.disturbances()) {
-				s.reportViolation("%s, which was not disturbed, accepts no connection: %v", p.name, err)
-			}
+		if !k.connect(s.fleet.processes[k.random.IntN(len(s.fleet.processes))]) {
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
-		k.use(conn, p)
-	}
-}
-
-// use sends requests on a connection until it ends.
-func (k *keptCaller) use(conn net.Conn, p *process) {
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	if k.random.IntN(2) == 0 {
-		k.pause() // a connection opened ahead of its first request
-	}
-	for k.s.stop.Err() == nil {
-		if !k.exchange(conn, reader, p) {
-			return
+		if k.random.IntN(2) == 0 {
+			k.pause() // a connection opened ahead of its first request
+		}
+		for s.stop.Err() == nil && k.exchange(kinds[k.random.IntN(len(kinds))]) {
+			k.pause()
 		}
-		k.pause()
+		_ = k.conn.Close()
 	}
 }
 
@@ -93,36 +91,103 @@
 	}
 }
 
+func (k *keptCaller) connect(p *process) bool {
+	k.entry, k.before = p, p.disturbances()
+	conn, err := net.DialTimeout("tcp", p.address(callerPort), time.Second)
+	if err != nil {
+		if k.before.quietUntil(p.disturbances()) {
+			k.s.reportViolation("%s, which was not disturbed, accepts no connection: %v", p.name, err)
+		}
+		return false
+	}
+	k.conn, k.reader = conn, bufio.NewReader(conn)
+	return true
+}
+
 // exchange sends one request and reads its response. It reports whether the
 // connection may carry another one.
-func (k *keptCaller) exchange(conn net.Conn, reader *bufio.Reader, p *process) bool {
-	x := k.s.begin(kinds[k.random.IntN(len(kinds))], p)
-	x.kept = true
-	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
-		x.path(), wire.Request, x.id, wire.Deadline, callDeadline.Milliseconds(), len(x.body()), x.body())
+func (k *keptCaller) exchange(kind string) bool {
+	x := k.s.begin(kind, k.entry)
+	x.kept, x.connBefore = true, k.before
+	r := k.roundTrip(x)
+	k.s.end(x, r)
+	k.before = x.entryAfter
+	return r.err == nil && !strings.EqualFold(r.header.Get("Connection"), "close")
+}
+
+func (k *keptCaller) roundTrip(x *exchange) reply {
+	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: %d\r\n%sContent-Length: %d\r\n\r\n%s",
+		x.path(), wire.Request, x.id, wire.Deadline, callDeadline.Milliseconds(), strings.Repeat("X-Extra: value\r\n", k.random.IntN(maxExtraHeaders)), len(x.body()), x.body())
 	parts := []string{text}
 	if k.random.IntN(8) == 0 {
 		cut := 1 + k.random.IntN(len(text)-1)
 		parts, x.inParts = []string{text[:cut], text[cut:]}, true
 	}
-	if err := conn.SetDeadline(time.Now().Add(2 * callDeadline)); err != nil {
-		k.s.end(x, reply{err: err})
-		return false
+	if err := k.conn.SetDeadline(time.Now().Add(2 * callDeadline)); err != nil {
+		return reply{err: err}
 	}
 	for i, part := range parts {
 		if i > 0 {
-			time.Sleep(between(k.random, 0, maxHeadPause))
+			time.Sleep(between(k.random, 0, maxPartPause))
 		}
-		if _, err := io.WriteString(conn, part); err != nil {
+		if _, err := io.WriteString(k.conn, part); err != nil {
 			break // what can be read tells how the request ended
 		}
 	}
-	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodPost})
+	response, err := http.ReadResponse(k.reader, &http.Request{Method: http.MethodPost})
 	if err != nil {
-		k.s.end(x, reply{err: err})
-		return false
+		return reply{err: err}
+	}
+	if response.Close {
+		response.Header.Set("Connection", "close") // removed by ReadResponse
 	}
 	body, err := io.ReadAll(response.Body)
-	k.s.end(x, reply{response.StatusCode, string(body), response.Header, err})
-	return err == nil && !response.Close
+	return reply{response.StatusCode, string(body), response.Header, err}
+}
+
+// Callers that send on kept connections around the moment at which an entry that shuts
+// down closes its idle connections. Half of them send back to back then, the others
+// send the first request on an idle connection.
+const (
+	rushCallers   = 96
+	idleCloseTime = 2500 * time.Millisecond // after SIGTERM
+	rushLead      = 50 * time.Millisecond   // of those that send back to back
+	firstLead     = 2 * time.Millisecond    // of the others
+	firstSpread   = 7 * time.Millisecond
+	rushEnd       = idleCloseTime + 200*time.Millisecond
+)
+
+// rush opens connections to an entry and returns a function that, called at a planned
+// stop, sends on them around the close of idle connections.
+func (s *soak) rush(p *process, random *rand.Rand) (send func()) {
+	callers := make([]*keptCaller, rushCallers)
+	var wait sync.WaitGroup
+	for i := range callers {
+		k := &keptCaller{s: s, random: rand.New(rand.NewPCG(random.Uint64(), 0))}
+		wait.Go(func() {
+			if k.connect(p) && k.exchange(shortKind) {
+				callers[i] = k
+			}
+		})
+	}
+	wait.Wait()
+	return func() {
+		stopped := time.Now()
+		for i, k := range callers {
+			if k == nil {
+				continue
+			}
+			begin := between(k.random, -firstLead, firstSpread-firstLead)
+			if i%2 == 0 {
+				begin = between(k.random, -rushLead, 0)
+			}
+			wait.Go(func() {
+				defer func() { _ = k.conn.Close() }()
+				time.Sleep(time.Until(stopped.Add(idleCloseTime + begin)))
+				for time.Since(stopped) < rushEnd && k.exchange(shortKind) {
+				}
+			})
+		}
+		wait.Wait()
+	}
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -35,6 +35,7 @@
 	kept                      bool // on a kept connection
 	inParts                   bool // written in two parts
 	began, ended              time.Time
+	connBefore                disturbances // of the entry when the connection was last known to work
 	entryBefore, entryAfter   disturbances
 	faultsBefore, faultsAfter map[string][2]int // of replicas, by run
 	stopAt                    time.Time         // last planned stop of the entry
@@ -63,6 +64,9 @@
 }
 
 func (s *soak) replicaFaults() map[string][2]int {
+	if s.kind == planned {
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	counts := make(map[string][2]int, len(s.replicaRuns))
@@ -76,6 +80,7 @@
 func (s *soak) begin(kind string, p *process) *exchange {
 	x := &exchange{kind: kind, id: "r" + strconv.FormatInt(s.nextID.Add(1), 10), entry: p, began: time.Now()}
 	x.entryBefore, x.faultsBefore = p.disturbances(), s.replicaFaults()
+	x.connBefore = x.entryBefore
 	if kind == "once" {
 		s.mu.Lock()
 		s.nonIdempotent[x.id] = true
@@ -122,7 +127,7 @@
 	switch {
 	case !x.faultless():
 	case x.kind == "gen" && !x.faultlessAt(runs): // may be cut
-	case x.quiet():
+	case x.quiet() && (len(runs) > 0 || x.connBefore.quietUntil(x.entryAfter)):
 		s.reportViolation("no answer from an entry that was not disturbed: %s", s.describe(x))
 	case errors.As(x.reply.err, &dial) && dial.Op == "dial": // the listener is closed
 	case len(runs) == 0 && x.reply.status == 0:
--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -25,14 +25,17 @@
 // stopPlan is what happens at the planned stop of an entry.
 type stopPlan struct {
 	busy        bool           // the entry has to run a request
+	rush        bool           // callers send when idle connections are closed
 	againAfter  time.Duration  // until a second signal
 	againSignal syscall.Signal // 0 for none
 	down        time.Duration
+	random      *rand.Rand
 }
 
 func drawStopPlan(random *rand.Rand) stopPlan {
 	return stopPlan{
-		busy:        random.IntN(2) == 0,
+		busy: random.IntN(2) == 0, rush: random.IntN(4) > 0,
+		random:      rand.New(rand.NewPCG(random.Uint64(), 0)),
 		againAfter:  between(random, 0, 3*time.Second),
 		againSignal: []syscall.Signal{0, syscall.SIGTERM, syscall.SIGHUP}[random.IntN(3)],
 		down:        between(random, 0, 600*time.Millisecond),
@@ -75,12 +78,19 @@
 
 // stopEntry stops an entry gracefully and waits for its end.
 func (s *soak) stopEntry(p *process, plan stopPlan) {
+	rush := func() {}
+	if plan.rush {
+		rush = s.rush(p, plan.random)
+	}
 	if plan.busy {
 		eventually(300*time.Millisecond, func() bool { return p.requests.Load() > 0 })
 	}
 	s.stops.Add(1)
 	p.setStopping(true)
 	p.signal(syscall.SIGTERM)
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	wait.Go(rush)
 	if plan.againSignal != 0 {
 		again := time.AfterFunc(plan.againAfter, func() { p.signal(plan.againSignal) })
 		defer again.Stop()
--- a/soak/replica_test.go
+++ b/soak/replica_test.go
@@ -162,7 +162,9 @@
 	if fault == "reset" {
 		panic(http.ErrAbortHandler)
 	}
-	time.Sleep(duration)
+	if !strings.Contains(q.URL.Path, shortKind) {
+		time.Sleep(duration)
+	}
 	w.Header().Set(wire.Seal, r.id)
 	if !strings.Contains(q.URL.Path, "/gen/") {
 		// The caller may have disconnected.
