--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -133,6 +133,8 @@
 	switch {
 	case !x.faultless():
 	case x.kind == "gen" && !x.faultlessAt(runs): // may be cut
+	case x.kind == "gen" && x.reply.status != 0 && x.ended.Sub(x.began) >= callDeadline:
+		s.reportViolation("stream ended at its deadline: %s", s.describe(x))
 	case x.quiet() && (len(runs) > 0 || x.connBefore.quietUntil(x.entryAfter)):
 		s.reportViolation("no answer from an entry that was not disturbed: %s", s.describe(x))
 	case errors.As(x.reply.err, &dial) && dial.Op == "dial": // the listener is closed
