--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -123,7 +123,7 @@
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: %d\r\n%sContent-Length: %d\r\n\r\n%s",
 		method, x.path(), wire.Request, x.id, wire.Deadline, callDeadline.Milliseconds(), strings.Repeat("X-Extra: value\r\n", k.random.IntN(maxExtraHeaders)), len(x.body()), x.body())
 	parts := []string{text}
-	if k.random.IntN(8) == 0 {
+	if k.random.IntN(4) == 0 {
 		cut := 1 + k.random.IntN(len(text)-1)
 		parts, x.inParts = []string{text[:cut], text[cut:]}, true
 	}
