--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -62,7 +62,8 @@
 
 const (
 	maxCallerPause = 800 * time.Millisecond
-	maxPartPause   = 30 * time.Millisecond // between two parts of a request
+	maxPartPause   = 30 * time.Millisecond  // between two parts of a request
+	longPartPause  = 300 * time.Millisecond // of one request in four that has parts
 )
 
 func (s *soak) runKeptCaller(i int) {
@@ -132,7 +133,11 @@
 	}
 	for i, part := range parts {
 		if i > 0 {
-			time.Sleep(between(k.random, 0, maxPartPause))
+			limit := maxPartPause
+			if k.random.IntN(4) == 0 {
+				limit = longPartPause
+			}
+			time.Sleep(between(k.random, 0, limit))
 		}
 		if _, err := io.WriteString(k.conn, part); err != nil {
 			break // what can be read tells how the request ended
