--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -100,13 +100,15 @@
 front = "%s:%d"
 ready = "%s:%d"
 control = "%s:%d"
+[limits]
+memory_mb = %d
 [bounds]
 grace_s = %d
 budget_ratio = 0.2
 budget_window_s = 10
 retry_slack = 100
 `, p.name, p.ip, peerPort, peerPort+9, strings.Join(seeds, ","), first, data,
-		p.ip, callerPort, p.ip, readyPort, p.ip, controlPort, gracePeriod/time.Second)
+		p.ip, callerPort, p.ip, readyPort, p.ip, controlPort, *entryMemory, gracePeriod/time.Second)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -217,13 +219,17 @@
 	})
 }
 
-func (f *fleet) shutdown() {
+func (f *fleet) killAll() {
 	var wait sync.WaitGroup
 	for _, p := range f.processes {
 		p.setFaulted(true)
 		wait.Go(p.kill)
 	}
 	wait.Wait()
+}
+
+func (f *fleet) shutdown() {
+	f.killAll()
 	if err := f.log.Close(); err != nil {
 		f.t.Log(err)
 	}
@@ -251,4 +257,32 @@
 	return total
 }
 
+// machineMB returns the memory of the machine.
+func machineMB() int {
+	var info syscall.Sysinfo_t
+	if syscall.Sysinfo(&info) != nil {
+		return 0
+	}
+	return int(info.Totalram * uint64(info.Unit) >> 20)
+}
+
+// watchMemory ends the entries if they use more than half of the machine's memory.
+func (f *fleet) watchMemory(ctx context.Context) {
+	limit := machineMB() / 2
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if used := f.residentMB(); used > limit {
+			f.t.Errorf("the entries use %d MB of memory, the limit is %d", used, limit)
+			f.killAll()
+			return
+		}
+	}
+}
+
 func (p *process) address(port int) string { return net.JoinHostPort(p.ip, fmt.Sprint(port)) }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,7 @@
 	faultPhase  = flag.Duration("soak.length", 8*time.Second, "duration of the faults or the planned work in one run")
 	onlyKind    = flag.String("soak.kind", "", "kind of runs, faulted or planned; empty for both")
 	entryCount  = flag.Int("soak.entries", 4, "number of entries; each is a process")
+	entryMemory = flag.Int("soak.memory", 0, "memory limit of an entry in MB, as its settings name it; 0 for none")
 	callerCount = flag.Int("soak.callers", 16, "number of callers that keep their connections")
 )
 
@@ -104,6 +105,7 @@
 		notRun: map[string]bool{}, nonIdempotent: map[string]bool{}, statuses: map[int]int{}, replicaRuns: map[string]*replica{},
 	}
 	s.random = s.newRandom("choices")
+	s.wait.Go(func() { s.fleet.watchMemory(ctx) })
 	s.startLoad()
 	if kind == planned {
 		s.doPlannedWork()
