gateway: a body is awaited until the request's deadline at most

What callers saw: a request whose body stalled was answered after up to 5 s with 400, although its own time or its route's was over sooner, and although the request was no bad one. TestBodyIsAwaitedUntilTheDeadline failed before (400).

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -123,7 +123,7 @@
 		return outcome.Refuse(outcome.CodeBodyTooLarge, step, "request body has %d bytes, the limit is %d", f.r.ContentLength, limit)
 	}
 	control := http.NewResponseController(f.w)
-	if err := control.SetReadDeadline(f.g.shutdown.limit(f.arrived.Add(bodyTimeout))); err != nil {
+	if err := control.SetReadDeadline(f.g.shutdown.limit(earlier(f.arrived.Add(bodyTimeout), f.deadline))); err != nil {
 		return outcome.Fail(outcome.CodeInternal, outcome.NotRun, step, err)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(f.w, f.r.Body, limit))
@@ -133,6 +133,8 @@
 		return outcome.Refuse(outcome.CodeBodyTooLarge, step, "request body exceeds the limit of %d bytes", limit)
 	case err != nil && f.g.shutdown.isOver(time.Now()):
 		return refuseForShutdown(step)
+	case err != nil && !time.Now().Before(f.deadline):
+		return outcome.Refuse(outcome.CodeDeadlinePassed, step, "the request's time is over before its body has arrived")
 	case err != nil:
 		e := outcome.Fail(outcome.CodeInvalidRequest, outcome.NotRun, step, err)
 		e.Message = "request body could not be read completely"
