mesh, quorum: an entry that stops hands over to one that goes on

A successor was chosen by its log alone.

Entries tell each other whether they accept requests, but the fact was only ever set to false, so it said nothing (operators' status showed ready: false as well, TestGatewayEndToEnd failed on it). It is now read where it is decided, and a leader that transfers prefers a member whose entry accepts requests. TestPreferredMemberSucceeds is new with the argument that it tests.

--- a/coord/quorum/core_test.go
+++ b/coord/quorum/core_test.go
@@ -339,6 +339,20 @@
 	g.Expect(s.members[next].core.Role()).To(Equal(Leader))
 }
 
+// Guards against leadership that goes to a member that is itself about to stop.
+func TestPreferredMemberSucceeds(t *testing.T) {
+	g, s, leader := newSettledCluster(t)
+	core := s.members[leader].core
+	for _, successor := range []int{(leader + 1) % 3, (leader + 2) % 3} {
+		self := s.members[successor].bootstrap.self
+		got, found := core.BestSuccessor(func(m Member) bool { return m.Name == self.Name })
+		g.Expect(found).To(BeTrue())
+		g.Expect(got).To(Equal(self.Disk))
+	}
+	_, found := core.BestSuccessor(func(Member) bool { return false })
+	g.Expect(found).To(BeTrue(), "any member is better than none")
+}
+
 // TestSingleVoterSendsNothingBeforeTermSynced guards against a learner that
 // receives two different entries with the same index and term after the voter
 // crashes.
--- a/coord/quorum/membership.go
+++ b/coord/quorum/membership.go
@@ -49,15 +49,22 @@
 }
 
 // BestSuccessor returns the voter with the highest match index among those that
-// replied within two heartbeat intervals, and false if there is none.
-func (c *Core) BestSuccessor() (DiskIdentity, bool) {
+// replied within two heartbeat intervals, and false if there is none. Members that
+// prefer selects come before the others; prefer may be nil.
+func (c *Core) BestSuccessor(prefer func(Member) bool) (DiskIdentity, bool) {
 	var best DiskIdentity
+	bestPreferred := false
 	for _, disk := range c.peerDisks() {
 		p := c.leaderState.progress[disk]
-		_, isVoter := c.Configuration().Voter(disk)
+		voter, isVoter := c.Configuration().Voter(disk)
 		isActive := c.now-p.lastResponse <= uint64(2*c.config.HeartbeatTicks)
-		if isVoter && isActive && (best == "" || p.match > c.leaderState.progress[best].match) {
-			best = disk
+		if !isVoter || !isActive {
+			continue
+		}
+		preferred := prefer != nil && prefer(voter)
+		isBetter := best == "" || p.match > c.leaderState.progress[best].match
+		if (preferred && !bestPreferred) || (preferred == bestPreferred && isBetter) {
+			best, bestPreferred = disk, preferred
 		}
 	}
 	return best, best != ""
--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -249,7 +249,7 @@
 }
 
 func (n *Node) transferToBest() {
-	if successor, ok := n.core.BestSuccessor(); ok {
+	if successor, ok := n.core.BestSuccessor(n.options.PreferAsLeader); ok {
 		_ = n.core.Transfer(successor)
 	}
 }
--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -81,6 +81,9 @@
 	// Repair makes a leader replace an unresponsive voter whose name has
 	// reappeared with another disk, once that disk has caught up.
 	Repair bool
+	// PreferAsLeader reports whether a member should become the leader when this one
+	// transfers leadership; nil for no preference. It must not call the Node.
+	PreferAsLeader func(Member) bool
 }
 
 // Status is the state of a node and its quorum as seen by this node.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,7 +102,7 @@
 	g.mesh = mesh.New(mesh.Options{
 		Name: s.Name, Address: s.Listen.Peers, FailureDomain: s.FailureDomain, Seeds: s.Seeds,
 		DataFolder: s.DataFolder, FirstStart: s.FirstStart, Log: g.log, Events: g.events,
-		OnDocument: g.apply, OnEndpointsChanged: g.refreshEndpoints, OnEndpointRunEnded: g.breakers.Remove, OnEntryDown: g.placer.dropEntry,
+		IsReady: g.isReady, OnDocument: g.apply, OnEndpointsChanged: g.refreshEndpoints, OnEndpointRunEnded: g.breakers.Remove, OnEntryDown: g.placer.dropEntry,
 	})
 	g.placer.registerHandlers(g.mesh)
 	g.placer.onRedirect = g.mesh.SetLeaderHint
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -95,7 +95,6 @@
 func (g *Gateway) shutDown() {
 	limits := g.shutdown.begin(time.Now(), g.settings.ShutdownTimeout)
 	g.callerServer.connections.Start()
-	g.mesh.SetReady(false)
 	g.log.Info("shutting down", "step", "gateway.shutdown", "running", g.running.Load())
 	// Another entry takes over as coordinator before this one stops responding.
 	go g.mesh.TransferLeadership()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -31,6 +31,9 @@
 	FirstStart    bool     // set while the whole fleet starts for the first time
 	Log           *slog.Logger
 	Events        *timeline.Log // event log that operators query
+	// IsReady reports whether this entry accepts requests; nil if it always does. It
+	// must not call the Mesh.
+	IsReady func() bool
 	// OnDocument is called, in order of their numbers, with each document that
 	// takes effect on this entry.
 	OnDocument func(document.Document)
@@ -65,7 +68,6 @@
 	updateSeq        uint64
 	document         document.Document
 	confirmed        bool // a quorum has confirmed the newest document
-	ready            bool
 	fetchingDocument bool
 	syncTrigger      chan struct{}
 }
@@ -180,11 +182,16 @@
 	m.transport.Close()
 }
 
-// SetReady sets whether this entry accepts requests, as reported to other entries.
-func (m *Mesh) SetReady(ready bool) {
+// isReady reports whether this entry accepts requests.
+func (m *Mesh) isReady() bool { return m.options.IsReady == nil || m.options.IsReady() }
+
+// acceptsRequests reports whether another entry accepted requests when it was last
+// heard of.
+func (m *Mesh) acceptsRequests(entry string) bool {
 	m.mu.Lock()
-	m.ready = ready
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	p := m.peers[entry]
+	return p != nil && p.facts.Ready
 }
 
 // memberChanged updates the peers after a membership change.
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -268,6 +268,7 @@
 	node, err := quorum.Start(quorum.Options{
 		Name: o.Name, Address: o.Address, Members: members, Folder: o.DataFolder,
 		StateMachine: c.register, Transport: c.mesh.transport, Logger: c.log, Repair: true,
+		PreferAsLeader: func(m quorum.Member) bool { return c.mesh.acceptsRequests(m.Name) },
 	})
 	if err != nil {
 		c.log.Error("starting the quorum member failed", "step", "mesh.core", "error", err.Error())
--- a/mesh/status.go
+++ b/mesh/status.go
@@ -17,7 +17,7 @@
 	m := p.mesh
 	members := m.gossip.Members()
 	m.mu.Lock()
-	status := &pb.StatusResponse{Version: &pb.Version{Revision: m.document.Number}, Ready: m.ready}
+	status := &pb.StatusResponse{Version: &pb.Version{Revision: m.document.Number}, Ready: m.isReady()}
 	endpoints := m.registry.All()
 	m.mu.Unlock()
 	for _, r := range members {
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -145,7 +145,7 @@
 func (m *Mesh) facts() facts {
 	f := m.quorum.facts()
 	f.Name, f.Address, f.Incarnation = m.options.Name, m.options.Address, m.incarnation
-	f.Document, f.Ready = m.document.Number, m.ready
+	f.Document, f.Ready = m.document.Number, m.isReady()
 	return f
 }
 
