demo: instructions are printed when the entry has an endpoint

A caller that sent the printed request at once got 503 no_endpoint: the instructions were printed before the daemons ran, and the entry learns of the endpoint from gossip only afterwards. Test before the change:

TestFirstRequestIsAnswered: 503 no_endpoint "no endpoint takes work for model "draft""

The demo now prints them once the entry's directory holds the endpoint, whose announcement is sent only when it takes work.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -54,10 +55,36 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	printInstructions(o.Out, entry.CallerAddress())
+	ctx, cancel := context.WithCancel(ctx)
+	var printing sync.WaitGroup
+	defer printing.Wait()
+	defer cancel()
+	printing.Go(func() {
+		if awaitEndpoint(ctx, entry) {
+			printInstructions(o.Out, entry.CallerAddress())
+		}
+	})
 	return runAll(ctx, entry, endpoint)
 }
 
+// readyPoll is the interval at which awaitEndpoint checks the entry.
+const readyPoll = 20 * time.Millisecond
+
+// awaitEndpoint waits until the entry has discovered an endpoint. It reports false
+// if ctx ends before.
+func awaitEndpoint(ctx context.Context, entry *daemon.Daemon) bool {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for entry.EndpointCount() == 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 func runAll(ctx context.Context, daemons ...*daemon.Daemon) error {
 	var wg sync.WaitGroup
 	errs := make([]error, len(daemons))
