emulator: answers end by themselves

A request without max_tokens, such as a newcomer's first on README's demo, got 504 deadline_passed after 60 s: an emulated answer ended at max_tokens only, and without it the fleet's limit is longer than 60 s of decoding. Before the change TestPlainRequestIsAnswered ended in 504 deadline_passed, and TestAnswersEndByThemselves in finish reason "length" instead of "stop".

Answers now have a natural length, log-normal with a median of 160 tokens and at most 2048, which takes 34 s at the default 60 tokens a second. Like the text, it depends on the prompt, and on Config.LengthSeed but not on Seed, so that an answer that another engine continues keeps its length. An answer that reaches it finishes with "stop", one that max_tokens cuts with "length".

--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -72,3 +72,13 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(response.Choices[0].FinishReason).To(Equal("length"))
 }
+
+// A request without max_tokens is answered before the default deadline.
+func TestPlainRequestIsAnswered(t *testing.T) {
+	g := NewWithT(t)
+	client := startDemo(t)
+	response, err := client.Chat.Completions.New(t.Context(), question())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.Choices[0].FinishReason).To(Equal("stop"))
+	g.Expect(response.Choices[0].Message.Content).NotTo(BeEmpty())
+}
--- a/endpoint/agent_test.go
+++ b/endpoint/agent_test.go
@@ -31,7 +31,9 @@
 	served chan struct{}
 }
 
+// newTestbed starts an agent with an engine whose answers have MaxTokens tokens.
 func newTestbed(t *testing.T, engineConfig emulator.Config, config endpoint.Config) *testbed {
+	engineConfig.IgnoreEOS = true
 	b := &testbed{WithT: NewWithT(t), t: t, emu: emulator.New(engineConfig)}
 	b.startAgent(config)
 	return b
--- a/engine/emulator/attempt.go
+++ b/engine/emulator/attempt.go
@@ -15,7 +15,7 @@
 type attempt struct {
 	work          engine.Work
 	arrival       uint64 // sequence number of arrival
-	promptHash    uint64 // selects the text of the answer
+	promptHash    uint64 // selects the text and the length of the answer
 	blocks        []engine.Block
 	firstToken    int // position in the prompt of the first token held by this engine
 	prefillTarget int // number of tokens to prefill on this engine
--- a/engine/emulator/config.go
+++ b/engine/emulator/config.go
@@ -28,6 +28,8 @@
 type Config struct {
 	Name                  string
 	Seed                  uint64
+	LengthSeed            uint64 // selects the natural lengths of answers; engines that continue each other's answers need the same
+	IgnoreEOS             bool   // answers have no natural length and end at MaxTokens only
 	Models                []string
 	Adapters              []string
 	MemoryBlocks          int           // size of the KV memory, in memory blocks
--- a/engine/emulator/step.go
+++ b/engine/emulator/step.go
@@ -201,14 +201,14 @@
 
 // emit generates one token, or finishes an attempt that has none to generate.
 func (e *Engine) emit(a *attempt) {
-	if a.work.MaxTokens <= a.answerTokens {
-		e.finish(a, engine.Chunk{Finish: engine.FinishLength, Usage: a.usage()})
+	if reason := e.finishReason(a); reason != engine.FinishNone {
+		e.finish(a, engine.Chunk{Finish: reason, Usage: a.usage()})
 		return
 	}
 	chunk := engine.Chunk{Text: answerToken(a.promptHash, a.answerTokens), Tokens: 1}
 	a.answerTokens++
-	if a.answerTokens >= a.work.MaxTokens {
-		chunk.Finish = engine.FinishLength
+	if reason := e.finishReason(a); reason != engine.FinishNone {
+		chunk.Finish = reason
 		chunk.Usage = a.usage()
 		e.finish(a, chunk)
 		return
@@ -216,6 +216,21 @@
 	a.stream.push(chunk)
 }
 
+// finishReason returns why the answer of a ends after the tokens generated so
+// far, FinishNone if it does not.
+func (e *Engine) finishReason(a *attempt) engine.FinishReason {
+	switch {
+	case a.work.MaxTokens == 0: // only prefills
+		return engine.FinishLength
+	case !e.cfg.IgnoreEOS && a.answerTokens >= answerLength(a.promptHash, e.cfg.LengthSeed):
+		return engine.FinishStop
+	case a.answerTokens >= a.work.MaxTokens:
+		return engine.FinishLength
+	default:
+		return engine.FinishNone
+	}
+}
+
 func (a *attempt) usage() engine.Usage {
 	prompt := a.firstToken + a.prefillTarget - a.work.Offset
 	if a.work.Segment != nil {
--- a/experiment/deployment.go
+++ b/experiment/deployment.go
@@ -109,6 +109,7 @@
 		MemoryBlocks: memoryBlocks, TokensPerMemoryBlock: memoryTokens,
 		PrefillPerSec: prefillPerSec, DecodePerSec: decodePerSec, AttentionScale: attentionScale,
 		EventLag: time.Second, EventLoss: 0.05, LoadLag: time.Second, Fabric: fabric,
+		IgnoreEOS: true, // Run checks that every answer has MaxTokens tokens
 	}
 }
 
--- a/processes/fleet_test.go
+++ b/processes/fleet_test.go
@@ -15,6 +15,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/engine"
+	"github.com/jacinthplank/jacinthplank/engine/emulator"
 )
 
 // Names used by the fleets of these tests.
@@ -182,8 +185,9 @@
 }
 
 // complete sends a completion request without streaming and returns the status
-// and body of the response.
+// and body of the response. The answer to prompt must not end before maxTokens.
 func (f *processFleet) complete(entry int, prompt string, maxTokens int, timeout string) (int, string) {
+	f.g.Expect(emulator.AnswerLength(engine.Prompt{Text: prompt}, 0)).To(BeNumerically(">", maxTokens), "natural length of the answer to %q", prompt)
 	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"prompt":%q}`, model, maxTokens, prompt)
 	return f.post(entry, "/v1/completions", body, map[string]string{"X-Request-Timeout": timeout})
 }
