emulator: KV exports are bounded

The table of exports kept an entry for each exported attempt until the engine was killed, so that a long run grew without bound.

An export now ends with its attempt, at Config.ExportAge (one hour), or when newer ones need its room within Config.ExportBytes (the size of the KV memory). An export larger than the limit is refused with memory_reserved. The attempt keeps its memory when its export is dropped, so accounts do not change.

Import of a dropped export, or a segment that reads one, is refused with not_found, not run, "is no longer exported". The rest handles it as it did a killed exporter: TestImportOfDroppedExportIsNotRun shows it through the HTTP adapter, TestDroppedExportFailsGroup at the endpoint, whose memory is freed, and TestMemberFailureReleasesGroup/dropped_export at the entry, which runs the group again.

--- a/endpoint/chaos_test.go
+++ b/endpoint/chaos_test.go
@@ -143,7 +143,7 @@
 
 func TestImporterFailureLeaksNoExporterMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newGroup(t)
+		g := newGroup(t, 0)
 		a, b := g.testbeds[0], g.testbeds[1]
 		a.Expect(g.reserve(0, 5*time.Minute)).To(Succeed())
 		a.Expect(g.reserve(1, 5*time.Minute)).To(Succeed())
--- a/endpoint/faults_test.go
+++ b/endpoint/faults_test.go
@@ -177,11 +177,11 @@
 	request  submit.Request
 }
 
-func newGroup(t *testing.T) *group {
+func newGroup(t *testing.T, exportAge time.Duration) *group {
 	fabric := &emulator.Fabric{}
 	var g group
 	for i, name := range []string{"a", "b"} {
-		g.testbeds[i] = newTestbed(t, emulator.Config{Name: name, Fabric: fabric, AttentionScale: 131_072}, endpoint.Config{})
+		g.testbeds[i] = newTestbed(t, emulator.Config{Name: name, Fabric: fabric, AttentionScale: 131_072, ExportAge: exportAge}, endpoint.Config{})
 	}
 	g.request = request("archive", 600_000, 20, 10*time.Minute)
 	return &g
@@ -200,7 +200,7 @@
 
 func TestGroupServesPromptLargerThanOneEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newGroup(t)
+		g := newGroup(t, 0)
 		a, b := g.testbeds[0], g.testbeds[1]
 		_, err := a.agent.Submit(t.Context(), g.request)
 		a.Expect(outcome.From(err).Code).To(Equal(outcome.CodePromptTooLong))
@@ -228,7 +228,7 @@
 
 func TestLostMemberFreesGroup(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newGroup(t)
+		g := newGroup(t, 0)
 		a, b := g.testbeds[0], g.testbeds[1]
 		a.Expect(g.reserve(0, 10*time.Minute)).To(Succeed())
 		a.Expect(g.reserve(1, 10*time.Minute)).To(Succeed())
@@ -248,9 +248,33 @@
 	})
 }
 
+// A member whose context is no longer exported fails as not run, and the memory of
+// the group is freed.
+func TestDroppedExportFailsGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 30*time.Second)
+		a, b := g.testbeds[0], g.testbeds[1]
+		a.Expect(g.reserve(0, 10*time.Minute)).To(Succeed())
+		a.Expect(g.reserve(1, 10*time.Minute)).To(Succeed())
+		_, last, err := readAnswer(a.submit(g.member(0)))
+		a.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(30 * time.Second)
+		_, err = b.agent.Submit(t.Context(), g.member(1, last.Handle))
+		a.Expect(err).To(MatchError(ContainSubstring("is no longer exported")))
+		a.Expect(outcome.From(err).Code).To(Equal(outcome.CodeNotFound))
+		a.Expect(outcome.StateOf(err)).To(Equal(outcome.NotRun))
+		a.Expect(a.emu.Exports().Expired).To(Equal(1))
+		for _, member := range g.testbeds {
+			a.Expect(member.agent.Release(t.Context(), g.request.Key())).To(Succeed())
+		}
+		a.close()
+		b.close()
+	})
+}
+
 func TestReservationsExpireAtDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newGroup(t)
+		g := newGroup(t, 0)
 		a, b := g.testbeds[0], g.testbeds[1]
 		a.Expect(g.reserve(0, 2*time.Minute)).To(Succeed())
 		a.Expect(g.reserve(1, time.Second)).To(Succeed())
--- a/engine/emulator/attempt.go
+++ b/engine/emulator/attempt.go
@@ -23,7 +23,8 @@
 	cachedTokens  int
 	answerTokens  int // tokens generated so far, including those of earlier attempts
 	pinned        []engine.Block
-	privateBlocks int // memory blocks held outside the cache
+	privateBlocks int      // memory blocks held outside the cache
+	exports       []string // handles under which peers can read the memory
 	running       bool
 	ended         bool // generation has finished; a segment keeps its memory until Cancel
 	stream        *stream
--- a/engine/emulator/config.go
+++ b/engine/emulator/config.go
@@ -20,9 +20,13 @@
 	defaultDecodePerSec          = 60     // tokens per second per sequence
 	defaultDecodeTimePerSequence = 50 * time.Microsecond
 	defaultTransferPerSec        = 400_000 // tokens per second
+	defaultExportAge             = time.Hour
 	defaultOrderTime             = 2 * time.Second
 )
 
+// kvBytesPerToken is the size of the KV memory of one token.
+const kvBytesPerToken = 128 << 10
+
 // Config describes one emulated engine. Fields left at zero take their defaults,
 // if they have one.
 type Config struct {
@@ -40,6 +44,8 @@
 	DecodeTimePerSequence time.Duration // time that each decoding sequence adds to a step
 	AttentionScale        int           // position at which a prefill token costs twice as much as at 0; 0 makes the cost constant
 	TransferPerSec        float64       // KV transfer rate between engines, in tokens per second
+	ExportAge             time.Duration // age at which a KV export is dropped
+	ExportBytes           int64         // maximum size of all KV exports; the default is the size of the KV memory
 	OrderTime             time.Duration // time to carry out an order
 	EventLag              time.Duration // delay before cache events are published
 	EventLoss             float64       // fraction of cache events that are never published
@@ -58,6 +64,8 @@
 	setDefault(&c.DecodePerSec, defaultDecodePerSec)
 	setDefault(&c.DecodeTimePerSequence, defaultDecodeTimePerSequence)
 	setDefault(&c.TransferPerSec, defaultTransferPerSec)
+	setDefault(&c.ExportAge, defaultExportAge)
+	setDefault(&c.ExportBytes, int64(c.MemoryBlocks)*int64(c.TokensPerMemoryBlock)*kvBytesPerToken)
 	setDefault(&c.OrderTime, defaultOrderTime)
 	setDefault(&c.TimeScale, 1)
 	if len(c.Models) == 0 {
--- a/engine/emulator/emulator.go
+++ b/engine/emulator/emulator.go
@@ -28,7 +28,7 @@
 	attempts      map[engine.Key]*attempt
 	queue         []*attempt // waiting and running attempts, ordered by priority, then arrival
 	imports       map[engine.Key]int
-	exports       map[string]engine.Key
+	exports       *exportTable
 	cache         *prefixCache
 	privateBlocks int // memory blocks allocated outside the cache, imports included
 	arrivals      uint64
@@ -78,7 +78,7 @@
 func (e *Engine) reset() {
 	e.attempts = make(map[engine.Key]*attempt)
 	e.imports = make(map[engine.Key]int)
-	e.exports = make(map[string]engine.Key)
+	e.exports = newExportTable(e.scaleDuration(e.cfg.ExportAge), e.cfg.ExportBytes)
 	e.queue = nil
 	e.privateBlocks = 0
 	e.cache = newPrefixCache()
@@ -143,6 +143,7 @@
 func (e *Engine) inheritMemory(a, previous *attempt) {
 	e.queue = slices.DeleteFunc(e.queue, func(other *attempt) bool { return other == previous })
 	a.privateBlocks = previous.privateBlocks
+	a.exports = previous.exports
 	a.prefilled = previous.prefillTarget
 }
 
--- a/engine/emulator/emulator_test.go
+++ b/engine/emulator/emulator_test.go
@@ -253,6 +253,95 @@
 	})
 }
 
+// exportPrompt prefills a prompt whose memory stays allocated, and exports it.
+func exportPrompt(t *testing.T, e *emulator.Engine, name string, tokens int) (engine.Key, string, error) {
+	w := newWork(name, tokens, 0)
+	segment := engine.SegmentOf(tokens, 0, 1)
+	w.Segment = &segment
+	_, _, err := readAll(must(e.Generate(t.Context(), w)))
+	if err != nil {
+		return w.Key, "", err
+	}
+	handle, err := e.Export(t.Context(), w.Key)
+	return w.Key, handle, err
+}
+
+func TestExportsEndWithTheirAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		e := emulator.New(emulator.Config{})
+		defer e.Close()
+		for i := range 50 {
+			k, _, err := exportPrompt(t, e, strings.Repeat("a", i+1), 1024)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(e.Exports().Held).To(Equal(1))
+			g.Expect(e.Cancel(t.Context(), k)).To(Succeed())
+		}
+		g.Expect(e.Exports()).To(Equal(emulator.ExportStats{}))
+	})
+}
+
+func expectNotExported(g *WithT, err error) {
+	g.Expect(err).To(MatchError(ContainSubstring("is no longer exported")))
+	g.Expect(outcome.From(err).Code).To(Equal(outcome.CodeNotFound))
+	g.Expect(outcome.StateOf(err)).To(Equal(outcome.NotRun))
+}
+
+func TestOldExportsAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		fabric := &emulator.Fabric{}
+		a := emulator.New(emulator.Config{Name: "a", Fabric: fabric, ExportAge: time.Minute})
+		defer a.Close()
+		b := emulator.New(emulator.Config{Name: "b", Fabric: fabric})
+		defer b.Close()
+		k, handle, err := exportPrompt(t, a, "p", 1024)
+		g.Expect(err).NotTo(HaveOccurred())
+		importer := engine.Key{Request: "import", Attempt: 1}
+		time.Sleep(59 * time.Second)
+		g.Expect(b.Import(t.Context(), importer, handle)).To(Succeed())
+		g.Expect(b.Cancel(t.Context(), importer)).To(Succeed())
+
+		time.Sleep(time.Second)
+		for _, e := range []*emulator.Engine{a, b} {
+			expectNotExported(g, e.Import(t.Context(), importer, handle))
+		}
+		g.Expect(a.Exports()).To(Equal(emulator.ExportStats{Expired: 1}))
+		g.Expect(b.HeldBlocks()).To(BeZero())
+		g.Expect(a.HeldBlocks()).To(Equal(8), "the attempt keeps its memory")
+
+		_, err = a.Export(t.Context(), k)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(b.Import(t.Context(), importer, handle)).To(Succeed())
+	})
+}
+
+func TestExportsAreBoundedInBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const bytesOf1024Tokens = 1024 * 128 << 10
+		fabric := &emulator.Fabric{}
+		a := emulator.New(emulator.Config{Name: "a", Fabric: fabric, ExportBytes: 2 * bytesOf1024Tokens})
+		defer a.Close()
+		b := emulator.New(emulator.Config{Name: "b", Fabric: fabric})
+		defer b.Close()
+		var handles []string
+		for _, name := range []string{"p", "q", "r"} {
+			_, handle, err := exportPrompt(t, a, name, 1024)
+			g.Expect(err).NotTo(HaveOccurred())
+			handles = append(handles, handle)
+		}
+		g.Expect(a.Exports()).To(Equal(emulator.ExportStats{Held: 2, Bytes: 2 * bytesOf1024Tokens, Evicted: 1}))
+		expectNotExported(g, b.Import(t.Context(), engine.Key{Request: "p"}, handles[0]))
+		g.Expect(b.Import(t.Context(), engine.Key{Request: "q"}, handles[1])).To(Succeed())
+		g.Expect(b.Import(t.Context(), engine.Key{Request: "r"}, handles[2])).To(Succeed())
+
+		_, _, err := exportPrompt(t, a, "s", 3*1024)
+		g.Expect(outcome.From(err).Code).To(Equal(outcome.CodeMemoryReserved))
+		g.Expect(a.Exports().Held).To(Equal(2))
+	})
+}
+
 func must(s engine.Stream, err error) engine.Stream {
 	if err != nil {
 		panic(err)
--- a/engine/emulator/http.go
+++ b/engine/emulator/http.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 
 	"github.com/jacinthplank/jacinthplank/engine"
@@ -33,6 +34,7 @@
 	r.HandleFunc(wireform.PathCancel, h.cancel).Methods(http.MethodPost)
 	r.HandleFunc(wireform.PathExport, h.exportKV).Methods(http.MethodPost)
 	r.HandleFunc(wireform.PathImport, h.importKV).Methods(http.MethodPost)
+	r.HandleFunc("/metrics", h.metrics).Methods(http.MethodGet)
 	return r
 }
 
@@ -44,6 +46,10 @@
 	}
 }
 
+func (httpHandler) metrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.WritePrometheus(w, false)
+}
+
 func (h httpHandler) models(w http.ResponseWriter, r *http.Request) {
 	d, err := h.Describe(r.Context())
 	if err != nil {
--- a/engine/emulator/step.go
+++ b/engine/emulator/step.go
@@ -261,6 +261,9 @@
 	}
 	e.privateBlocks -= a.privateBlocks
 	a.pinned, a.privateBlocks = nil, 0
+	for _, handle := range a.exports {
+		e.exports.remove(handle)
+	}
 	e.sampleLoad()
 	e.signal()
 }
--- a/engine/emulator/transfer.go
+++ b/engine/emulator/transfer.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/jacinthplank/jacinthplank/engine"
 	"github.com/jacinthplank/jacinthplank/outcome"
@@ -21,7 +23,13 @@
 		return "", outcome.Refuse(outcome.CodeNotFound, stepEngine, "attempt %v has no completed prefill", k)
 	}
 	handle := fmt.Sprintf("kv:%s:%d:%d:%s", e.cfg.Name, a.prefillTarget, k.Attempt, k.Request)
-	e.exports[handle] = k
+	x := export{handle: handle, bytes: int64(a.prefillTarget) * kvBytesPerToken, at: time.Now()}
+	if !e.exports.add(x) {
+		return "", outcome.Refuse(outcome.CodeMemoryReserved, stepEngine, "an export of %d bytes exceeds the limit of %d", x.bytes, e.cfg.ExportBytes)
+	}
+	if !slices.Contains(a.exports, handle) {
+		a.exports = append(a.exports, handle)
+	}
 	return handle, nil
 }
 
@@ -56,14 +64,14 @@
 }
 
 // checkReadable returns an error unless handle is well-formed and its exporter
-// still holds the memory. It must be called without e.mu, because it locks the
+// still exports the memory. It must be called without e.mu, because it locks the
 // exporter's mutex.
 func (e *Engine) checkReadable(handle string) error {
 	parts := strings.SplitN(handle, ":", 5)
 	if len(parts) != 5 || parts[0] != "kv" {
 		return outcome.Refuse(outcome.CodeInvalidRequest, stepEngine, "malformed KV handle %q", handle)
 	}
-	if e.cfg.Fabric == nil || parts[1] == e.cfg.Name {
+	if e.cfg.Fabric == nil {
 		return nil
 	}
 	peer := e.cfg.Fabric.lookup(parts[1])
@@ -76,8 +84,7 @@
 func (e *Engine) hasExport(handle string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	k, ok := e.exports[handle]
-	return ok && !e.faults.killed && e.attempts[k] != nil
+	return !e.faults.killed && e.exports.contains(handle, time.Now())
 }
 
 func handleTokens(handle string) int {
--- a/engine/openaiengine/openaiengine_test.go
+++ b/engine/openaiengine/openaiengine_test.go
@@ -18,7 +18,7 @@
 )
 
 func startEngine(t *testing.T) (*openaiengine.Engine, *emulator.Engine) {
-	e := emulator.New(emulator.Config{TimeScale: 100, IgnoreEOS: true, ChecksFencing: true, Adapters: []string{"letters"}})
+	e := emulator.New(emulator.Config{Fabric: &emulator.Fabric{}, TimeScale: 100, IgnoreEOS: true, ChecksFencing: true, Adapters: []string{"letters"}})
 	server := httptest.NewServer(emulator.Handler(e))
 	t.Cleanup(e.Close)
 	t.Cleanup(server.Close)
@@ -99,6 +99,25 @@
 	g.Expect(outcome.StateOf(err)).To(Equal(outcome.NotRun))
 }
 
+func TestImportOfDroppedExportIsNotRun(t *testing.T) {
+	g := NewWithT(t)
+	api, e := startEngine(t)
+	k := engine.Key{Request: "r", Attempt: 1}
+	stream, err := api.Generate(t.Context(), engine.Work{Key: k, Model: "draft", Prompt: engine.Prompt{Text: "a"}, MaxTokens: 100_000})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = stream.Next(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	handle, err := api.Export(t.Context(), k)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(e.Exports().Held).To(Equal(1))
+	g.Expect(api.Cancel(t.Context(), k)).To(Succeed())
+	err = api.Import(t.Context(), engine.Key{Request: "s", Attempt: 1}, handle)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(outcome.From(err).Code).To(Equal(outcome.CodeNotFound))
+	g.Expect(outcome.StateOf(err)).To(Equal(outcome.NotRun))
+	g.Expect(e.HeldBlocks()).To(BeZero())
+}
+
 func TestCancelAndHoldings(t *testing.T) {
 	g := NewWithT(t)
 	api, e := startEngine(t)
--- a/entry/group_test.go
+++ b/entry/group_test.go
@@ -29,6 +29,7 @@
 	reserved     map[engine.Key]int
 	runs         int
 	failuresLeft int // number of further segments that fail
+	failure      error
 }
 
 func (m *fakeMember) reservedTokens() int {
@@ -72,7 +73,7 @@
 	m.runs++
 	if m.failuresLeft > 0 {
 		m.failuresLeft--
-		return nil, outcome.Fail(outcome.CodeEngineFailed, outcome.Unknown, "endpoint.run", errors.New("killed"))
+		return nil, m.failure
 	}
 	frame := submit.Frame{Request: r.ID, Attempt: r.Attempt, Offset: r.Offset, Finish: engine.FinishLength}
 	if r.Group.Index < len(r.Group.Members)-1 {
@@ -143,16 +144,23 @@
 }
 
 func TestMemberFailureReleasesGroup(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		r, list := newGroupRouter(3)
-		list[1].failuresLeft = 1
-		text, err := submitAndRead(r, longRequest("r1"))
-		g.Expect(err).To(Equal(io.EOF))
-		g.Expect(text).To(Equal("done"))
-		g.Expect(list[0].runs).To(Equal(2), "the retry must run all segments of the group again")
-		g.Expect(totalReserved(list)).To(BeZero())
-	})
+	for name, failure := range map[string]error{
+		"killed engine":  outcome.Fail(outcome.CodeEngineFailed, outcome.Unknown, "endpoint.run", errors.New("killed")),
+		"dropped export": outcome.Refuse(outcome.CodeNotFound, "engine", "KV handle is no longer exported"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				r, list := newGroupRouter(3)
+				list[1].failuresLeft, list[1].failure = 1, failure
+				text, err := submitAndRead(r, longRequest("r1"))
+				g.Expect(err).To(Equal(io.EOF))
+				g.Expect(text).To(Equal("done"))
+				g.Expect(list[0].runs).To(Equal(2), "the retry must run all segments of the group again")
+				g.Expect(totalReserved(list)).To(BeZero())
+			})
+		})
+	}
 }
 
 func TestPromptBeyondGroupLimitIsRefused(t *testing.T) {
