emulator: a failed import holds no memory

An import whose export ended during the transfer was refused as not run but kept its memory blocks until Cancel, which nobody owes after a refusal. Before the change TestImportOfExportThatEndsHoldsNoMemory found 8 blocks held. The import now frees what it reserved, unless Cancel or Kill did so meanwhile.

--- a/engine/emulator/emulator_test.go
+++ b/engine/emulator/emulator_test.go
@@ -316,6 +316,25 @@
 	})
 }
 
+// An import whose export ends during the transfer is refused as not run, so it
+// holds no memory.
+func TestImportOfExportThatEndsHoldsNoMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		fabric := &emulator.Fabric{}
+		a := emulator.New(emulator.Config{Name: "a", Fabric: fabric})
+		defer a.Close()
+		b := emulator.New(emulator.Config{Name: "b", Fabric: fabric, TransferPerSec: 1024})
+		defer b.Close()
+		k, handle, err := exportPrompt(t, a, "p", 1024)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.AfterFunc(500*time.Millisecond, func() { _ = a.Cancel(context.Background(), k) })
+		expectNotExported(g, b.Import(t.Context(), engine.Key{Request: "import", Attempt: 1}, handle))
+		g.Expect(b.HeldBlocks()).To(BeZero())
+		g.Expect(b.Holdings(t.Context())).To(BeEmpty())
+	})
+}
+
 func TestExportsAreBoundedInBytes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/engine/emulator/transfer.go
+++ b/engine/emulator/transfer.go
@@ -45,7 +45,25 @@
 	if err := sleep(ctx, e.scaleDuration(seconds(float64(tokens)/e.cfg.TransferPerSec))); err != nil {
 		return outcome.Fail(outcome.CodeTransport, outcome.Unknown, stepEngine, err)
 	}
-	return e.checkReadable(handle)
+	if err := e.checkReadable(handle); err != nil {
+		e.releaseImport(k, e.cfg.blocksFor(tokens))
+		return err
+	}
+	return nil
+}
+
+// releaseImport frees the memory of a failed import, unless Cancel or Kill has.
+func (e *Engine) releaseImport(k engine.Key, blocks int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.imports[k] < blocks {
+		return
+	}
+	e.privateBlocks -= blocks
+	if e.imports[k] -= blocks; e.imports[k] == 0 {
+		delete(e.imports, k)
+	}
+	e.signal()
 }
 
 func (e *Engine) reserveImport(k engine.Key, handle string) (int, error) {
