load: 0 prefixes share none

With Prefixes 0 (--prefixes 0) all prompts began with the same 512 tokens, so that a run meant to measure prompts without shared prefixes measured the best case of the prefix cache. Such arrivals now carry NoPrefix and their prompts are generated from their own seed from the first token. Schedules with prefixes are unchanged.

--- a/load/caller.go
+++ b/load/caller.go
@@ -99,9 +99,11 @@
 func promptText(a Arrival) string {
 	var b strings.Builder
 	b.Grow((a.Tokens + 1) * bytesPerToken)
-	prefix := "p" + strconv.Itoa(a.Prefix%100) + " "
-	for b.Len() < min(a.Tokens, prefixTokens)*bytesPerToken {
-		b.WriteString(prefix)
+	if a.Prefix != NoPrefix {
+		prefix := "p" + strconv.Itoa(a.Prefix%100) + " "
+		for b.Len() < min(a.Tokens, prefixTokens)*bytesPerToken {
+			b.WriteString(prefix)
+		}
 	}
 	state := a.PromptSeed
 	for b.Len() < a.Tokens*bytesPerToken {
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -32,6 +36,39 @@
 	g.Expect(long).To(BeNumerically("~", 100, 40))
 }
 
+// sentPrefixes returns the number of distinct beginnings, of 512 tokens, of the
+// prompts that a caller sends for the arrivals of m.
+func sentPrefixes(g *WithT, m load.Mix) (distinct, sent int) {
+	prefixes := map[string]bool{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var body struct{ Prompt string }
+		g.Expect(json.NewDecoder(r.Body).Decode(&body)).To(Succeed())
+		prefixes[body.Prompt[:512*4]] = true
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	}))
+	defer server.Close()
+	caller := load.NewHTTP([]string{server.URL}, "key", "m", 1, 0)
+	for _, a := range load.Schedule(m) {
+		caller.Call(context.Background(), a)
+		sent++
+	}
+	return len(prefixes), sent
+}
+
+func TestPrefixesAreSharedByTheGivenNumber(t *testing.T) {
+	g := NewWithT(t)
+	m := load.Mix{Rate: 20, Duration: 10 * time.Second, Shortest: 600, Longest: 1000, Seed: 7}
+	for _, m.Prefixes = range []int{1, 5} {
+		distinct, _ := sentPrefixes(g, m)
+		g.Expect(distinct).To(Equal(m.Prefixes))
+	}
+	m.Prefixes = 0
+	distinct, sent := sentPrefixes(g, m)
+	g.Expect(sent).To(BeNumerically(">", 100))
+	g.Expect(distinct).To(Equal(sent), "no prompts share a prefix")
+}
+
 // slowCaller answers after 10 s and refuses prompts over submit.ShortTokens.
 type slowCaller struct{}
 
--- a/load/schedule.go
+++ b/load/schedule.go
@@ -19,7 +19,7 @@
 	Longest   int           // tokens of the longest prompt
 	LongShare float64       // share of prompts over submit.LongTokens, if Longest exceeds it
 	MaxTokens int           // maximum tokens of an answer
-	Prefixes  int           // number of distinct shared prompt prefixes; 0 acts as 1
+	Prefixes  int           // number of distinct shared prompt prefixes; 0 for prompts that share none
 	Seed      uint64
 }
 
@@ -27,10 +27,13 @@
 type Arrival struct {
 	At         time.Duration // since the start of the run
 	Tokens     int           // length of the prompt
-	Prefix     int           // index of the shared prefix
+	Prefix     int           // index of the shared prefix, or NoPrefix
 	PromptSeed uint64        // seed of the rest of the prompt; also selects the entry
 }
 
+// NoPrefix is the Prefix of a prompt that shares no prefix with others.
+const NoPrefix = -1
+
 // Schedule returns the arrivals of a mix: a Poisson process with log-uniform prompt
 // lengths. Equal mixes give equal arrivals.
 func Schedule(m Mix) []Arrival {
@@ -43,7 +46,7 @@
 		arrivals = append(arrivals, Arrival{
 			At:         at,
 			Tokens:     m.promptTokens(random),
-			Prefix:     random.IntN(max(m.Prefixes, 1)),
+			Prefix:     m.prefix(random),
 			PromptSeed: random.Uint64(),
 		})
 	}
@@ -54,6 +57,13 @@
 	return time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 }
 
+func (m Mix) prefix(random *rand.Rand) int {
+	if m.Prefixes <= 0 {
+		return NoPrefix
+	}
+	return random.IntN(m.Prefixes)
+}
+
 func (m Mix) promptTokens(random *rand.Rand) int {
 	minTokens, maxTokens := m.Shortest, min(m.Longest, submit.LongTokens)
 	if m.Longest > submit.LongTokens && random.Float64() < m.LongShare {
--- a/operator/load.go
+++ b/operator/load.go
@@ -20,7 +20,7 @@
 	Longest   int           `arg:"--longest" default:"32000" help:"tokens of the longest prompt"`
 	LongShare float64       `arg:"--long-share" default:"0.02" help:"share of prompts over 128,000 tokens, when --longest allows them"`
 	MaxTokens int           `arg:"--max-tokens" default:"64" help:"tokens of an answer"`
-	Prefixes  int           `arg:"--prefixes" default:"20" help:"number of different beginnings that prompts share"`
+	Prefixes  int           `arg:"--prefixes" default:"20" help:"number of different beginnings that prompts share; 0 for none"`
 	Timeout   time.Duration `arg:"--request-timeout" help:"time asked for with each request; the fleet's when not given"`
 	Seed      uint64        `arg:"--seed" default:"1" help:"the same seed sends the same requests at the same times"`
 }
