--- a/load/caller.go
+++ b/load/caller.go
@@ -100,7 +100,7 @@
 	var b strings.Builder
 	b.Grow((a.Tokens + 1) * bytesPerToken)
 	if a.Prefix != NoPrefix {
-		prefix := "p" + strconv.Itoa(a.Prefix%100) + " "
+		prefix := "p" + strconv.Itoa(a.Prefix) + " "
 		for b.Len() < min(a.Tokens, prefixTokens)*bytesPerToken {
 			b.WriteString(prefix)
 		}
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -58,8 +58,8 @@
 
 func TestPrefixesAreSharedByTheGivenNumber(t *testing.T) {
 	g := NewWithT(t)
-	m := load.Mix{Rate: 20, Duration: 10 * time.Second, Shortest: 600, Longest: 1000, Seed: 7}
-	for _, m.Prefixes = range []int{1, 5} {
+	m := load.Mix{Rate: 100, Duration: 10 * time.Second, Shortest: 600, Longest: 1000, Seed: 7}
+	for _, m.Prefixes = range []int{1, 5, 120} {
 		distinct, _ := sentPrefixes(g, m)
 		g.Expect(distinct).To(Equal(m.Prefixes))
 	}
