experiment: a submit to a remote endpoint ends with its request

The remote endpoint slept for its round trip without watching the request's context, so that an outcome came after the deadline when little time was left. The wait now ends with the context and the request is reported as not run, because it has not been sent.

--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/jacinthplank/jacinthplank/engine/emulator"
 	"github.com/jacinthplank/jacinthplank/entry"
 	"github.com/jacinthplank/jacinthplank/fleet"
+	"github.com/jacinthplank/jacinthplank/outcome"
 	"github.com/jacinthplank/jacinthplank/submit"
 )
 
@@ -133,7 +134,10 @@
 
 // Submit implements submit.Submitter.
 func (d *remoteEndpoint) Submit(ctx context.Context, r submit.Request) (submit.Answer, error) {
-	time.Sleep(d.roundTrip)
+	wait(ctx, d.roundTrip)
+	if ctx.Err() != nil {
+		return nil, outcome.Fail(outcome.CodeTransport, outcome.NotRun, "experiment.link", context.Cause(ctx))
+	}
 	return d.Endpoint.Submit(ctx, r)
 }
 
--- a/experiment/run_test.go
+++ b/experiment/run_test.go
@@ -98,3 +98,21 @@
 		g.Expect(r.Completed).To(BeNumerically(">", r.Offered*8/10))
 	}
 }
+
+// A request to an endpoint that is a long round trip away still gets its outcome
+// by its deadline.
+func TestRemoteSubmitEndsWithRequest(t *testing.T) {
+	d := experiment.Cantabrica
+	d.RoundTrip = time.Hour
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		start := time.Now()
+		r := experiment.Run(t.Context(), experiment.Options{
+			Deployment: d, Load: 0.5, Length: 5 * time.Second, Seed: 1, Policy: experiment.PolicyRoundRobin,
+		})
+		g.Expect(r.Offered).To(BeNumerically(">", 20))
+		g.Expect(r.Completed).To(BeNumerically("<", r.Offered), "some requests go to remote endpoints")
+		expectInvariants(g, r)
+		g.Expect(time.Since(start)).To(BeNumerically("<", 30*time.Minute))
+	})
+}
