timeline: events cut by the limit are not counted as overwritten

Before the change TestEventsCutByLimitAreNotLost counted 3 lost events in a log that had overwritten none.

Part, the wire form (field 5, cut) and Timeline now carry the number that was cut; Since stays the time from which the daemon has kept every event. The timeline's warnings and explain name the cut, and a line with a cut is not complete. A client of an older version ignores the field and does not show the cut.

--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -173,6 +173,17 @@
 	}
 }
 
+func TestEventsCutByLimitAreNamed(t *testing.T) {
+	g := NewWithT(t)
+	cut := timeline.Merge([]timeline.Part{{
+		Daemon: "entry-1", Cut: 5, Since: noon.Add(-time.Hour),
+		Events: []timeline.Event{received(1200, time.Minute)},
+	}})
+	sentences := explain.Sentences(cut, "r-1")
+	g.Expect(sentences).To(ContainElement(HavePrefix("Daemon entry-1 left out 5 events from before")))
+	g.Expect(sentences).NotTo(ContainElement(ContainSubstring("keeps no events")))
+}
+
 // Every code of package outcome has a plain-language meaning.
 func TestEveryOutcomeCodeHasMeaning(t *testing.T) {
 	g := NewWithT(t)
--- a/explain/sentences.go
+++ b/explain/sentences.go
@@ -189,6 +189,9 @@
 	for _, g := range w.line.Gaps {
 		w.say("Daemon %s keeps no events from before %s, so its earlier events are missing here.", g.Daemon, g.Since.Format(timeLayout))
 	}
+	for _, c := range w.line.Cuts {
+		w.say("Daemon %s left out %d events from before %s because of the limit of the query, so they are missing here.", c.Daemon, c.Events, c.Since.Format(timeLayout))
+	}
 	if w.history.received == nil {
 		return
 	}
--- a/timeline/convert.go
+++ b/timeline/convert.go
@@ -14,6 +14,7 @@
 		Daemon:  part.Daemon,
 		Lost:    part.Lost,
 		SinceUs: part.Since.UnixMicro(),
+		Cut:     part.Cut,
 		Events:  make([]*jacinthplankv1.Event, len(part.Events)),
 	}
 	for i := range part.Events {
@@ -27,6 +28,7 @@
 	part := Part{
 		Daemon: response.GetDaemon(),
 		Lost:   response.GetLost(),
+		Cut:    response.GetCut(),
 		Since:  time.UnixMicro(response.GetSinceUs()).UTC(),
 		Events: make([]Event, len(response.GetEvents())),
 	}
--- a/timeline/log.go
+++ b/timeline/log.go
@@ -26,6 +26,9 @@
 	// Lost counts overwritten events, of any request, that may have been in the
 	// queried range. It is an upper bound on the missing events.
 	Lost uint64
+	// Cut counts the matching events that were left out because of the limit. They
+	// are older than Events.
+	Cut uint64
 	// Since is the time from which the daemon has kept every event.
 	Since time.Time
 	// Err is set when the daemon could not be asked.
@@ -102,8 +105,7 @@
 		sequence, more = l.scanBatchFrom(f, sequence, &part)
 	}
 	if excess := len(part.Events) - f.limit(); excess > 0 {
-		part.Lost += uint64(excess)
-		part.Since = part.Events[excess].Stamp().Time()
+		part.Cut = uint64(excess)
 		part.Events = part.Events[excess:]
 	}
 	return part
--- a/timeline/text.go
+++ b/timeline/text.go
@@ -39,6 +39,9 @@
 	for _, g := range l.Gaps {
 		warnings = append(warnings, fmt.Sprintf("Daemon %s keeps no events from before %s: at most %d are missing.", g.Daemon, g.Since.Format(timeLayout), g.Lost))
 	}
+	for _, c := range l.Cuts {
+		warnings = append(warnings, fmt.Sprintf("Daemon %s left out %d older events that match, because of the limit: it returned those from %s.", c.Daemon, c.Events, c.Since.Format(timeLayout)))
+	}
 	return warnings
 }
 
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -65,6 +65,40 @@
 	g.Expect(log.Query(timeline.Filter{Limit: 1}).Events[0].Request).To(Equal("e"))
 }
 
+// Events left out by the limit are still kept by the daemon, so they do not count
+// as overwritten.
+func TestEventsCutByLimitAreNotLost(t *testing.T) {
+	g := NewWithT(t)
+	now := noon
+	log := timeline.NewLog("entry-1", 4, func() time.Time { now = now.Add(time.Second); return now })
+	for _, request := range []string{"a", "b", "c", "d"} {
+		log.Record(timeline.Event{Kind: timeline.KindReceived, Request: request})
+	}
+	query := func(f timeline.Filter) timeline.Part {
+		return timeline.PartFromProto(log.Answer(timeline.FilterToProto(f)))
+	}
+
+	part := query(timeline.Filter{Limit: 1})
+	g.Expect(part.Events).To(HaveLen(1))
+	g.Expect(part.Events[0].Request).To(Equal("d"))
+	g.Expect(part.Lost).To(BeZero())
+	g.Expect(part.Cut).To(Equal(uint64(3)))
+	g.Expect(part.Since).To(Equal(noon.Add(time.Second)), "the start of the log")
+	line := timeline.Merge([]timeline.Part{part})
+	g.Expect(line.Gaps).To(BeEmpty())
+	g.Expect(line.Complete()).To(BeFalse())
+	g.Expect(line.Warnings()).To(ConsistOf("Daemon entry-1 left out 3 older events that match, because of the limit: it returned those from 2026-03-02 12:00:05.000000."))
+
+	g.Expect(query(timeline.Filter{Limit: 4}).Cut).To(BeZero())
+	g.Expect(query(timeline.Filter{Limit: 1, Request: "a"}).Cut).To(BeZero())
+
+	log.Record(timeline.Event{Kind: timeline.KindReceived, Request: "e"})
+	part = query(timeline.Filter{Limit: 3})
+	g.Expect(part.Lost).To(Equal(uint64(1)))
+	g.Expect(part.Cut).To(Equal(uint64(1)))
+	g.Expect(timeline.Merge([]timeline.Part{part}).Warnings()).To(HaveLen(2))
+}
+
 func TestQueryFilters(t *testing.T) {
 	g := NewWithT(t)
 	now := noon
