demo: the instructions name a daemon for status and explain

docs/operators/first-week.md sends a newcomer from the demo to status and explain, but the demo printed no daemon's address and its daemons listen on free ports, so that neither command could be used on it. The instructions now give both commands, and curl shows the headers with the request's number.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -61,7 +61,7 @@
 	defer cancel()
 	printing.Go(func() {
 		if awaitEndpoint(ctx, entry) {
-			printInstructions(o.Out, entry.CallerAddress())
+			printInstructions(o.Out, entry.CallerAddress(), entry.Address())
 		}
 	})
 	return runAll(ctx, entry, endpoint)
@@ -124,13 +124,19 @@
 const instructions = `One entry, one endpoint process and one emulated engine are running.
 Ask for a streamed answer with
 
-  curl -N http://%s/v1/chat/completions \
+  curl -iN http://%s/v1/chat/completions \
     -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' \
     -d '{"model":"%s","stream":true,"max_tokens":40,"messages":[{"role":"user","content":"How many homes were finished in May?"}]}'
 
+See how the daemons are, and what became of a request (the number is in the header
+X-Request-Id of its answer), with
+
+  jacinthplank status --daemons %s
+  jacinthplank explain --daemons %s REQUEST
+
 Stop with Ctrl-C.
 `
 
-func printInstructions(out io.Writer, address string) {
-	fmt.Fprintf(out, instructions, address, Key, Model)
+func printInstructions(out io.Writer, callers, daemons string) {
+	fmt.Fprintf(out, instructions, callers, Key, Model, daemons, daemons)
 }
