--- a/demo/demo.go
+++ b/demo/demo.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -54,10 +55,36 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	printInstructions(o.Out, entry.CallerAddress())
+	ctx, cancel := context.WithCancel(ctx)
+	var printing sync.WaitGroup
+	defer printing.Wait()
+	defer cancel()
+	printing.Go(func() {
+		if awaitEndpoint(ctx, entry) {
+			printInstructions(o.Out, entry.CallerAddress(), entry.Address())
+		}
+	})
 	return runAll(ctx, entry, endpoint)
 }
 
+// readyPoll is the interval at which awaitEndpoint checks the entry.
+const readyPoll = 20 * time.Millisecond
+
+// awaitEndpoint waits until the entry has discovered an endpoint. It reports false
+// if ctx ends before.
+func awaitEndpoint(ctx context.Context, entry *daemon.Daemon) bool {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for entry.EndpointCount() == 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 func runAll(ctx context.Context, daemons ...*daemon.Daemon) error {
 	var wg sync.WaitGroup
 	errs := make([]error, len(daemons))
@@ -97,13 +124,19 @@
 const instructions = `One entry, one endpoint process and one emulated engine are running.
 Ask for a streamed answer with
 
-  curl -N http://%s/v1/chat/completions \
+  curl -iN http://%s/v1/chat/completions \
     -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' \
     -d '{"model":"%s","stream":true,"max_tokens":40,"messages":[{"role":"user","content":"How many homes were finished in May?"}]}'
 
+See how the daemons are, and what became of a request (the number is in the header
+X-Request-Id of its answer), with
+
+  jacinthplank status --daemons %s
+  jacinthplank explain --daemons %s REQUEST
+
 Stop with Ctrl-C.
 `
 
-func printInstructions(out io.Writer, address string) {
-	fmt.Fprintf(out, instructions, address, Key, Model)
+func printInstructions(out io.Writer, callers, daemons string) {
+	fmt.Fprintf(out, instructions, callers, Key, Model, daemons, daemons)
 }
--- a/engine/emulator/attempt.go
+++ b/engine/emulator/attempt.go
@@ -15,7 +15,7 @@
 type attempt struct {
 	work          engine.Work
 	arrival       uint64 // sequence number of arrival
-	promptHash    uint64 // selects the text of the answer
+	promptHash    uint64 // selects the text and the length of the answer
 	blocks        []engine.Block
 	firstToken    int // position in the prompt of the first token held by this engine
 	prefillTarget int // number of tokens to prefill on this engine
@@ -23,7 +23,8 @@
 	cachedTokens  int
 	answerTokens  int // tokens generated so far, including those of earlier attempts
 	pinned        []engine.Block
-	privateBlocks int // memory blocks held outside the cache
+	privateBlocks int      // memory blocks held outside the cache
+	exports       []string // handles under which peers can read the memory
 	running       bool
 	ended         bool // generation has finished; a segment keeps its memory until Cancel
 	stream        *stream
