--- a/coord/quorum/applier.go
+++ b/coord/quorum/applier.go
@@ -35,7 +35,7 @@
 	term               uint64
 	configuration      Configuration // in effect at index
 	bytesSinceSnapshot int           // log bytes applied since the last snapshot
-	snapshotDone       chan error    // closed when the snapshot is written; nil when none is in progress
+	snapshotDone       chan struct{} // closed when the log is compacted; nil when no snapshot is in progress
 }
 
 func newApplier(n *Node, saved PersistedState) *applier {
@@ -115,7 +115,8 @@
 
 // maybeSnapshot takes a snapshot once Options.LogBytes of log were applied since the
 // last one. A separate goroutine writes the file, so that neither the disk nor the
-// apply goroutine waits for it.
+// apply goroutine waits for it. The next snapshot waits until the log is compacted, so
+// that the disk holds at most two.
 func (r *applier) maybeSnapshot() error {
 	if r.bytesSinceSnapshot < r.node.options.LogBytes || r.isSnapshotInProgress() {
 		return nil
@@ -129,18 +130,17 @@
 	snapshotsTaken.Inc()
 	s := &Snapshot{Index: r.index, Term: r.term, Configuration: r.configuration, Data: data}
 	r.bytesSinceSnapshot = 0
-	r.snapshotDone = make(chan error, 1)
+	r.snapshotDone = make(chan struct{})
 	r.node.goroutines.Go(func() { r.writeSnapshot(s, r.snapshotDone) })
 	return nil
 }
 
-func (r *applier) writeSnapshot(s *Snapshot, done chan<- error) {
-	defer close(done)
+func (r *applier) writeSnapshot(s *Snapshot, done chan<- struct{}) {
 	if err := r.node.storage.writeSnapshot(s); err != nil {
 		r.node.fail(err)
 		return
 	}
-	r.node.diskTasks.put(diskTask{snapshot: s})
+	r.node.diskTasks.put(diskTask{snapshot: s, compacted: done})
 }
 
 func (r *applier) isSnapshotInProgress() bool {
--- a/coord/quorum/cluster_test.go
+++ b/coord/quorum/cluster_test.go
@@ -75,12 +75,16 @@
 	s.start(i, initial)
 }
 
+// simulatedTail limits the tail of short commands by their number, and that of long
+// ones and of configurations by their bytes.
+var simulatedTail = tailLimits{entries: 4, bytes: 4*entryOverhead + 32}
+
 // start starts a member from the contents of its disk.
 func (s *simulation) start(i int, initial []Member) {
 	m := s.members[i]
 	s.diskCount++
 	newIdentity := DiskIdentity(fmt.Sprintf("%s-%04d", m.name, s.diskCount))
-	storage, saved, err := openStorage(m.folder, newIdentity, 4)
+	storage, saved, err := openStorage(m.folder, newIdentity, simulatedTail)
 	if err != nil {
 		s.reporter.Fatalf("start of %s: %v", m.name, err)
 		return
@@ -90,7 +94,7 @@
 	m.bootstrap = newBootstrap(self, initial, storage.promise)
 	m.core = NewCore(CoreConfig{
 		Self: storage.identity, HeartbeatTicks: 2, ElectionTicks: 10, JitterTicks: 10,
-		MaxMessageBytes: 64, MaxInFlight: 8, TailLength: 4, Rand: s.random,
+		MaxMessageBytes: 64, MaxInFlight: 8, TailLength: simulatedTail.entries, TailBytes: simulatedTail.bytes, Rand: s.random,
 	}, saved)
 	if saved.Snapshot != nil {
 		m.applied = saved.Snapshot.Index
--- a/coord/quorum/core.go
+++ b/coord/quorum/core.go
@@ -26,7 +26,8 @@
 	JitterTicks     int // exclusive upper bound of the random jitter added to timeouts
 	MaxMessageBytes int // maximum bytes of entries in one message
 	MaxInFlight     int // maximum unacknowledged entries per member
-	TailLength      int // entries retained before a snapshot, for lagging members
+	TailLength      int // maximum entries retained before a snapshot, for lagging members
+	TailBytes       int // maximum bytes of the retained entries
 	Rand            *rand.Rand
 }
 
--- a/coord/quorum/core_rapid_test.go
+++ b/coord/quorum/core_rapid_test.go
@@ -41,7 +41,7 @@
 			"join":    func(*rapid.T) { s.cutLinks = map[[2]int]bool{} },
 			"propose": func(t *rapid.T) {
 				count++
-				s.propose(member.Draw(t, "member"), fmt.Sprint(count))
+				s.propose(member.Draw(t, "member"), fmt.Sprintf("%0*d", rapid.IntRange(1, 80).Draw(t, "length"), count))
 			},
 			"read":     func(t *rapid.T) { s.read(member.Draw(t, "member")) },
 			"transfer": func(t *rapid.T) { s.transfer(member.Draw(t, "from"), member.Draw(t, "to")) },
--- a/coord/quorum/core_test.go
+++ b/coord/quorum/core_test.go
@@ -392,14 +392,14 @@
 	for _, missing := range []string{identityFile, "log-0000000000000001", snapshotPrefix} {
 		g := NewWithT(t)
 		folder := wal.NewMemoryFolder()
-		s, _, err := openStorage(folder, "d1", 4)
+		s, _, err := openStorage(folder, "d1", simulatedTail)
 		g.Expect(err).NotTo(HaveOccurred())
 		if missing == snapshotPrefix {
 			missing = snapshotName(3)
 			g.Expect(s.write([]Ready{{Snapshot: &Snapshot{Index: 3, Term: 1}}})).To(Succeed())
 		}
 		g.Expect(folder.Remove(missing)).To(Succeed())
-		_, _, err = openStorage(folder, "d2", 4)
+		_, _, err = openStorage(folder, "d2", simulatedTail)
 		var corrupt *wal.CorruptError
 		g.Expect(errors.As(err, &corrupt)).To(BeTrue(), "without %s: %v", missing, err)
 	}
--- a/coord/quorum/log.go
+++ b/coord/quorum/log.go
@@ -74,6 +74,27 @@
 	l.baseIndex, l.baseTerm = index, term
 }
 
+// tailLimits are the limits of the entries that are retained before a snapshot.
+type tailLimits struct {
+	entries int
+	bytes   int
+}
+
+// compactTail drops the entries covered by the snapshot at index snapshot, except for
+// the last ones within the limits, and keeps those after the index synced.
+func (l *entryLog) compactTail(snapshot, synced uint64, tail tailLimits) {
+	index := min(snapshot, l.lastIndex())
+	size := 0
+	for count := 0; index > l.baseIndex && count < tail.entries; count++ {
+		size += len(l.entries[index-l.baseIndex-1].Data) + entryOverhead
+		if size > tail.bytes {
+			break
+		}
+		index--
+	}
+	l.compact(min(index, synced))
+}
+
 // reset empties the log and sets its base to index and term.
 func (l *entryLog) reset(index, term uint64) {
 	*l = entryLog{baseIndex: index, baseTerm: term}
--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -63,7 +63,7 @@
 		}
 		folder = opened
 	}
-	storage, saved, err := openStorage(folder, newDiskIdentity(), defaultTailLength)
+	storage, saved, err := openStorage(folder, newDiskIdentity(), o.tail())
 	if err != nil {
 		_ = folder.Close()
 		return nil, trace.Wrap(err, "quorum: cannot open the disk of %s", o.Name)
--- a/coord/quorum/node_disk.go
+++ b/coord/quorum/node_disk.go
@@ -3,10 +3,11 @@
 // diskTask is a task of the disk goroutine: a Ready or a promise to write, or a
 // snapshot that is on disk and allows the log to be compacted.
 type diskTask struct {
-	ready    Ready
-	promise  DiskIdentity
-	snapshot *Snapshot
-	messages []envelope // sent after the sync
+	ready     Ready
+	promise   DiskIdentity
+	snapshot  *Snapshot
+	compacted chan<- struct{} // closed after the compaction; not nil if snapshot is set
+	messages  []envelope      // sent after the sync
 }
 
 // diskResult reports to the core goroutine what is on disk.
@@ -77,6 +78,7 @@
 		return nil
 	}
 	isNew, err := n.storage.compact(task.snapshot)
+	close(task.compacted)
 	if isNew {
 		n.diskResults.put(diskResult{snapshot: task.snapshot})
 	}
--- a/coord/quorum/node_fault_test.go
+++ b/coord/quorum/node_fault_test.go
@@ -174,6 +174,30 @@
 	})
 }
 
+// TestLaggingMemberRestoresSnapshot cuts a member off until the others have dropped
+// the entries that it lacks, because they are too many bytes.
+func TestLaggingMemberRestoresSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(g, 3, quorum.Options{Seed: 9, LogBytes: 4000})
+		defer c.stop()
+		leader := c.leader(memberNames(c)...)
+		lagging := c.others(leader)[0]
+		c.network.isolate(lagging, true)
+		var want []string
+		for i := range 50 {
+			want = append(want, fmt.Sprintf("%0500d", i))
+			g.Expect(c.propose(leader, want[i])).To(Succeed())
+		}
+		c.network.isolate(lagging, false)
+		c.eventually(c.machines[lagging].all).Should(Equal(want))
+		machine := c.machine(lagging)
+		machine.mu.Lock()
+		defer machine.mu.Unlock()
+		g.Expect(machine.restores).To(BeNumerically(">", 0))
+	})
+}
+
 func TestStopTransfersLeadership(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/coord/quorum/node_test.go
+++ b/coord/quorum/node_test.go
@@ -21,6 +21,7 @@
 type register struct {
 	mu       sync.Mutex
 	commands []string
+	restores int
 }
 
 func (r *register) Apply(_ uint64, cmd []byte) []byte {
@@ -44,6 +45,7 @@
 func (r *register) Restore(snapshot []byte) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.restores++
 	r.commands = nil
 	for len(snapshot) > 0 {
 		size, n := binary.Uvarint(snapshot)
--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -32,7 +32,8 @@
 	messageQueueSize  = 4096    // received messages queued for the core
 	maxUnsynced       = 64      // number of unsynced batches at which further proposals stay queued
 	defaultLogBytes   = 16 << 20
-	defaultTailLength = 2048 // entries retained before a snapshot
+	defaultTailLength = 2048 // maximum entries retained before a snapshot
+	tailShare         = 2    // maximum bytes of these entries, as a divisor of Options.LogBytes
 	helloInterval     = 500 * time.Millisecond
 	identityBytes     = 8
 )
@@ -77,7 +78,11 @@
 	Tick         time.Duration // 0 for DefaultTick
 	Logger       *slog.Logger  // nil for none
 	Seed         uint64        // seed of the election jitter; 0 for a random one
-	LogBytes     int           // bytes of log after which a snapshot is taken; 0 for 16 MiB
+	// LogBytes are the bytes of log after which a snapshot is taken; 0 for 16 MiB. Half
+	// as many are retained before the snapshot. While a log file is replaced, the disk
+	// holds two of them, that is three times LogBytes, and two snapshots, besides the
+	// commands that arrive while a snapshot is written.
+	LogBytes int
 	// Repair makes a leader replace an unresponsive voter whose name has
 	// reappeared with another disk, once that disk has caught up.
 	Repair bool
@@ -136,6 +141,11 @@
 	return max(1, int(math.Round(float64(d)/float64(o.Tick))))
 }
 
+// tail returns the limits of the entries retained before a snapshot.
+func (o Options) tail() tailLimits {
+	return tailLimits{entries: defaultTailLength, bytes: o.LogBytes / tailShare}
+}
+
 func (o Options) coreConfig(self DiskIdentity, random *mathrand.Rand) CoreConfig {
 	return CoreConfig{
 		Self:            self,
@@ -145,6 +155,7 @@
 		MaxMessageBytes: MaxMessageBytes,
 		MaxInFlight:     maxInFlight,
 		TailLength:      defaultTailLength,
+		TailBytes:       o.tail().bytes,
 		Rand:            random,
 	}
 }
--- a/coord/quorum/ready.go
+++ b/coord/quorum/ready.go
@@ -53,16 +53,13 @@
 }
 
 // Compact reports to the Core that snapshot is on disk. It drops the entries that
-// the snapshot covers, except for the last TailLength.
+// the snapshot covers, except for the last ones within TailLength and TailBytes.
 func (c *Core) Compact(snapshot *Snapshot) {
 	if c.snapshot != nil && snapshot.Index <= c.snapshot.Index {
 		return
 	}
 	c.snapshot = snapshot
-	tail := uint64(c.config.TailLength)
-	if snapshot.Index > tail {
-		c.log.compact(min(snapshot.Index-tail, c.synced))
-	}
+	c.log.compactTail(snapshot.Index, c.synced, tailLimits{entries: c.config.TailLength, bytes: c.config.TailBytes})
 	for len(c.configurations) > 1 && c.configurations[1].index <= c.commit {
 		c.configurations = c.configurations[1:]
 	}
--- a/coord/quorum/storage.go
+++ b/coord/quorum/storage.go
@@ -30,13 +30,13 @@
 	hardState     HardState
 	entries       entryLog
 	snapshotIndex uint64
-	tailLength    int // entries retained before a snapshot
+	tail          tailLimits
 }
 
 // openStorage loads a disk. At its first use it formats the disk with newIdentity.
 // Missing or damaged files are an error: a member with such a disk must not vote.
-func openStorage(folder wal.Folder, newIdentity DiskIdentity, tail int) (*storage, PersistedState, error) {
-	s := &storage{folder: folder, tailLength: tail}
+func openStorage(folder wal.Folder, newIdentity DiskIdentity, tail tailLimits) (*storage, PersistedState, error) {
+	s := &storage{folder: folder, tail: tail}
 	isReady, err := s.readIdentity()
 	if err != nil {
 		return nil, PersistedState{}, err
@@ -119,6 +119,8 @@
 			return PersistedState{}, err
 		}
 	}
+	// The log may have been written with other limits.
+	s.entries.compactTail(s.snapshotIndex, s.entries.lastIndex(), s.tail)
 	saved := PersistedState{
 		HardState: s.hardState, BaseIndex: s.entries.baseIndex, BaseTerm: s.entries.baseTerm,
 		Entries: append([]Entry(nil), s.entries.entries...),
@@ -212,15 +214,13 @@
 }
 
 // compact drops the entries covered by snapshot, which must be on disk, except for
-// the last tailLength ones. It returns false if snapshot is not newer than the one
+// the last ones within the limits. It returns false if snapshot is not newer than the one
 // that the log refers to.
 func (s *storage) compact(snapshot *Snapshot) (bool, error) {
 	if snapshot.Index <= s.snapshotIndex {
 		return false, nil
 	}
-	if snapshot.Index > uint64(s.tailLength) {
-		s.entries.compact(min(snapshot.Index-uint64(s.tailLength), s.entries.lastIndex()))
-	}
+	s.entries.compactTail(snapshot.Index, s.entries.lastIndex(), s.tail)
 	return true, s.rotate(snapshot.Index)
 }
 
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -26,6 +26,10 @@
 	identityFile       = "identity"              // written by package quorum; exists once a disk was used
 )
 
+// logBytes are the bytes of log after which a member takes a snapshot. The platform's
+// disks have 64 MB; they have to hold three times as much and two snapshots.
+const logBytes = 8 << 20
+
 // quorumManager is the duty that manages this entry's part in the quorum that stores
 // the document. An entry with a disk runs a member.
 type quorumManager struct {
@@ -268,6 +272,7 @@
 	node, err := quorum.Start(quorum.Options{
 		Name: o.Name, Address: o.Address, Members: members, Folder: o.DataFolder,
 		StateMachine: c.register, Transport: c.mesh.transport, Logger: c.log, Repair: true,
+		LogBytes: logBytes,
 	})
 	if err != nil {
 		c.log.Error("starting the quorum member failed", "step", "mesh.core", "error", err.Error())
--- a/mesh/quorum_manager_test.go
+++ b/mesh/quorum_manager_test.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"log/slog"
+	"os"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/jacinthplank/jacinthplank/coord/document"
 	"github.com/jacinthplank/jacinthplank/coord/quorum"
 	"github.com/jacinthplank/jacinthplank/coord/wal"
 )
@@ -47,6 +50,39 @@
 	g.Expect(lines.String()).NotTo(ContainSubstring("level=ERROR"))
 }
 
+// TestDiskOfQuorumMember puts documents of the target size and checks what the disk
+// holds after each.
+func TestDiskOfQuorumMember(t *testing.T) {
+	g := NewWithT(t)
+	var lines bytes.Buffer
+	m := newFoundingMesh(t, &lines)
+	defer m.Stop()
+	g.Expect(m.quorum.ensureNode()).To(BeTrue())
+	g.Eventually(func() bool { return m.quorum.currentNode().Status().IsLeader }).WithTimeout(10 * time.Second).Should(BeTrue())
+	const puts, bodyBytes, maxDiskBytes = 30, 887_510, 20_000_000
+	for i := range puts {
+		d := document.Document{Number: uint64(i + 1), Body: bytes.Repeat([]byte{byte(i)}, bodyBytes)}
+		resp, err := m.quorum.servePut(t.Context(), &putRequest{Document: d})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.Answer).To(Equal(&document.Answer{Verdict: document.Accepted, Number: d.Number}))
+		g.Expect(folderBytes(g, m.options.DataFolder)).To(BeNumerically("<", maxDiskBytes), "after put %d", i)
+	}
+}
+
+// folderBytes returns the size of the files in a folder, except for those that are
+// renamed or removed meanwhile.
+func folderBytes(g *WithT, path string) int64 {
+	entries, err := os.ReadDir(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	var size int64
+	for _, e := range entries {
+		if info, err := e.Info(); err == nil {
+			size += info.Size()
+		}
+	}
+	return size
+}
+
 func TestStopWaitsForQuorumMemberThatStarts(t *testing.T) {
 	for range 20 {
 		g := NewWithT(t)
