--- a/coord/quorum/storage.go
+++ b/coord/quorum/storage.go
@@ -109,6 +109,9 @@
 }
 
 func (s *storage) load() (PersistedState, error) {
+	if err := wal.RemoveIncomplete(s.folder, snapshotPrefix); err != nil {
+		return PersistedState{}, err
+	}
 	log, batches, err := wal.Open(s.folder, string(s.identity))
 	if err != nil {
 		return PersistedState{}, err
@@ -218,7 +221,7 @@
 // that the log refers to.
 func (s *storage) compact(snapshot *Snapshot) (bool, error) {
 	if snapshot.Index <= s.snapshotIndex {
-		return false, nil
+		return false, s.removeSnapshots()
 	}
 	s.entries.compactTail(snapshot.Index, s.entries.lastIndex(), s.tail)
 	return true, s.rotate(snapshot.Index)
@@ -271,14 +274,15 @@
 	return decodeSnapshot(data)
 }
 
-// removeSnapshots removes snapshots older than the one that the log refers to.
+// removeSnapshots removes complete snapshots older than the one that the log refers
+// to. It leaves one that another goroutine is writing.
 func (s *storage) removeSnapshots() error {
 	names, err := s.folder.List()
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	for _, name := range names {
-		isSnapshot := strings.HasPrefix(name, snapshotPrefix)
+		isSnapshot := strings.HasPrefix(name, snapshotPrefix) && !wal.IsIncomplete(name)
 		if !isSnapshot || name >= snapshotName(s.snapshotIndex) {
 			continue
 		}
--- a/coord/quorum/storage_test.go
+++ b/coord/quorum/storage_test.go
@@ -1,6 +1,9 @@
 package quorum
 
 import (
+	"errors"
+	"slices"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -93,3 +96,64 @@
 	g.Expect(s.log.Size()).To(BeNumerically("<", 1_600_000))
 	g.Expect(s.close()).To(Succeed())
 }
+
+// TestInstallLeavesSnapshotInProgress installs the leader's snapshot while an older
+// one is being written.
+func TestInstallLeavesSnapshotInProgress(t *testing.T) {
+	g := NewWithT(t)
+	folder := wal.NewMemoryFolder()
+	s, _, err := openStorage(folder, "d1", simulatedTail)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.write([]Ready{{Entries: sameEntries(1, 5, []byte("x"))}})).To(Succeed())
+
+	older := &Snapshot{Index: 5, Term: 1, Data: []byte("older")}
+	reached, resume := make(chan struct{}), make(chan struct{})
+	folder.SetFault(func(operation, name string) error {
+		if operation == "sync" && strings.HasPrefix(name, snapshotName(older.Index)) {
+			close(reached)
+			<-resume
+		}
+		return nil
+	})
+	written := make(chan error)
+	go func() { written <- s.writeSnapshot(older) }()
+	<-reached
+	newer := &Snapshot{Index: 9, Term: 1, Data: []byte("newer")}
+	g.Expect(s.write([]Ready{{Snapshot: newer}})).To(Succeed())
+	close(resume)
+	g.Expect(<-written).To(Succeed())
+
+	isNew, err := s.compact(older)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(isNew).To(BeFalse())
+	g.Expect(snapshotFiles(g, folder)).To(ConsistOf(snapshotName(newer.Index)))
+}
+
+func TestStartRemovesIncompleteSnapshot(t *testing.T) {
+	g := NewWithT(t)
+	folder := wal.NewMemoryFolder()
+	s, _, err := openStorage(folder, "d1", simulatedTail)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.write([]Ready{{Entries: sameEntries(1, 5, []byte("x"))}})).To(Succeed())
+	saveSnapshot(g, s, 3)
+	folder.SetFault(func(operation, _ string) error {
+		if operation == "rename" {
+			return errors.New("crash")
+		}
+		return nil
+	})
+	g.Expect(s.writeSnapshot(&Snapshot{Index: 5, Term: 1})).To(MatchError(ContainSubstring("crash")))
+	folder.SetFault(nil)
+	g.Expect(snapshotFiles(g, folder)).To(HaveLen(2))
+
+	_, saved, err := openStorage(folder, "d2", simulatedTail)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(saved.Snapshot.Index).To(Equal(uint64(3)))
+	g.Expect(snapshotFiles(g, folder)).To(ConsistOf(snapshotName(3)))
+}
+
+func snapshotFiles(g *WithT, folder wal.Folder) []string {
+	names, err := folder.List()
+	g.Expect(err).NotTo(HaveOccurred())
+	return slices.DeleteFunc(names, func(name string) bool { return !strings.HasPrefix(name, snapshotPrefix) })
+}
--- a/coord/wal/file.go
+++ b/coord/wal/file.go
@@ -1,6 +1,8 @@
 package wal
 
 import (
+	"strings"
+
 	"github.com/gravitational/trace"
 )
 
@@ -46,3 +48,25 @@
 	}
 	return payload, nil
 }
+
+// IsIncomplete reports whether name is that of a file that WriteFile has not
+// completed.
+func IsIncomplete(name string) bool { return strings.HasSuffix(name, tempSuffix) }
+
+// RemoveIncomplete removes the files whose names start with prefix that WriteFile did
+// not complete before a crash. No call of WriteFile may be in progress.
+func RemoveIncomplete(folder Folder, prefix string) error {
+	names, err := folder.List()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, name := range names {
+		if !strings.HasPrefix(name, prefix) || !IsIncomplete(name) {
+			continue
+		}
+		if err := folder.Remove(name); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
