quorum: a failed start closes the log

A member whose start fails is started again and again; each failure left the log file open until the process ran out of handles.

It closes the log now before it returns an error; the folder stays with the caller.

--- a/coord/quorum/storage.go
+++ b/coord/quorum/storage.go
@@ -35,25 +35,36 @@
 
 // openStorage loads a disk. At its first use it formats the disk with newIdentity.
 // Missing or damaged files are an error: a member with such a disk must not vote.
+// After an error the caller closes the folder.
 func openStorage(folder wal.Folder, newIdentity DiskIdentity, tail tailLimits) (*storage, PersistedState, error) {
 	s := &storage{folder: folder, tail: tail}
-	isReady, err := s.readIdentity()
+	saved, err := s.open(newIdentity)
 	if err != nil {
+		if s.log != nil {
+			_ = s.log.Close()
+		}
 		return nil, PersistedState{}, err
 	}
-	hasLog, err := wal.Exists(folder)
+	return s, saved, nil
+}
+
+func (s *storage) open(newIdentity DiskIdentity) (PersistedState, error) {
+	isReady, err := s.readIdentity()
+	if err != nil {
+		return PersistedState{}, err
+	}
+	hasLog, err := wal.Exists(s.folder)
 	switch {
 	case err != nil:
-		return nil, PersistedState{}, err
+		return PersistedState{}, err
 	case isReady && !hasLog:
-		return nil, PersistedState{}, &wal.CorruptError{File: identityFile, Reason: "the disk has an identity file but no log"}
+		return PersistedState{}, &wal.CorruptError{File: identityFile, Reason: "the disk has an identity file but no log"}
 	case s.identity == "" && hasLog:
-		return nil, PersistedState{}, &wal.CorruptError{File: identityFile, Reason: "the disk has a log but no identity file"}
+		return PersistedState{}, &wal.CorruptError{File: identityFile, Reason: "the disk has a log but no identity file"}
 	case !isReady:
-		return s, PersistedState{}, s.format(newIdentity)
+		return PersistedState{}, s.format(newIdentity)
 	}
-	saved, err := s.load()
-	return s, saved, err
+	return s.load()
 }
 
 // readIdentity reads the identity file and reports whether an earlier start
--- a/coord/quorum/storage_test.go
+++ b/coord/quorum/storage_test.go
@@ -157,3 +157,97 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	return slices.DeleteFunc(names, func(name string) bool { return !strings.HasPrefix(name, snapshotPrefix) })
 }
+
+// countingFolder counts the open files.
+type countingFolder struct {
+	*wal.MemoryFolder
+	open int
+}
+
+type countedFile struct {
+	wal.File
+	folder *countingFolder
+}
+
+func (f *countingFolder) counted(file wal.File, err error) (wal.File, error) {
+	if err != nil {
+		return nil, err
+	}
+	f.open++
+	return countedFile{file, f}, nil
+}
+
+func (f *countingFolder) Create(name string) (wal.File, error) {
+	return f.counted(f.MemoryFolder.Create(name))
+}
+
+func (f *countingFolder) Append(name string) (wal.File, error) {
+	return f.counted(f.MemoryFolder.Append(name))
+}
+
+func (f countedFile) Close() error {
+	f.folder.open--
+	return f.File.Close()
+}
+
+func TestFailedStartClosesFiles(t *testing.T) {
+	failOn := func(operation, prefix string) func(*countingFolder) {
+		return func(f *countingFolder) {
+			f.SetFault(func(op, name string) error {
+				if op == operation && strings.HasPrefix(name, prefix) {
+					return errors.New("no space left on device")
+				}
+				return nil
+			})
+		}
+	}
+	for name, c := range map[string]struct {
+		isBlank bool
+		damage  func(*countingFolder)
+	}{
+		"damaged snapshot":         {false, func(f *countingFolder) { f.Corrupt(snapshotName(3), 16) }},
+		"missing snapshot":         {false, func(f *countingFolder) { _ = f.Remove(snapshotName(3)) }},
+		"log cannot be created":    {false, failOn("create", "log-")},
+		"log cannot be written":    {false, failOn("write", "log-")},
+		"log cannot be renamed":    {false, failOn("rename", "log-")},
+		"new disk without the log": {true, failOn("rename", "log-")},
+		"new disk, identity full":  {true, failOn("rename", identityFile)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			folder := &countingFolder{MemoryFolder: wal.NewMemoryFolder()}
+			if !c.isBlank {
+				s, _, err := openStorage(folder, "d1", simulatedTail)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(s.write([]Ready{{Snapshot: &Snapshot{Index: 3, Term: 1}}})).To(Succeed())
+				g.Expect(folder.open).To(Equal(1))
+				g.Expect(s.close()).To(Succeed())
+			}
+			g.Expect(folder.open).To(BeZero())
+			c.damage(folder)
+			_, _, err := openStorage(folder, "d1", simulatedTail)
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(folder.open).To(BeZero())
+		})
+	}
+}
+
+// TestFailedFormatClosesLog fails a blank disk after its log was created.
+func TestFailedFormatClosesLog(t *testing.T) {
+	g := NewWithT(t)
+	folder := &countingFolder{MemoryFolder: wal.NewMemoryFolder()}
+	identities := 0
+	folder.SetFault(func(op, name string) error {
+		if op == "rename" && strings.HasPrefix(name, identityFile) {
+			identities++
+		}
+		if identities == 2 {
+			return errors.New("no space left on device")
+		}
+		return nil
+	})
+	_, _, err := openStorage(folder, "d1", simulatedTail)
+	g.Expect(err).To(MatchError(ContainSubstring("no space left")))
+	g.Expect(identities).To(Equal(2))
+	g.Expect(folder.open).To(BeZero())
+}
