mesh: a configuration that is too large is refused at once

Operators who put a configuration of 6.3 to 8 MiB were told after the whole time that there is no quorum.

The control API accepts 8 MiB, but the log carries a configuration as base64 in a command of at most 8 MiB. The member refused the command, and the client took that for a member that can't answer and asked again until the time was over.

The limit is now that of a document, 6,000,000 bytes, which fits a command with any number.

TestLargestDocumentIsACommand checks the limit against quorum.MaxCommandBytes.

--- a/coord/document/document.go
+++ b/coord/document/document.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
 )
@@ -54,8 +55,28 @@
 	return r.current
 }
 
+// MaxBodyBytes is the largest body of a document. A command carries it as base64 and
+// has to stay below quorum.MaxCommandBytes.
+const MaxBodyBytes = 6_000_000
+
+// ErrTooLarge means that a document's body exceeds MaxBodyBytes.
+var ErrTooLarge = errors.New("document too large")
+
+// CheckSize returns an error that wraps ErrTooLarge for a body over MaxBodyBytes.
+func CheckSize(d Document) error {
+	if len(d.Body) > MaxBodyBytes {
+		return fmt.Errorf("%w: %d bytes, the limit is %d bytes", ErrTooLarge, len(d.Body), MaxBodyBytes)
+	}
+	return nil
+}
+
 // EncodePut encodes the command that puts a document.
-func EncodePut(d Document) ([]byte, error) { return json.Marshal(d) }
+func EncodePut(d Document) ([]byte, error) {
+	if err := CheckSize(d); err != nil {
+		return nil, err
+	}
+	return json.Marshal(d)
+}
 
 // DecodeAnswer decodes the result of a put command.
 func DecodeAnswer(result []byte) (Answer, error) {
--- a/coord/document/document_test.go
+++ b/coord/document/document_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"math"
+	"strings"
 	"testing"
+
+	"github.com/jacinthplank/jacinthplank/coord/quorum"
 )
 
 func put(t *testing.T, r *Register, number uint64, body string) Answer {
@@ -78,3 +83,19 @@
 		t.Error("document changed")
 	}
 }
+
+func TestLargestDocumentIsACommand(t *testing.T) {
+	d := Document{Number: math.MaxUint64, Body: make([]byte, MaxBodyBytes)}
+	command, err := EncodePut(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(command) > quorum.MaxCommandBytes {
+		t.Fatalf("a command of %d bytes, at most %d fit the log", len(command), quorum.MaxCommandBytes)
+	}
+	d.Body = make([]byte, MaxBodyBytes+1)
+	_, err = EncodePut(d)
+	if !errors.Is(err, ErrTooLarge) || !strings.Contains(err.Error(), "6000000 bytes") {
+		t.Fatalf("a document over the limit: %v", err)
+	}
+}
--- a/mesh/quorum_client.go
+++ b/mesh/quorum_client.go
@@ -23,8 +23,12 @@
 const memberCallTimeout = 700 * time.Millisecond
 
 // Put proposes a document to the quorum. It returns once a majority has stored it
-// on disk. Putting the same document again is allowed.
+// on disk. Putting the same document again is allowed. A document that is too large is
+// refused with document.ErrTooLarge before any member is called.
 func (m *Mesh) Put(ctx context.Context, d document.Document) (document.Answer, error) {
+	if err := document.CheckSize(d); err != nil {
+		return document.Answer{}, err
+	}
 	var answer *document.Answer
 	outcomeUnknown := false
 	err := m.quorum.callMembers(ctx, func(ctx context.Context, address string) (string, error) {
--- a/mesh/quorum_manager_test.go
+++ b/mesh/quorum_manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"log/slog"
 	"os"
 	"sync"
@@ -69,6 +70,21 @@
 	}
 }
 
+func TestPutRefusesTooLargeDocument(t *testing.T) {
+	g := NewWithT(t)
+	var lines bytes.Buffer
+	m := newFoundingMesh(t, &lines)
+	defer m.Stop()
+	g.Expect(m.quorum.ensureNode()).To(BeTrue())
+	g.Eventually(func() bool { return m.quorum.currentNode().Status().IsLeader }).WithTimeout(10 * time.Second).Should(BeTrue())
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := m.Put(ctx, document.Document{Number: 1, Body: make([]byte, 6_300_000)})
+	g.Expect(err).To(MatchError(ContainSubstring("document too large: 6300000 bytes, the limit is 6000000 bytes")))
+	g.Expect(err).NotTo(MatchError(ErrOutcomeUnknown))
+	g.Expect(ctx.Err()).NotTo(HaveOccurred(), "the call ends at once")
+}
+
 // folderBytes returns the size of the files in a folder, except for those that are
 // renamed or removed meanwhile.
 func folderBytes(g *WithT, path string) int64 {
