--- a/coord/quorum/storage.go
+++ b/coord/quorum/storage.go
@@ -30,30 +30,41 @@
 	hardState     HardState
 	entries       entryLog
 	snapshotIndex uint64
-	tailLength    int // entries retained before a snapshot
+	tail          tailLimits
 }
 
 // openStorage loads a disk. At its first use it formats the disk with newIdentity.
 // Missing or damaged files are an error: a member with such a disk must not vote.
-func openStorage(folder wal.Folder, newIdentity DiskIdentity, tail int) (*storage, PersistedState, error) {
-	s := &storage{folder: folder, tailLength: tail}
-	isReady, err := s.readIdentity()
+// After an error the caller closes the folder.
+func openStorage(folder wal.Folder, newIdentity DiskIdentity, tail tailLimits) (*storage, PersistedState, error) {
+	s := &storage{folder: folder, tail: tail}
+	saved, err := s.open(newIdentity)
 	if err != nil {
+		if s.log != nil {
+			_ = s.log.Close()
+		}
 		return nil, PersistedState{}, err
 	}
-	hasLog, err := wal.Exists(folder)
+	return s, saved, nil
+}
+
+func (s *storage) open(newIdentity DiskIdentity) (PersistedState, error) {
+	isReady, err := s.readIdentity()
+	if err != nil {
+		return PersistedState{}, err
+	}
+	hasLog, err := wal.Exists(s.folder)
 	switch {
 	case err != nil:
-		return nil, PersistedState{}, err
+		return PersistedState{}, err
 	case isReady && !hasLog:
-		return nil, PersistedState{}, &wal.CorruptError{File: identityFile, Reason: "the disk has an identity file but no log"}
+		return PersistedState{}, &wal.CorruptError{File: identityFile, Reason: "the disk has an identity file but no log"}
 	case s.identity == "" && hasLog:
-		return nil, PersistedState{}, &wal.CorruptError{File: identityFile, Reason: "the disk has a log but no identity file"}
+		return PersistedState{}, &wal.CorruptError{File: identityFile, Reason: "the disk has a log but no identity file"}
 	case !isReady:
-		return s, PersistedState{}, s.format(newIdentity)
+		return PersistedState{}, s.format(newIdentity)
 	}
-	saved, err := s.load()
-	return s, saved, err
+	return s.load()
 }
 
 // readIdentity reads the identity file and reports whether an earlier start
@@ -109,6 +120,9 @@
 }
 
 func (s *storage) load() (PersistedState, error) {
+	if err := wal.RemoveIncomplete(s.folder, snapshotPrefix); err != nil {
+		return PersistedState{}, err
+	}
 	log, batches, err := wal.Open(s.folder, string(s.identity))
 	if err != nil {
 		return PersistedState{}, err
@@ -119,6 +133,8 @@
 			return PersistedState{}, err
 		}
 	}
+	// The log may have been written with other limits.
+	s.entries.compactTail(s.snapshotIndex, s.entries.lastIndex(), s.tail)
 	saved := PersistedState{
 		HardState: s.hardState, BaseIndex: s.entries.baseIndex, BaseTerm: s.entries.baseTerm,
 		Entries: append([]Entry(nil), s.entries.entries...),
@@ -212,15 +228,13 @@
 }
 
 // compact drops the entries covered by snapshot, which must be on disk, except for
-// the last tailLength ones. It returns false if snapshot is not newer than the one
+// the last ones within the limits. It returns false if snapshot is not newer than the one
 // that the log refers to.
 func (s *storage) compact(snapshot *Snapshot) (bool, error) {
 	if snapshot.Index <= s.snapshotIndex {
-		return false, nil
-	}
-	if snapshot.Index > uint64(s.tailLength) {
-		s.entries.compact(min(snapshot.Index-uint64(s.tailLength), s.entries.lastIndex()))
+		return false, s.removeSnapshots()
 	}
+	s.entries.compactTail(snapshot.Index, s.entries.lastIndex(), s.tail)
 	return true, s.rotate(snapshot.Index)
 }
 
@@ -271,14 +285,15 @@
 	return decodeSnapshot(data)
 }
 
-// removeSnapshots removes snapshots older than the one that the log refers to.
+// removeSnapshots removes complete snapshots older than the one that the log refers
+// to. It leaves one that another goroutine is writing.
 func (s *storage) removeSnapshots() error {
 	names, err := s.folder.List()
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	for _, name := range names {
-		isSnapshot := strings.HasPrefix(name, snapshotPrefix)
+		isSnapshot := strings.HasPrefix(name, snapshotPrefix) && !wal.IsIncomplete(name)
 		if !isSnapshot || name >= snapshotName(s.snapshotIndex) {
 			continue
 		}
