drain: a shutdown that overtakes the start of Serve sees its listener

Serve announced that it serves before its listener was tracked. A shutdown between the two found nothing to close and waited for Serve forever. Found by reading; the window is a few instructions, and no test holds it open.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -4,7 +4,9 @@
 // connection as idle until the head of its next request has been read completely. A
 // request that is read at that moment is handled on a closed connection. This package
 // closes a connection only if no byte of a request has reached the machine. A request
-// that is still on its way then is not read, so its caller may repeat it.
+// that is still on its way then is not read, so its caller may repeat it. The exception is
+// a pipelined request of which a part came with the request before it: it counts as begun
+// only when more of it arrives.
 package drain
 
 import (
--- a/drain/server.go
+++ b/drain/server.go
@@ -63,9 +63,10 @@
 		return http.ErrServerClosed
 	}
 	s.served = served
+	tracked := &serverListener{s.connections.Listener(l)}
 	s.mu.Unlock()
 	defer close(served)
-	err := s.http.Serve(&serverListener{s.connections.Listener(l)})
+	err := s.http.Serve(tracked)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closing {
