--- a/coord/quorum/storage.go
+++ b/coord/quorum/storage.go
@@ -41,7 +41,7 @@
 	saved, err := s.open(newIdentity)
 	if err != nil {
 		if s.log != nil {
-			_ = s.log.Close()
+			_ = s.log.Close() // the error of the open is returned
 		}
 		return nil, PersistedState{}, err
 	}
--- a/coord/wal/log.go
+++ b/coord/wal/log.go
@@ -138,7 +138,7 @@
 // closeFile closes the file of a log that is not used any more.
 func (l *Log) closeFile() {
 	if l.file != nil {
-		_ = l.file.Close()
+		_ = l.file.Close() // nothing unsynced is needed from it
 	}
 }
 
--- a/drain/server.go
+++ b/drain/server.go
@@ -59,7 +59,7 @@
 	s.mu.Lock()
 	if s.closing {
 		s.mu.Unlock()
-		_ = l.Close()
+		_ = l.Close() // nothing has been accepted from it
 		return http.ErrServerClosed
 	}
 	s.served = served
@@ -96,7 +96,7 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		_ = s.http.Shutdown(ctx)
+		_ = s.http.Shutdown(ctx) // what is left at its end is closed below
 	}()
 	s.awaitStreams(stopped)
 	s.Close()
@@ -234,7 +234,9 @@
 }
 
 // Flush implements http.Flusher.
-func (w *responseWriter) Flush() { _ = w.FlushError() }
+func (w *responseWriter) Flush() {
+	_ = w.FlushError() // http.Flusher can't report it; the next write does
+}
 
 // FlushError flushes for http.ResponseController.
 func (w *responseWriter) FlushError() error {
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -34,7 +34,7 @@
 // closeForNext closes an idle connection and leaves its pool slot to the next one.
 func (c *connection) closeForNext() {
 	c.closeOnce.Do(func() {
-		_ = c.Close()
+		_ = c.Close() // it is not used again
 	})
 }
 
