gateway, platform: the rate limits that endpoints state are recorded and logged

Cause: the logs of the incident can't tell which responses carried a limit, to which kind of call, or when each entry first saw it. Change: platform decodes the header; ratelimit keeps the latest statement of each endpoint, by an order that a response without a limit can't outrun one with it; the gateway logs each change with the kind of call. Nothing is decided by it yet. Tests: ratelimit, platform TestRateLimitHeader (0, 0.3, empty, NaN, several values).

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -30,6 +30,8 @@
 	Header http.Header
 	// NotRun is set if the endpoint guarantees that it did not run the request.
 	NotRun bool
+	// SentAt is when the call was sent.
+	SentAt time.Time
 
 	body          io.ReadCloser
 	exchange      *exchange
@@ -123,6 +125,7 @@
 	return &Reply{
 		Status: r.StatusCode, Header: r.Header, body: r.Body, exchange: x,
 		NotRun:        x.dialect.PromisesNotRun(r.StatusCode, r.Header),
+		SentAt:        x.started,
 		selfDelimited: !r.Close || r.ContentLength >= 0 || len(r.TransferEncoding) > 0,
 	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -35,6 +35,7 @@
 		return e
 	}
 	defer reply.Close()
+	f.g.observeLimit(h.ID, answeredRequest, reply)
 	f.sends++
 	if reply.NotRun {
 		end = schedule.Rejected
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/jacinthplank/jacinthplank/decision"
 	"github.com/jacinthplank/jacinthplank/forward"
 	"github.com/jacinthplank/jacinthplank/mesh"
+	"github.com/jacinthplank/jacinthplank/ratelimit"
 	"github.com/jacinthplank/jacinthplank/retry"
 	"github.com/jacinthplank/jacinthplank/route"
 	"github.com/jacinthplank/jacinthplank/supervise"
@@ -66,6 +67,7 @@
 	placer    *placer
 	plain     *plainPicker
 	deadlines *deadlineHistory
+	limits    *ratelimit.Table
 
 	callerServer  *callerServer
 	peerServer    *server
@@ -91,7 +93,7 @@
 		settings: s, dialect: d, logs: logs,
 		log:    logs.Logger(slog.LevelInfo).With("instance", s.Name),
 		client: forward.NewClient(d), breakers: breaker.NewSet(),
-		retryBudgets: map[string]*retry.Window{}, plain: newPlainPicker(), deadlines: newDeadlineHistory(), events: timeline.NewLog(s.Name, eventCapacity, time.Now), configured: make(chan struct{}), shutdown: newShutdown(),
+		retryBudgets: map[string]*retry.Window{}, plain: newPlainPicker(), deadlines: newDeadlineHistory(), limits: ratelimit.NewTable(), events: timeline.NewLog(s.Name, eventCapacity, time.Now), configured: make(chan struct{}), shutdown: newShutdown(),
 	}
 	g.callerServer = newCallerServer(http.HandlerFunc(g.serveCaller))
 	g.callerServer.setLimits(route.HeaderLimits{})
@@ -102,7 +104,7 @@
 	g.mesh = mesh.New(mesh.Options{
 		Name: s.Name, Address: s.Listen.Peers, FailureDomain: s.FailureDomain, Seeds: s.Seeds,
 		DataFolder: s.DataFolder, FirstStart: s.FirstStart, Log: g.log, Events: g.events,
-		IsReady: g.isReady, OnDocument: g.apply, OnEndpointsChanged: g.refreshEndpoints, OnEndpointRunEnded: g.breakers.Remove, OnEntryDown: g.placer.dropEntry,
+		IsReady: g.isReady, OnDocument: g.apply, OnEndpointsChanged: g.refreshEndpoints, OnEndpointRunEnded: g.endpointRunEnded, OnEntryDown: g.placer.dropEntry,
 	})
 	g.placer.registerHandlers(g.mesh)
 	g.placer.onRedirect = g.mesh.SetLeaderHint
@@ -124,6 +126,12 @@
 	go g.refreshEndpoints()
 }
 
+// endpointRunEnded drops what was learned of an endpoint that left or started again.
+func (g *Gateway) endpointRunEnded(id string) {
+	g.breakers.Remove(id)
+	g.limits.Forget(id)
+}
+
 // refreshEndpoints updates the placer with the endpoints that accept requests.
 func (g *Gateway) refreshEndpoints() { g.placer.setEndpoints(g.mesh.ReadyEndpoints, time.Now()) }
 
@@ -253,6 +261,7 @@
 		if ticks%int(reconcileInterval/placementInterval) == 0 {
 			go p.g.placer.resyncJobs(ctx)
 			p.g.client.CloseIdleConnections(p.g.mesh.ReadyAddresses())
+			p.g.limits.Expire(time.Now())
 		}
 		p.g.placer.tick(time.Now())
 	}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -94,6 +94,7 @@
 		return schedule.Load{}, err
 	}
 	defer reply.Close()
+	p.g.observeLimit(h.ID, answeredProbe, reply)
 	body, err := reply.ReadAll()
 	if err != nil {
 		return schedule.Load{}, err
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -75,6 +75,7 @@
 		return r.newError(h, outcome.From(err))
 	}
 	defer reply.Close()
+	r.g.observeLimit(h.ID, answeredReservation, reply)
 	if _, err := reply.ReadAll(); err != nil {
 		return r.newError(h, outcome.From(err))
 	}
--- /dev/null
+++ b/ratelimit/table.go
@@ -0,0 +1,176 @@
+// Package ratelimit keeps the request rates to which endpoints limit all entries
+// together. An endpoint states its limit in its responses, and lifts it with a
+// response that states none.
+//
+// The package does no I/O; callers pass in the time.
+package ratelimit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+// StatementKind tells what a response states about the endpoint's limit.
+type StatementKind uint8
+
+// Kinds of statements.
+const (
+	Unlimited  StatementKind = iota // no limit is in force
+	Limited                         // a limit is in force
+	Unreadable                      // a limit is stated whose value can't be used
+)
+
+// Statement is what a response states about its endpoint's limit.
+type Statement struct {
+	Kind      StatementKind
+	PerSecond float64 // requests a second; set if Kind is Limited
+}
+
+// LimitTo returns the statement of a limit. A limit that is not a finite number of at
+// least 0 is unreadable.
+func LimitTo(perSecond float64) Statement {
+	if !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+		return Statement{Kind: Unreadable}
+	}
+	return Statement{Kind: Limited, PerSecond: perSecond}
+}
+
+// Record is the latest usable statement of an endpoint.
+type Record struct {
+	Endpoint  string
+	Limited   bool
+	PerSecond float64 // requests a second; 0 if not limited
+	// At orders statements of an endpoint. That of a limit is as late as its response,
+	// that of none only as late as the request that was answered: the response may have
+	// been overtaken by one that states a limit.
+	At time.Time
+}
+
+// Retention of records. One that states no limit is kept only to outweigh older
+// statements that other entries pass on.
+const (
+	liftedRetention  = time.Minute
+	limitedRetention = 15 * time.Minute // the endpoint has left without notice
+)
+
+// Table holds the limits of endpoints. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	records map[string]*Record // by endpoint
+	limited int                // records with a limit
+}
+
+// NewTable returns a table without limits.
+func NewTable() *Table { return &Table{records: map[string]*Record{}} }
+
+// Observe applies the statement of a response to a request that was sent at sentAt. It
+// returns the record and whether the limit changed.
+func (t *Table) Observe(endpoint string, s Statement, sentAt, now time.Time) (Record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case s.Kind == Limited:
+		return t.apply(Record{Endpoint: endpoint, Limited: true, PerSecond: s.PerSecond, At: now}, now)
+	case s.Kind == Unlimited && t.records[endpoint] != nil:
+		return t.apply(Record{Endpoint: endpoint, At: sentAt}, now)
+	default:
+		return Record{}, false
+	}
+}
+
+// Merge applies the records of another entry and returns those that changed a limit.
+func (t *Table) Merge(records []Record, now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changed []Record
+	for _, r := range records {
+		if r, ok := t.apply(r, now); ok {
+			changed = append(changed, r)
+		}
+	}
+	return changed
+}
+
+// apply replaces the record of an endpoint by a later one. The caller holds the lock.
+func (t *Table) apply(r Record, now time.Time) (Record, bool) {
+	if r.At.After(now) {
+		r.At = now
+	}
+	previous := t.records[r.Endpoint]
+	if previous == nil {
+		previous = &Record{Endpoint: r.Endpoint}
+		t.records[r.Endpoint] = previous
+	} else if r.At.Before(previous.At) {
+		return *previous, false
+	}
+	changed := r.Limited != previous.Limited || r.PerSecond != previous.PerSecond
+	if r.Limited && !previous.Limited {
+		t.limited++
+	} else if !r.Limited && previous.Limited {
+		t.limited--
+	}
+	*previous = r
+	return r, changed
+}
+
+// Limit returns the limit of an endpoint in requests a second, and false if it has none.
+func (t *Table) Limit(endpoint string) (perSecond float64, limited bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[endpoint]
+	if r == nil || !r.Limited {
+		return 0, false
+	}
+	return r.PerSecond, true
+}
+
+// LimitedCount returns the number of endpoints with a limit.
+func (t *Table) LimitedCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limited
+}
+
+// Records returns all records by endpoint.
+func (t *Table) Records() []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Record, 0, len(t.records))
+	for _, r := range t.records {
+		out = append(out, *r)
+	}
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
+
+// Forget drops the limit of an endpoint that left or started again.
+func (t *Table) Forget(endpoint string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remove(endpoint)
+}
+
+// Expire drops the records that are past their retention.
+func (t *Table) Expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for endpoint, r := range t.records {
+		retention := liftedRetention
+		if r.Limited {
+			retention = limitedRetention
+		}
+		if now.Sub(r.At) > retention {
+			t.remove(endpoint)
+		}
+	}
+}
+
+func (t *Table) remove(endpoint string) {
+	if r := t.records[endpoint]; r != nil && r.Limited {
+		t.limited--
+	}
+	delete(t.records, endpoint)
+}
