gateway, schedule: entries together keep to the rate limits that endpoints state

Callers saw nothing; an endpoint in need got several times the requests that it takes. Cause: no entry read the limit. The coordinator placed requests by load and memory, and entries chose endpoints of plain services, as if there were none. Class: a statement of a peer is passed on and nobody acts on it. Change: one entry, the coordinator, allots each endpoint's rate. Engines take a placement, and don't help, only within it; entries ask it for requests to plain endpoints. Entries tell it of limits at once and learn all of them each second. Without a coordinator an entry has an equal share of half the rate if that is a request a second or more, else none; before it has known one it has none. Load probes skip engines below 10 a second; renewals and releases of memory are sent and charged. What an endpoint can't take goes to others or is refused at once, with the time at which it takes more. A limit is lifted by a response without one to a request sent after the last that stated it; 0 still allots a request in 4 s, as only a response can lift it. Why it works: all entries draw on one allotment, which starts empty at each takeover.

--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -14,6 +14,7 @@
 	procedurePlace  = "/jacinthplank.mesh.v1.CoordinatorService/Place"
 	procedureReport = "/jacinthplank.mesh.v1.CoordinatorService/Report"
 	procedureAdopt  = "/jacinthplank.mesh.v1.CoordinatorService/Adopt"
+	procedurePermit = "/jacinthplank.mesh.v1.CoordinatorService/Permit"
 )
 
 // jobReport is a progress report on a job: its first event or its end.
@@ -34,12 +35,22 @@
 }
 
 type reportRequest struct {
-	Reports []jobReport `json:"reports"`
+	Reports []jobReport    `json:"reports,omitempty"`
+	Limits  []limitReport  `json:"limits,omitempty"`  // statements that changed a limit
+	Charges map[string]int `json:"charges,omitempty"` // calls sent without a permit, by endpoint
 }
 
+func (r *reportRequest) isEmpty() bool { return len(r.Reports)+len(r.Limits)+len(r.Charges) == 0 }
+
 type adoptRequest struct {
 	Owner   string               `json:"owner"`
 	Running []schedule.PlacedJob `json:"running"`
+	Limits  []limitReport        `json:"limits,omitempty"`
+}
+
+type adoptResponse struct {
+	NotCoordinator bool          `json:"not_coordinator,omitempty"`
+	Limits         []limitReport `json:"limits,omitempty"`
 }
 
 type coordinatorResponse struct {
@@ -49,8 +60,9 @@
 // coordinatorClient calls a coordinator.
 type coordinatorClient interface {
 	place(ctx context.Context, address string, j schedule.Job) (schedule.Decision, error)
-	adopt(ctx context.Context, address, owner string, running []schedule.PlacedJob) error
-	report(ctx context.Context, address string, reports []jobReport) error
+	adopt(ctx context.Context, address string, r *adoptRequest) (*adoptResponse, error)
+	report(ctx context.Context, address string, r *reportRequest) error
+	permit(ctx context.Context, address string, r *permitRequest) (*permitResponse, error)
 }
 
 // meshCoordinatorClient implements coordinatorClient over the mesh.
@@ -67,15 +79,37 @@
 	return response.Decision, nil
 }
 
-func (c meshCoordinatorClient) adopt(ctx context.Context, address, owner string, running []schedule.PlacedJob) error {
-	request := &adoptRequest{Owner: owner, Running: running}
-	response, err := mesh.Call[adoptRequest, coordinatorResponse](ctx, c.mesh(), address, procedureAdopt, request)
-	return coordinatorError(response, err)
+func (c meshCoordinatorClient) adopt(ctx context.Context, address string, r *adoptRequest) (*adoptResponse, error) {
+	response, err := mesh.Call[adoptRequest, adoptResponse](ctx, c.mesh(), address, procedureAdopt, r)
+	if err != nil {
+		return nil, err
+	}
+	if response.NotCoordinator {
+		return nil, errNotCoordinator
+	}
+	return response, nil
+}
+
+func (c meshCoordinatorClient) report(ctx context.Context, address string, r *reportRequest) error {
+	response, err := mesh.Call[reportRequest, coordinatorResponse](ctx, c.mesh(), address, procedureReport, r)
+	if err != nil {
+		return err
+	}
+	if response.NotCoordinator {
+		return errNotCoordinator
+	}
+	return nil
 }
 
-func (c meshCoordinatorClient) report(ctx context.Context, address string, reports []jobReport) error {
-	response, err := mesh.Call[reportRequest, coordinatorResponse](ctx, c.mesh(), address, procedureReport, &reportRequest{Reports: reports})
-	return coordinatorError(response, err)
+func (c meshCoordinatorClient) permit(ctx context.Context, address string, r *permitRequest) (*permitResponse, error) {
+	response, err := mesh.Call[permitRequest, permitResponse](ctx, c.mesh(), address, procedurePermit, r)
+	if err != nil {
+		return nil, err
+	}
+	if response.NotCoordinator {
+		return nil, errNotCoordinator
+	}
+	return response, nil
 }
 
 // redirectError names the current coordinator. leader is empty if it is unknown.
@@ -86,16 +120,6 @@
 	return errNotCoordinator.Error() + "; the coordinator is " + e.leader
 }
 
-func coordinatorError(response *coordinatorResponse, err error) error {
-	if err != nil {
-		return err
-	}
-	if response.NotCoordinator {
-		return errNotCoordinator
-	}
-	return nil
-}
-
 // registerHandlers registers the RPC handlers for calls from other entries.
 func (p *placer) registerHandlers(m *mesh.Mesh) {
 	isCoordinator := m.IsLeader
@@ -115,6 +139,12 @@
 		return &placeResponse{Decision: d}, nil
 	})
 	mesh.Handle(m, procedureReport, func(_ context.Context, q *reportRequest) (*coordinatorResponse, error) {
+		p.limits.Merge(limitRecords(q.Limits, time.Now()), time.Now())
+		for endpoint, calls := range q.Charges {
+			for range calls {
+				p.limits.Charge(endpoint, time.Now())
+			}
+		}
 		for _, r := range q.Reports {
 			if r.Started {
 				p.markStarted(r.Job)
@@ -125,12 +155,20 @@
 		}
 		return &coordinatorResponse{NotCoordinator: !isCoordinator()}, nil
 	})
-	mesh.Handle(m, procedureAdopt, func(_ context.Context, q *adoptRequest) (*coordinatorResponse, error) {
+	mesh.Handle(m, procedureAdopt, func(_ context.Context, q *adoptRequest) (*adoptResponse, error) {
 		if !isCoordinator() {
-			return &coordinatorResponse{NotCoordinator: true}, nil
+			return &adoptResponse{NotCoordinator: true}, nil
 		}
+		p.limits.Merge(limitRecords(q.Limits, time.Now()), time.Now())
 		p.reconcile(q.Owner, q.Running)
-		return &coordinatorResponse{}, nil
+		return &adoptResponse{Limits: p.limitReports()}, nil
+	})
+	mesh.Handle(m, procedurePermit, func(_ context.Context, q *permitRequest) (*permitResponse, error) {
+		if !isCoordinator() {
+			return &permitResponse{NotCoordinator: true}, nil
+		}
+		p.setCoordinator("", true) // as for a placement
+		return p.grant(q), nil
 	})
 }
 
@@ -181,12 +219,17 @@
 // queueReport queues a report for the coordinator. Reports within reportDelay are
 // sent in one batch.
 func (p *placer) queueReport(r jobReport) {
+	p.queue(func(pending *reportRequest) { pending.Reports = append(pending.Reports, r) })
+}
+
+// queue adds to the pending report.
+func (p *placer) queue(add func(pending *reportRequest)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.coordinator == "" || !p.adopted {
-		return // a new coordinator receives the full job list on adoption
+		return // a new coordinator receives the full lists on adoption
 	}
-	p.pendingReports = append(p.pendingReports, r)
+	add(&p.pendingReport)
 	if !p.reporting {
 		p.reporting = true
 		time.AfterFunc(reportDelay, p.sendReports)
@@ -198,16 +241,16 @@
 func (p *placer) sendReports() {
 	for {
 		p.mu.Lock()
-		address, reports := p.coordinator, p.pendingReports
-		p.pendingReports = nil
-		if len(reports) == 0 || address == "" {
+		address, report := p.coordinator, p.pendingReport
+		p.pendingReport = reportRequest{}
+		if report.isEmpty() || address == "" {
 			p.reporting = false
 			p.mu.Unlock()
 			return
 		}
 		p.mu.Unlock()
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
-		err := p.client.report(ctx, address, reports)
+		err := p.client.report(ctx, address, &report)
 		cancel()
 		if err != nil {
 			p.mu.Lock()
--- a/gateway/coordinator_watch.go
+++ b/gateway/coordinator_watch.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		pingCtx, cancel := context.WithTimeout(context.Background(), pingTimeout)
-		err := p.client.report(pingCtx, address, nil)
+		err := p.client.report(pingCtx, address, &reportRequest{})
 		cancel()
 		p.endPing(address, err)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,7 +80,7 @@
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.Window // by service
-	peakEntries  int                      // maximum number of entries seen; divides Retries.Slack
+	peakEntries  int                      // maximum number of entries seen
 }
 
 // eventCapacity is the number of events kept for operators. At 24 requests per second
@@ -97,7 +97,7 @@
 	}
 	g.callerServer = newCallerServer(http.HandlerFunc(g.serveCaller))
 	g.callerServer.setLimits(route.HeaderLimits{})
-	g.placer = newPlacer(s.Name, g.breakers, meshCoordinatorClient{func() *mesh.Mesh { return g.mesh }}, g.log)
+	g.placer = newPlacer(s.Name, g.breakers, g.limits, meshCoordinatorClient{func() *mesh.Mesh { return g.mesh }}, g.log)
 	g.breakers.OnChange = func(endpoint string, state breaker.State, reason string) {
 		g.log.Warn("breaker", "step", "gateway.breaker", "endpoint", endpoint, "state", state.String(), "reason", reason)
 	}
@@ -253,6 +253,10 @@
 		}
 		leader, isSelf := p.g.mesh.Leader()
 		p.g.placer.setCoordinator(leader, isSelf)
+		if leader != "" || isSelf {
+			// Before an entry has found a coordinator it doesn't know how many others there are.
+			p.g.limits.SetEntries(p.g.maxEntries())
+		}
 		peers := p.g.mesh.EntryCount() - 1
 		if isSelf {
 			peers = 0
@@ -291,11 +295,17 @@
 // one was left.
 func (g *Gateway) takeRetry(service string) bool {
 	w := g.retryBudget(service)
+	share := g.settings.Retries.Slack * budgetFraction / float64(g.maxEntries())
+	return w.AllowRepeat(time.Now(), share)
+}
+
+// maxEntries returns the maximum number of entries seen. A limit that is divided by it
+// holds while some of them can't be reached.
+func (g *Gateway) maxEntries() int {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.peakEntries = max(g.peakEntries, g.mesh.EntryCount())
-	share := g.settings.Retries.Slack * budgetFraction / float64(g.peakEntries)
-	g.mu.Unlock()
-	return w.AllowRepeat(time.Now(), share)
+	return g.peakEntries
 }
 
 // readyEndpoints returns the endpoints of a service that accept requests.
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -120,13 +120,7 @@
 	if service != nil && service.Engine != nil {
 		return f.chooseEngine()
 	}
-	h, found := f.g.plain.pick(f.g.readyEndpoints(f.service), f.excluded, f.g.settings.FailureDomain, f.g.breakers, time.Now())
-	if !found {
-		e := outcome.Refuse(outcome.CodeNoEndpoint, "gateway.choose", "no endpoint of the service accepts requests")
-		e.RetryAfter = minRetryAfter
-		return h, e
-	}
-	return h, nil
+	return f.choosePlain()
 }
 
 func (f *inflightRequest) chooseEngine() (announce.Record, *outcome.Error) {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -11,6 +11,7 @@
 
 	"github.com/jacinthplank/jacinthplank/announce"
 	"github.com/jacinthplank/jacinthplank/breaker"
+	"github.com/jacinthplank/jacinthplank/ratelimit"
 	"github.com/jacinthplank/jacinthplank/route"
 	"github.com/jacinthplank/jacinthplank/schedule"
 )
@@ -45,6 +46,7 @@
 type placer struct {
 	self       string
 	breakers   *breaker.Set
+	limits     *ratelimit.Table
 	client     coordinatorClient
 	log        *slog.Logger
 	onRedirect func(address string) // called when an entry names another coordinator; may be nil
@@ -60,13 +62,13 @@
 	pinging            bool
 	backoffUntil       time.Time     // no calls to the coordinator before this time
 	coordinatorChanged chan struct{} // closed when calls to the coordinator are abandoned
-	pendingReports     []jobReport
+	pendingReport      reportRequest
 	reporting          bool
 }
 
-func newPlacer(self string, b *breaker.Set, client coordinatorClient, log *slog.Logger) *placer {
+func newPlacer(self string, b *breaker.Set, limits *ratelimit.Table, client coordinatorClient, log *slog.Logger) *placer {
 	return &placer{
-		self: self, breakers: b, client: client, log: log, schedulers: map[string]*schedule.Scheduler{},
+		self: self, breakers: b, limits: limits, client: client, log: log, schedulers: map[string]*schedule.Scheduler{},
 		waiters: map[string]chan schedule.Decision{}, serviceByJob: map[string]string{}, coordinatorChanged: make(chan struct{}),
 	}
 }
@@ -83,7 +85,7 @@
 		if known := p.schedulers[s.Name]; known != nil {
 			known.SetProfile(*s.Engine)
 		} else {
-			p.schedulers[s.Name] = schedule.New(p.self, *s.Engine)
+			p.schedulers[s.Name] = schedule.New(p.self, *s.Engine, p.limits)
 		}
 	}
 }
@@ -120,6 +122,7 @@
 		}
 	}
 	p.isCoordinator = isSelf
+	p.limits.SetAllotsAll(isSelf, time.Now())
 	if address == p.coordinator {
 		return
 	}
@@ -280,10 +283,10 @@
 		p.mu.Unlock()
 		return nil
 	}
-	p.pendingReports = nil
+	p.pendingReport = reportRequest{}
 	p.adopted = true
 	p.mu.Unlock()
-	err := p.client.adopt(ctx, address, p.self, p.runningJobs())
+	err := p.sendLists(ctx, address)
 	if err != nil {
 		p.mu.Lock()
 		p.adopted = false
@@ -430,11 +433,22 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	if err := p.client.adopt(ctx, address, p.self, p.runningJobs()); err != nil {
+	if err := p.sendLists(ctx, address); err != nil {
 		p.markCoordinatorFailed(address, err)
 	}
 }
 
+// sendLists sends the running jobs and the rate limits known here to the coordinator, and
+// takes over the limits that it knows.
+func (p *placer) sendLists(ctx context.Context, address string) error {
+	response, err := p.client.adopt(ctx, address, &adoptRequest{Owner: p.self, Running: p.runningJobs(), Limits: p.limitReports()})
+	if err != nil {
+		return err
+	}
+	p.limits.Merge(limitRecords(response.Limits, time.Now()), time.Now())
+	return nil
+}
+
 // runningJobs returns the running jobs of this entry.
 func (p *placer) runningJobs() []schedule.PlacedJob {
 	p.mu.Lock()
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/jacinthplank/jacinthplank/announce"
 	"github.com/jacinthplank/jacinthplank/breaker"
+	"github.com/jacinthplank/jacinthplank/ratelimit"
 	"github.com/jacinthplank/jacinthplank/route"
 	"github.com/jacinthplank/jacinthplank/schedule"
 )
@@ -29,6 +30,13 @@
 	placeCalls   int
 	adopted      [][]schedule.PlacedJob
 	reports      []jobReport
+
+	limits         []limitReport // known to the coordinator
+	reportedLimits []limitReport
+	charges        map[string]int
+	permitCalls    int
+	granted        int // requests granted for each permit
+	permitWait     time.Duration
 }
 
 func (f *fakeCoordinator) place(ctx context.Context, address string, j schedule.Job) (schedule.Decision, error) {
@@ -51,17 +59,27 @@
 	return schedule.Decision{Job: j.ID, Endpoint: "e-far", Address: "9:9"}, nil
 }
 
-func (f *fakeCoordinator) adopt(_ context.Context, _, _ string, running []schedule.PlacedJob) error {
+func (f *fakeCoordinator) adopt(_ context.Context, _ string, r *adoptRequest) (*adoptResponse, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failing {
-		return errors.New("gone")
+		return nil, errors.New("gone")
 	}
-	f.adopted = append(f.adopted, running)
-	return nil
+	f.adopted = append(f.adopted, r.Running)
+	return &adoptResponse{Limits: f.limits}, nil
 }
 
-func (f *fakeCoordinator) report(ctx context.Context, _ string, reports []jobReport) error {
+func (f *fakeCoordinator) permit(context.Context, string, *permitRequest) (*permitResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.permitCalls++
+	if f.failing {
+		return nil, errors.New("gone")
+	}
+	return &permitResponse{Granted: f.granted, Wait: f.permitWait}, nil
+}
+
+func (f *fakeCoordinator) report(ctx context.Context, _ string, r *reportRequest) error {
 	f.mu.Lock()
 	frozen := f.frozen
 	f.mu.Unlock()
@@ -71,7 +89,11 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reports = append(f.reports, reports...)
+	f.reports = append(f.reports, r.Reports...)
+	f.reportedLimits = append(f.reportedLimits, r.Limits...)
+	for endpoint, calls := range r.Charges {
+		f.charges[endpoint] += calls
+	}
 	return nil
 }
 
@@ -94,7 +116,7 @@
 }
 
 func newTestPlacer(f *fakeCoordinator) *placer {
-	p := newPlacer("me", breaker.NewSet(), f, slog.New(slog.DiscardHandler))
+	p := newPlacer("me", breaker.NewSet(), ratelimit.NewTable(), f, slog.New(slog.DiscardHandler))
 	p.configure(&route.Table{Services: []route.Service{{Name: "s", Engine: &schedule.EngineProfile{
 		Slots: 4, MemoryTokens: 100_000, StepsPerPass: 10, Step: time.Millisecond, PrefillPerSecond: 100_000, ChunkTokens: 1000,
 	}}}})
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -8,6 +8,8 @@
 
 	"github.com/jacinthplank/jacinthplank/announce"
 	"github.com/jacinthplank/jacinthplank/breaker"
+	"github.com/jacinthplank/jacinthplank/outcome"
+	"github.com/jacinthplank/jacinthplank/ratelimit"
 )
 
 // plainPicker selects endpoints of plain services by the fewest requests in progress
@@ -66,3 +68,33 @@
 		delete(p.inProgress, id)
 	}
 }
+
+// choosePlain selects an endpoint of a plain service that takes another request.
+func (f *inflightRequest) choosePlain() (announce.Record, *outcome.Error) {
+	const step = "gateway.choose"
+	skip, shortestWait := f.excluded, ratelimit.Never
+	for {
+		h, found := f.g.plain.pick(f.g.readyEndpoints(f.service), skip, f.g.settings.FailureDomain, f.g.breakers, time.Now())
+		switch {
+		case !found && len(skip) > len(f.excluded):
+			e := outcome.Refuse(outcome.CodeOverloaded, step, "every endpoint is at the request rate that it takes")
+			e.RetryAfter = min(max(shortestWait, minRetryAfter), f.remaining()/maxRetryAfterDivisor)
+			return h, e
+		case !found:
+			e := outcome.Refuse(outcome.CodeNoEndpoint, step, "no endpoint of the service accepts requests")
+			e.RetryAfter = minRetryAfter
+			return h, e
+		}
+		ok, wait := f.g.placer.takePermit(f.ctx, h.ID)
+		if ok {
+			return h, nil
+		}
+		f.g.plain.release(h.ID)
+		skip = append(slices.Clip(skip), h.ID)
+		shortestWait = min(shortestWait, wait)
+	}
+}
+
+// maxRetryAfterDivisor is the part of a caller's remaining time after which it returns at
+// the latest.
+const maxRetryAfterDivisor = 3
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -68,9 +68,16 @@
 	}
 }
 
+// minProbedRate is the rate limit, in requests a second, from which an engine is probed.
+// Below it, probes would take too many of its requests.
+const minProbedRate = 10
+
 // probeAll probes every engine of a service at random times within spread.
 func (p *probeDuty) probeAll(ctx context.Context, service string, spread time.Duration) {
 	for _, h := range p.g.readyEndpoints(service) {
+		if perSecond, limited := p.g.limits.Limit(h.ID); limited && perSecond < minProbedRate {
+			continue
+		}
 		time.AfterFunc(rand.N(spread), func() { p.probe(ctx, service, h) })
 	}
 }
@@ -79,6 +86,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	probesTotal.Inc()
+	p.g.placer.chargeCall(h.ID)
 	load, err := p.fetchLoad(ctx, h)
 	if err != nil {
 		probesFailedTotal.Inc()
--- a/gateway/ratelimits.go
+++ b/gateway/ratelimits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -12,6 +13,8 @@
 
 var (
 	limitsStatedTotal     = metrics.NewCounter("jacinthplank_gateway_rate_limits_stated_total")
+	permitsDeniedTotal    = metrics.NewCounter("jacinthplank_gateway_permits_denied_total")
+	permitsFailedTotal    = metrics.NewCounter("jacinthplank_gateway_permits_failed_total")
 	limitsUnreadableTotal = metrics.NewCounter("jacinthplank_gateway_rate_limits_unreadable_total")
 )
 
@@ -44,6 +47,7 @@
 		}
 	}
 	if r, changed := g.limits.Observe(endpoint, statement, reply.SentAt, time.Now()); changed {
+		g.placer.reportLimit(r)
 		g.logLimit("endpoint rate limit", r, call)
 	}
 }
@@ -57,3 +61,124 @@
 	g.log.Info(message, "step", "gateway.limit", "endpoint", r.Endpoint, "limited", r.Limited, "per_second", r.PerSecond,
 		"call", string(call), "limited_endpoints", g.limits.LimitedCount())
 }
+
+// limitReport is the rate limit that an endpoint stated, as entries tell each other.
+type limitReport struct {
+	Endpoint  string        `json:"endpoint"`
+	Limited   bool          `json:"limited"`
+	PerSecond float64       `json:"per_second"`
+	Age       time.Duration `json:"age"` // of the statement
+}
+
+func newLimitReport(r ratelimit.Record, now time.Time) limitReport {
+	return limitReport{Endpoint: r.Endpoint, Limited: r.Limited, PerSecond: r.PerSecond, Age: now.Sub(r.At)}
+}
+
+// limitRecords decodes the limits that another entry told at now.
+func limitRecords(reports []limitReport, now time.Time) []ratelimit.Record {
+	out := make([]ratelimit.Record, 0, len(reports))
+	for _, r := range reports {
+		out = append(out, ratelimit.Record{Endpoint: r.Endpoint, Limited: r.Limited, PerSecond: r.PerSecond, At: now.Add(-r.Age)})
+	}
+	return out
+}
+
+// limitReports returns all limits known to this entry.
+func (p *placer) limitReports() []limitReport {
+	now := time.Now()
+	var out []limitReport
+	for _, r := range p.limits.Records() {
+		out = append(out, newLimitReport(r, now))
+	}
+	return out
+}
+
+// reportLimit tells the coordinator of a limit that was stated, changed or lifted.
+func (p *placer) reportLimit(r ratelimit.Record) {
+	p.queue(func(pending *reportRequest) { pending.Limits = append(pending.Limits, newLimitReport(r, time.Now())) })
+}
+
+// chargeCall counts a call that is sent without a permit, as holding it back would cost a
+// request in progress its memory or leave memory reserved.
+func (p *placer) chargeCall(endpoint string) {
+	if _, limited := p.limits.Limit(endpoint); !limited {
+		return
+	}
+	p.limits.Charge(endpoint, time.Now())
+	p.queue(func(pending *reportRequest) {
+		if pending.Charges == nil {
+			pending.Charges = map[string]int{}
+		}
+		pending.Charges[endpoint]++
+	})
+}
+
+// permitRequest asks the coordinator for requests to an endpoint with a rate limit.
+type permitRequest struct {
+	Limit limitReport `json:"limit"`
+}
+
+type permitResponse struct {
+	NotCoordinator bool          `json:"not_coordinator,omitempty"`
+	Granted        int           `json:"granted"`
+	Wait           time.Duration `json:"wait"` // until there is a request to grant, if there is none
+}
+
+// permitTimeout is the maximum time that a request waits for the coordinator's permit
+// before the entry decides by itself.
+const permitTimeout = 200 * time.Millisecond
+
+// grant answers a request for permits, as the coordinator.
+func (p *placer) grant(q *permitRequest) *permitResponse {
+	now := time.Now()
+	p.limits.Merge(limitRecords([]limitReport{q.Limit}, now), now)
+	granted, wait := p.limits.Grant(q.Limit.Endpoint, now)
+	return &permitResponse{Granted: granted, Wait: wait}
+}
+
+// takePermit reports whether a request may be sent to an endpoint of a plain service
+// within its rate limit. If not, it returns the time until the next one may be sent.
+func (p *placer) takePermit(ctx context.Context, endpoint string) (ok bool, wait time.Duration) {
+	record, limited := p.limits.Record(endpoint)
+	if !limited {
+		return true, 0
+	}
+	now := time.Now()
+	p.mu.Lock()
+	address := p.coordinator
+	if now.Before(p.backoffUntil) {
+		address = ""
+	}
+	p.mu.Unlock()
+	if address == "" {
+		return p.takeOwnPermit(endpoint, now)
+	}
+	if ok, wait := p.limits.TakeGranted(endpoint, now); ok || wait > 0 {
+		return ok, wait
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	response, err := p.client.permit(ctx, address, &permitRequest{newLimitReport(record, now)})
+	now = time.Now()
+	if err != nil {
+		permitsFailedTotal.Inc()
+		p.log.Debug("no permit from the coordinator", "step", "gateway.permit", "endpoint", endpoint, "error", err.Error())
+		return p.takeOwnPermit(endpoint, now)
+	}
+	if response.Granted < 1 {
+		p.limits.Deny(endpoint, response.Wait, now)
+		permitsDeniedTotal.Inc()
+		return false, response.Wait
+	}
+	p.limits.Receive(endpoint, response.Granted-1, now)
+	return true, 0
+}
+
+// takeOwnPermit takes a request out of what this entry allots, or of its share.
+func (p *placer) takeOwnPermit(endpoint string, now time.Time) (ok bool, wait time.Duration) {
+	if p.limits.Take(endpoint, now) {
+		return true, 0
+	}
+	permitsDeniedTotal.Inc()
+	return false, p.limits.Wait(endpoint, now)
+}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -70,6 +70,7 @@
 func (r *reservation) send(ctx context.Context, h schedule.Helper, call *forward.Call) *outcome.Error {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
+	r.g.placer.chargeCall(h.ID)
 	reply, err := r.g.client.Send(ctx, forward.Target{ID: h.ID, Address: h.Address}, call)
 	if err != nil {
 		return r.newError(h, outcome.From(err))
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -58,13 +58,21 @@
 
 // Table holds the limits of endpoints. It is safe for concurrent use.
 type Table struct {
-	mu      sync.Mutex
-	records map[string]*Record // by endpoint
-	limited int                // records with a limit
+	mu        sync.Mutex
+	records   map[string]*record // by endpoint
+	limited   int                // records with a limit
+	allotsAll bool               // this entry allots the whole rates
+	entries   int                // entries among which rates are shared otherwise; 0 if unknown
+}
+
+// record is the statement of an endpoint and what this entry may send it.
+type record struct {
+	Record
+	allotment allotment
 }
 
 // NewTable returns a table without limits.
-func NewTable() *Table { return &Table{records: map[string]*Record{}} }
+func NewTable() *Table { return &Table{records: map[string]*record{}} }
 
 // Observe applies the statement of a response to a request that was sent at sentAt. It
 // returns the record and whether the limit changed.
@@ -101,18 +109,19 @@
 	}
 	previous := t.records[r.Endpoint]
 	if previous == nil {
-		previous = &Record{Endpoint: r.Endpoint}
+		previous = &record{Record: Record{Endpoint: r.Endpoint}}
 		t.records[r.Endpoint] = previous
 	} else if r.At.Before(previous.At) {
-		return *previous, false
+		return previous.Record, false
 	}
 	changed := r.Limited != previous.Limited || r.PerSecond != previous.PerSecond
 	if r.Limited && !previous.Limited {
 		t.limited++
+		previous.allotment = allotment{at: now} // its rate has been exceeded up to now
 	} else if !r.Limited && previous.Limited {
 		t.limited--
 	}
-	*previous = r
+	previous.Record = r
 	return r, changed
 }
 
@@ -120,13 +129,33 @@
 func (t *Table) Limit(endpoint string) (perSecond float64, limited bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[endpoint]
-	if r == nil || !r.Limited {
+	r := t.limitedRecord(endpoint)
+	if r == nil {
 		return 0, false
 	}
 	return r.PerSecond, true
 }
 
+// limitedRecord returns the record of an endpoint with a limit, or nil. The caller holds
+// the lock.
+func (t *Table) limitedRecord(endpoint string) *record {
+	if r := t.records[endpoint]; r != nil && r.Limited {
+		return r
+	}
+	return nil
+}
+
+// Record returns the record of an endpoint, and whether it states a limit.
+func (t *Table) Record(endpoint string) (_ Record, limited bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.limitedRecord(endpoint)
+	if r == nil {
+		return Record{}, false
+	}
+	return r.Record, true
+}
+
 // LimitedCount returns the number of endpoints with a limit.
 func (t *Table) LimitedCount() int {
 	t.mu.Lock()
@@ -140,7 +169,7 @@
 	defer t.mu.Unlock()
 	out := make([]Record, 0, len(t.records))
 	for _, r := range t.records {
-		out = append(out, *r)
+		out = append(out, r.Record)
 	}
 	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	return out
--- a/schedule/fleet_test.go
+++ b/schedule/fleet_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/jacinthplank/jacinthplank/ratelimit"
 	"github.com/jacinthplank/jacinthplank/schedule"
 )
 
@@ -561,7 +562,7 @@
 }
 
 func newScheduler(l workload) *schedule.Scheduler {
-	s := schedule.New("entry", modelProfile)
+	s := schedule.New("entry", modelProfile, ratelimit.NewTable())
 	var endpoints []schedule.Endpoint
 	for i := range l.engines {
 		endpoints = append(endpoints, schedule.Endpoint{ID: engineName(i), Address: engineName(i)})
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/jacinthplank/jacinthplank/ratelimit"
 	"github.com/jacinthplank/jacinthplank/schedule"
 )
 
@@ -236,7 +237,7 @@
 	}
 	var chosen []string
 	for range 2 {
-		s := schedule.New("entry", modelProfile)
+		s := schedule.New("entry", modelProfile, ratelimit.NewTable())
 		s.SetEndpoints(all, func(string) bool { return false })
 		chosen = append(chosen, s.Submit(job, simStart)[0].Endpoint)
 		slices.SortFunc(all, func(a, b schedule.Endpoint) int { return cmp.Compare(b.ID, a.ID) })
@@ -318,7 +319,7 @@
 	g := NewWithT(t)
 	f := modelProfile
 	f.MemoryTokens = 8_000
-	s := schedule.New("entry", f)
+	s := schedule.New("entry", f, ratelimit.NewTable())
 	s.SetEndpoints([]schedule.Endpoint{{ID: "a"}, {ID: "b"}, {ID: "c"}}, func(string) bool { return false })
 	d := s.Submit(schedule.Job{ID: "j", Prompt: 12_000, Answer: 100, Goal: time.Second, PauseGoal: time.Second, Remaining: 10 * time.Second}, simStart)
 	g.Expect(d).To(HaveLen(1))
@@ -336,7 +337,7 @@
 	g := NewWithT(t)
 	placed := map[string]int{}
 	for entry := range 13 {
-		s := schedule.New(fmt.Sprint("entry-", entry), modelProfile)
+		s := schedule.New(fmt.Sprint("entry-", entry), modelProfile, ratelimit.NewTable())
 		s.SetPeers(12)
 		var all []schedule.Endpoint
 		for i := range 45 {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -49,6 +49,7 @@
 // evaluation summarizes the inputs and result of a decision.
 type evaluation struct {
 	available   int     // engines with a free slot and memory
+	atLimit     int     // engines that take no request now because of their rate limit
 	utilization float64 // utilization of the engines, from 0 to 1
 	score       float64 // score of the best placement
 }
@@ -60,11 +61,14 @@
 // place assigns a job to the endpoint with the best score, if any has capacity.
 func (s *Scheduler) place(j *Job, now time.Time) (Decision, evaluation, bool) {
 	best, available := s.bestCandidate(j, now)
-	e := evaluation{available: available, utilization: s.utilization, score: best.score}
+	e := evaluation{available: available, atLimit: s.enginesAtLimit, utilization: s.utilization, score: best.score}
 	if available == 0 || (best.score < 0 && len(s.jobs) > 0) {
 		return Decision{}, e, false
 	}
 	primary := best.primary.engine
+	if !s.limits.Take(primary.ID, now) {
+		return Decision{}, e, false
+	}
 	r := &runningJob{job: j, endpoint: primary.ID, prefillTime: best.prefillTime, placedAt: now, expected: best.expected}
 	d := Decision{
 		Job: j.ID, Endpoint: primary.ID, Address: primary.Address, Expected: best.expected, Endpoints: len(s.order), QueueLength: len(s.queue),
@@ -125,7 +129,7 @@
 // hasCapacity reports whether an engine can start a job without evicting another. A
 // prompt larger than the memory of one engine may be held by helpers in part.
 func (s *Scheduler) hasCapacity(v *engineView, j *Job) bool {
-	if v.usedSlots >= s.profile.Slots {
+	if v.atLimit || v.usedSlots >= s.profile.Slots {
 		return false
 	}
 	if j.yields && len(v.engine.prefillQueue) > 0 {
@@ -163,13 +167,14 @@
 const typicalParts = 8
 
 // rankHelpers returns the engines that could share the prefill, in ascending order of
-// the delay that they cause to other jobs.
+// the delay that they cause to other jobs. Engines with a rate limit are none: helping
+// takes several calls.
 func (s *Scheduler) rankHelpers(j *Job, views []engineView) []*engineView {
 	prefillTime := s.profile.PrefillTime(j.Prompt, typicalParts)
 	out := s.helperScratch[:0]
 	for i := range views {
 		v := &views[i]
-		if v.isPreferred {
+		if v.isPreferred && !v.isLimited {
 			v.typicalDelayCost = v.delayCost(prefillTime)
 			out = append(out, v)
 		}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/jacinthplank/jacinthplank/ratelimit"
 )
 
 // Endpoint is an engine that accepts jobs.
@@ -57,26 +59,28 @@
 
 // Scheduler places the jobs of one service. It is not safe for concurrent use.
 type Scheduler struct {
-	name          string
-	peers         int // entries that place jobs on the same endpoints independently
-	profile       EngineProfile
-	engines       map[string]*engine
-	order         []*engine // in order of preference among equals
-	jobs          map[string]*runningJob
-	queue         []*queuedJob
-	utilization   float64       // mean over the engines, for the current decision
-	viewScratch   []engineView  // reused between decisions
-	helperScratch []*engineView // reused between decisions
-	planScratch   []helperPlan
-	nextScan      time.Time // earliest time of the next queue scan
-	settledAt     time.Time // until then, long jobs wait for the jobs of other entries
+	name           string
+	peers          int // entries that place jobs on the same endpoints independently
+	profile        EngineProfile
+	limits         *ratelimit.Table // request rates that engines take
+	engines        map[string]*engine
+	order          []*engine // in order of preference among equals
+	jobs           map[string]*runningJob
+	queue          []*queuedJob
+	utilization    float64       // mean over the engines, for the current decision
+	enginesAtLimit int           // engines that take no request now because of their rate limit, for the current decision
+	viewScratch    []engineView  // reused between decisions
+	helperScratch  []*engineView // reused between decisions
+	planScratch    []helperPlan
+	nextScan       time.Time // earliest time of the next queue scan
+	settledAt      time.Time // until then, long jobs wait for the jobs of other entries
 }
 
 // New returns a scheduler without endpoints. While peers place jobs on the same
 // endpoints, schedulers of different names prefer equally good endpoints in different
-// orders.
-func New(name string, f EngineProfile) *Scheduler {
-	return &Scheduler{name: name, profile: f, engines: map[string]*engine{}, jobs: map[string]*runningJob{}}
+// orders. Jobs are placed within the rates that limits allots.
+func New(name string, f EngineProfile, limits *ratelimit.Table) *Scheduler {
+	return &Scheduler{name: name, profile: f, limits: limits, engines: map[string]*engine{}, jobs: map[string]*runningJob{}}
 }
 
 // SetPeers sets the number of entries that place jobs independently of this one. Each
@@ -299,7 +303,8 @@
 
 // maxJobTokens returns the memory available to one job on its engine and helpers.
 func (s *Scheduler) maxJobTokens() int {
-	engines := min(len(s.order), 1+helperCounts[len(helperCounts)-1])
+	helpers := len(s.order) - s.limitedEngines() // engines with a limit don't help
+	engines := min(len(s.order), 1+min(helpers, helperCounts[len(helperCounts)-1]))
 	return s.profile.MemoryTokens + int(maxMemoryShare*float64(s.profile.MemoryTokens*max(engines-1, 0)))
 }
 
@@ -312,8 +317,11 @@
 // evaluation to the decision.
 func (s *Scheduler) refuseEvaluated(j *Job, e evaluation, retryAfter time.Duration) Decision {
 	reason := "no engine has a slot and memory for it"
-	if e.available > 0 {
+	switch {
+	case e.available > 0:
 		reason = "reading it now would make others late that are worth more"
+	case e.atLimit == len(s.order) && e.atLimit > 0:
+		reason = "every engine is at the request rate that it takes"
 	}
 	d := s.refuse(j, reason, retryAfter)
 	e.copyTo(&d)
@@ -390,8 +398,45 @@
 }
 
 // predictWait returns the shortest time until any engine has completed its backlog at
-// the pace that it reports.
+// the pace that it reports, and until their request rates allow a job behind those that
+// are queued.
 func (s *Scheduler) predictWait(now time.Time) time.Duration {
+	return max(s.predictBacklog(now), s.predictRateWait(now))
+}
+
+// predictRateWait returns the time until the engines take another request after those
+// that are queued: 0 if one of them has no limit.
+func (s *Scheduler) predictRateWait(now time.Time) time.Duration {
+	if len(s.order) == 0 || s.limitedEngines() < len(s.order) {
+		return 0
+	}
+	shortest, total := ratelimit.Never, 0.0
+	for _, e := range s.order {
+		perSecond, _ := s.limits.Limit(e.ID)
+		total += perSecond
+		shortest = min(shortest, s.limits.Wait(e.ID, now))
+	}
+	if total <= 0 || shortest == ratelimit.Never {
+		return shortest
+	}
+	return shortest + time.Duration(float64(len(s.queue))/total*float64(time.Second))
+}
+
+// limitedEngines returns the number of engines that state a rate limit.
+func (s *Scheduler) limitedEngines() int {
+	if s.limits.LimitedCount() == 0 {
+		return 0
+	}
+	n := 0
+	for _, e := range s.order {
+		if _, limited := s.limits.Limit(e.ID); limited {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Scheduler) predictBacklog(now time.Time) time.Duration {
 	shortest := time.Duration(-1)
 	for _, e := range s.order {
 		wait := e.prefillBacklog(now) + s.profile.PassTime(len(e.assigned), s.profile.MeanPrompt*len(e.assigned))
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -21,6 +21,8 @@
 	remainingDecode  time.Duration // until the last of its answers ends
 	reportedSlowdown float64
 	isPreferred      bool // neither blocked nor excluded
+	isLimited        bool // states a rate limit
+	atLimit          bool // its rate limit allows no request now
 }
 
 // affectedJob is a job that additional prefill at an engine would delay.
@@ -36,14 +38,27 @@
 		s.viewScratch = make([]engineView, len(s.order))
 	}
 	views := s.viewScratch[:len(s.order)]
-	s.utilization = 0
+	s.utilization, s.enginesAtLimit = 0, 0
+	isAnyLimited := s.limits.LimitedCount() > 0
 	for i, e := range s.order {
 		s.fillView(&views[i], e, j, now)
+		if isAnyLimited {
+			s.applyRateLimit(&views[i], now)
+		}
 		s.utilization += views[i].utilization() / float64(len(s.order))
 	}
 	return views
 }
 
+func (s *Scheduler) applyRateLimit(v *engineView, now time.Time) {
+	if _, v.isLimited = s.limits.Limit(v.engine.ID); !v.isLimited {
+		return
+	}
+	if v.atLimit = !s.limits.IsAvailable(v.engine.ID, now); v.atLimit {
+		s.enginesAtLimit++
+	}
+}
+
 // utilization returns how much of an engine is in use, from 0 to 1: an engine with
 // queued prefills is full, one that only decodes can take more jobs.
 func (v *engineView) utilization() float64 {
