forward, gateway: what an endpoint sends is bounded in heads, bodies and events

Callers saw requests that lasted until their deadline, and an entry its memory filled. Cause: http.ReadResponse reads a status line, headers or informational responses as long as they come; late responses to other requests were skipped whole; bodies were held up to 16 MiB and events up to 1 MiB each, which a hundred at once make more than an entry has. Class: a reader of a peer's bytes whose bound is missing, or holds for one but not for all. Change: 64 KiB for all heads of an exchange, 1 MiB for skipped bodies, 128 KiB an event; a body beyond 64 KiB is relayed as it arrives, up to 16 MiB, and where it breaks off the caller's response does too and isn't retried; 64 KiB for rejections and control calls.

--- a/forward/client.go
+++ b/forward/client.go
@@ -35,7 +35,6 @@
 	idleTimeoutMargin  = 500 * time.Millisecond  // subtracted from the endpoint's idle timeout to cover network latency
 	maxInlineBody      = 16 << 10                // bytes; larger bodies are sent while waiting for the response
 	readBufferBytes    = 4 << 10
-	maxResponseBytes   = 16 << 20 // for responses read with ReadAll
 )
 
 var (
@@ -164,7 +163,8 @@
 		return nil, newError(outcome.CodeTransport, outcome.NotRun, "forward.connect", t, err)
 	}
 	connectionsOpened.Inc()
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), pool: p, endpoint: t.ID}, nil
+	limiter := &headLimiter{Conn: conn}
+	return &connection{Conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), pool: p, endpoint: t.ID}, nil
 }
 
 func newError(code outcome.Code, state outcome.State, step string, t Target, cause error) *outcome.Error {
--- a/forward/events.go
+++ b/forward/events.go
@@ -8,7 +8,7 @@
 )
 
 // maxEventBytes limits the size of an event.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 128 << 10
 
 var errEventTooLong = errors.New("stream event exceeds the maximum size")
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -22,6 +23,7 @@
 	stop     func() bool // stops watching ctx
 	bodySent chan error  // result of the concurrent body write; nil if the body was sent with the headers
 	started  time.Time
+	skipped  int64 // bytes in bodies of responses to other requests
 }
 
 // Reply is a response whose body may not have been received yet.
@@ -46,8 +48,9 @@
 	if err := x.send(); err != nil {
 		return nil, x.wrapError("forward.send", err)
 	}
+	x.conn.limiter.left = maxHeadBytes
 	for {
-		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.call.Method})
+		response, err := x.readHead()
 		if err != nil {
 			return nil, x.wrapError("forward.answer", err)
 		}
@@ -116,6 +119,9 @@
 	if !x.conn.used || r.ContentLength < 0 {
 		return errMismatchedResponse
 	}
+	if x.skipped += r.ContentLength; x.skipped > maxSkippedBytes {
+		return errSkippedTooLong
+	}
 	_, err := io.Copy(io.Discard, r.Body)
 	return err
 }
@@ -169,21 +175,23 @@
 	return n, err
 }
 
-// ReadAll returns the whole body.
-func (r *Reply) ReadAll() ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r, maxResponseBytes))
-	if err == nil && !r.complete {
-		// Either the limit was reached or io.EOF has not been read yet.
-		_, err = r.Read(make([]byte, 1))
-		if errors.Is(err, io.EOF) {
-			return data, nil
-		}
-		err = errors.New("response body exceeds the maximum size")
-	}
+// ReadUpTo returns the whole body, or its start if it has more than limit bytes. The
+// rest is left to Read.
+func (r *Reply) ReadUpTo(limit int64) (data []byte, complete bool, err error) {
+	data, err = io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
-		return data, r.exchange.wrapError("forward.body", err)
+		return data, false, r.exchange.wrapError("forward.body", err)
+	}
+	return data, int64(len(data)) <= limit, nil
+}
+
+// ReadAll returns the whole body. It fails if that has more than limit bytes.
+func (r *Reply) ReadAll(limit int64) ([]byte, error) {
+	data, complete, err := r.ReadUpTo(limit)
+	if err == nil && !complete {
+		err = r.exchange.wrapError("forward.body", fmt.Errorf("response body exceeds %d bytes", limit))
 	}
-	return data, nil
+	return data, err
 }
 
 // Close returns the connection to the pool if the response was read completely
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -17,6 +17,9 @@
 	"github.com/jacinthplank/jacinthplank/outcome"
 )
 
+// maxTestBody is more than any body that the tests read whole.
+const maxTestBody = 1 << 10
+
 type testDialect struct{}
 
 func (testDialect) RequestID(h http.Header) string { return h.Get("X-Id") }
@@ -90,7 +93,7 @@
 		return "", err
 	}
 	defer reply.Close()
-	body, err := reply.ReadAll()
+	body, err := reply.ReadAll(maxTestBody)
 	return string(body), err
 }
 
@@ -159,7 +162,7 @@
 		reply, err := c.Send(t.Context(), target, &Call{RequestID: id, Method: "GET", URI: "/", Host: "h", Header: h})
 		g.Expect(err).ToNot(HaveOccurred())
 		defer reply.Close()
-		body, err := reply.ReadAll()
+		body, err := reply.ReadAll(maxTestBody)
 		g.Expect(err).ToNot(HaveOccurred())
 		return string(body)
 	}
@@ -272,7 +275,7 @@
 	reply, err := c.Send(t.Context(), target, &Call{RequestID: "a", Method: "POST", URI: "/", Host: "h", Body: make([]byte, 16<<20)})
 	g.Expect(err).ToNot(HaveOccurred())
 	g.Expect(reply.NotRun).To(BeTrue())
-	_, err = reply.ReadAll()
+	_, err = reply.ReadAll(maxTestBody)
 	g.Expect(err).ToNot(HaveOccurred())
 	reply.Close()
 	g.Expect(c.pool(target.Address).pop()).To(BeNil())
--- a/forward/idle_test.go
+++ b/forward/idle_test.go
@@ -42,7 +42,7 @@
 			c := NewClient(testDialect{})
 			reply, err := get(t, c, target, "a")
 			g.Expect(err).ToNot(HaveOccurred())
-			_, err = reply.ReadAll()
+			_, err = reply.ReadAll(maxTestBody)
 			g.Expect(err).ToNot(HaveOccurred())
 			reply.Close()
 			p := c.pool(target.Address)
@@ -68,7 +68,7 @@
 	successor.ID = "successor"
 	_, err = get(t, c, successor, "b")
 	g.Expect(outcome.From(err).Code).To(Equal(outcome.CodeOverloaded))
-	body, err := reply.ReadAll()
+	body, err := reply.ReadAll(maxTestBody)
 	g.Expect(err).ToNot(HaveOccurred())
 	g.Expect(string(body)).To(Equal("hi"))
 	reply.Close()
@@ -116,7 +116,7 @@
 			replies = append(replies, reply)
 		}
 		for _, reply := range replies {
-			_, err := reply.ReadAll()
+			_, err := reply.ReadAll(maxTestBody)
 			g.Expect(err).ToNot(HaveOccurred())
 			reply.Close()
 		}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -11,7 +11,8 @@
 // connection is a pooled connection to an endpoint.
 type connection struct {
 	net.Conn
-	reader      *bufio.Reader
+	limiter     *headLimiter
+	reader      *bufio.Reader // of limiter
 	pool        *pool
 	endpoint    string // id of the endpoint it was opened for
 	used        bool   // has carried a response
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -133,7 +133,7 @@
 	e.Peer = faulty
 	e.RetryAfter = minRetryAfter
 	// Draining the body keeps the connection reusable.
-	if _, err := reply.ReadAll(); err != nil {
+	if _, err := reply.ReadAll(maxControlBytes); err != nil {
 		f.logAttempt(h.ID, outcome.From(err))
 	}
 	now := time.Now()
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -40,6 +40,7 @@
 	decision        schedule.Decision
 	timeToFirstByte time.Duration // since arrival; 0 before the first byte
 	headSent        bool
+	isStreaming     bool   // the caller has the start of a stream
 	callerLeft      bool   // a write to the caller failed
 	lastEventID     string // id of the last event sent to the caller
 	eventCount      int
@@ -101,6 +102,9 @@
 	if f.ctx.Err() != nil || f.callerLeft {
 		return false
 	}
+	if f.headSent && !f.isStreaming {
+		return false // only a stream can go on elsewhere
+	}
 	if e.State != outcome.NotRun && !f.route.MayRepeat() {
 		return false
 	}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -103,7 +103,7 @@
 	}
 	defer reply.Close()
 	p.g.observeLimit(h.ID, answeredProbe, reply)
-	body, err := reply.ReadAll()
+	body, err := reply.ReadAll(maxControlBytes)
 	if err != nil {
 		return schedule.Load{}, err
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -29,15 +29,31 @@
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
+// Limits on responses that are no streams, in bytes.
+const (
+	// maxBufferedBytes keeps the memory for some hundred responses at once far below
+	// that of an entry.
+	maxBufferedBytes = 64 << 10
+	maxResponseBytes = 16 << 20
+	copyBufferBytes  = 16 << 10
+	maxControlBytes  = 64 << 10 // of rejections, load reports and reservations
+)
+
+// errResponseTooLong ends a response after maxResponseBytes.
+var errResponseTooLong = errors.New("response body exceeds the maximum size")
+
 // relayBuffered buffers the complete response before sending it, so that a truncated
-// one never reaches the caller.
+// one never reaches the caller. The caller sees where a long one breaks off.
 func (f *inflightRequest) relayBuffered(reply *forward.Reply) *outcome.Error {
-	body, err := reply.ReadAll()
+	body, complete, err := reply.ReadUpTo(maxBufferedBytes)
 	if err != nil {
 		e := outcome.From(err)
 		return f.classifyRelayError(e)
 	}
 	f.recordFirstByte()
+	if !complete {
+		return f.relayLong(reply, body)
+	}
 	h := f.responseHeaders(reply)
 	if f.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -50,6 +66,33 @@
 	return nil
 }
 
+// relayLong relays a response whose start has been read as it arrives. Nothing but its
+// whole body ends the response to the caller properly.
+func (f *inflightRequest) relayLong(reply *forward.Reply, start []byte) *outcome.Error {
+	f.responseHeaders(reply)
+	f.headSent = true
+	f.w.WriteHeader(reply.Status)
+	if _, err := f.w.Write(start); err != nil {
+		return f.callerError(err)
+	}
+	buffer := make([]byte, copyBufferBytes)
+	for total := len(start); ; {
+		n, readErr := reply.Read(buffer)
+		if _, err := f.w.Write(buffer[:n]); err != nil {
+			return f.callerError(err)
+		}
+		total += n
+		switch {
+		case errors.Is(readErr, io.EOF):
+			return nil
+		case readErr != nil:
+			return f.streamError(readErr)
+		case total > maxResponseBytes:
+			return f.streamError(errResponseTooLong)
+		}
+	}
+}
+
 // relayStream forwards complete events as they arrive. A broken stream is resumed from
 // another endpoint without sending the headers again.
 func (f *inflightRequest) relayStream(reply *forward.Reply) *outcome.Error {
@@ -102,7 +145,7 @@
 func (f *inflightRequest) startStream(reply *forward.Reply) {
 	f.recordFirstByte()
 	f.responseHeaders(reply)
-	f.headSent = true
+	f.headSent, f.isStreaming = true, true
 	f.w.WriteHeader(reply.Status)
 	if f.isEngineService() {
 		f.g.placer.jobStarted(f.jobID())
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -77,7 +77,7 @@
 	}
 	defer reply.Close()
 	r.g.observeLimit(h.ID, answeredReservation, reply)
-	if _, err := reply.ReadAll(); err != nil {
+	if _, err := reply.ReadAll(maxControlBytes); err != nil {
 		return r.newError(h, outcome.From(err))
 	}
 	if reply.Status != http.StatusOK {
