mesh, control, daemon, operator, wire: messages between processes are bounded in size

Cause: connect reads a message as long as bytes come unless a client or handler sets a limit; only the endpoint service's handler did. Failed try: a head limit in transport's http.Transport makes TestCertificateIsReloadedWithoutRestart fail each time (a connection that CloseIdleConnections doesn't end); not understood, left at net/http's 10 MiB.

--- a/control/client.go
+++ b/control/client.go
@@ -259,7 +259,7 @@
 	defer c.mu.Unlock()
 	client, ok := c.clients[address]
 	if !ok {
-		client = jacinthplankv1connect.NewControlServiceClient(c.options.HTTP, c.options.URL(address))
+		client = jacinthplankv1connect.NewControlServiceClient(c.options.HTTP, c.options.URL(address), messageLimit)
 		c.clients[address] = client
 	}
 	return client
--- a/control/control.go
+++ b/control/control.go
@@ -84,12 +84,12 @@
 }
 
 func (m *Member) quorumClient(address string) jacinthplankv1connect.QuorumServiceClient {
-	return jacinthplankv1connect.NewQuorumServiceClient(m.options.HTTP, m.options.URL(address))
+	return jacinthplankv1connect.NewQuorumServiceClient(m.options.HTTP, m.options.URL(address), messageLimit)
 }
 
 // identify queries the process at an address for its member identity.
 func (m *Member) identify(ctx context.Context, address string) (quorum.Member, error) {
-	client := jacinthplankv1connect.NewControlServiceClient(m.options.HTTP, m.options.URL(address))
+	client := jacinthplankv1connect.NewControlServiceClient(m.options.HTTP, m.options.URL(address), messageLimit)
 	reply, err := client.Identify(ctx, connect.NewRequest(&pb.IdentifyRequest{}))
 	if err != nil {
 		return quorum.Member{}, trace.Wrap(err)
@@ -100,10 +100,14 @@
 // Register adds the handlers of ControlService and QuorumService.
 func (m *Member) Register(mux *http.ServeMux) {
 	compression := connect.WithCompressMinBytes(minCompressBytes)
-	mux.Handle(jacinthplankv1connect.NewControlServiceHandler(m.server, compression))
-	mux.Handle(jacinthplankv1connect.NewQuorumServiceHandler(m.server, compression))
+	mux.Handle(jacinthplankv1connect.NewControlServiceHandler(m.server, compression, messageLimit))
+	mux.Handle(jacinthplankv1connect.NewQuorumServiceHandler(m.server, compression, messageLimit))
 }
 
+// messageLimit bounds what is read of a message. A batch of the log is sent once it has
+// maxBatchBytes, and its last command may have quorum.MaxCommandBytes.
+var messageLimit = connect.WithReadMaxBytes(2 * (maxBatchBytes + quorum.MaxCommandBytes))
+
 // minCompressBytes is the minimum size of a compressed reply.
 const minCompressBytes = 4 << 10
 
--- a/daemon/network.go
+++ b/daemon/network.go
@@ -49,7 +49,7 @@
 	defer n.mu.Unlock()
 	client, ok := n.peers[address]
 	if !ok {
-		client = jacinthplankv1connect.NewPeerServiceClient(n.Client(), n.URL(address), n.clockOption)
+		client = jacinthplankv1connect.NewPeerServiceClient(n.Client(), n.URL(address), n.clockOption, wire.MessageLimit)
 		n.peers[address] = client
 	}
 	return client
--- a/daemon/provision.go
+++ b/daemon/provision.go
@@ -69,7 +69,7 @@
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	clock := connect.WithInterceptors(d.recorder.Interceptor())
-	mux.Handle(jacinthplankv1connect.NewPeerServiceHandler(&peerService{d}, clock, connect.WithCompressMinBytes(wire.CompressMinBytes)))
+	mux.Handle(jacinthplankv1connect.NewPeerServiceHandler(&peerService{d}, clock, connect.WithCompressMinBytes(wire.CompressMinBytes), wire.MessageLimit))
 	if d.endpoint != nil {
 		mux.Handle(d.endpoint.server.Handler(clock))
 	}
--- a/engine/openaiengine/openaiengine.go
+++ b/engine/openaiengine/openaiengine.go
@@ -28,6 +28,10 @@
 // maxErrorBody is the maximum number of bytes read of an error response.
 const maxErrorBody = 64 << 10
 
+// maxResultBytes is the maximum number of bytes read of a result. The longest are lists
+// of cache events and of reserved memory.
+const maxResultBytes = 16 << 20
+
 // Engine is a client of one engine.
 type Engine struct {
 	baseURL string
@@ -191,10 +195,10 @@
 		return e.responseError(response.StatusCode, body)
 	}
 	if result == nil {
-		_, _ = io.Copy(io.Discard, response.Body)
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBody)) // so that the connection is kept
 		return nil
 	}
-	if err := json.NewDecoder(response.Body).Decode(result); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxResultBytes)).Decode(result); err != nil {
 		return e.transportError(err)
 	}
 	return nil
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -18,8 +18,15 @@
 	serverIdleTimeout   = 30 * time.Second // longer than clientIdleTimeout, so that the client closes first
 	maxIdleConnsPerPeer = 8
 	readHeaderTimeout   = 2 * time.Second
+	maxHeadBytes        = 64 << 10 // of a request or response
+	// maxMessageBytes is the largest message of another entry that is read: a batch of the
+	// quorum's log is sent once it has 4 MiB, and its last command may have 8 MiB.
+	maxMessageBytes = 16 << 20
 )
 
+// messageLimit bounds what is read of a message. Without it, connect reads all that comes.
+var messageLimit = connect.WithReadMaxBytes(maxMessageBytes)
+
 // jsonCodec encodes messages that are plain structs as JSON.
 type jsonCodec struct{}
 
@@ -39,11 +46,12 @@
 	protocols.SetHTTP1(true)
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		Protocols:           protocols,
-		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
-		IdleConnTimeout:     clientIdleTimeout,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		Protocols:              protocols,
+		MaxIdleConnsPerHost:    maxIdleConnsPerPeer,
+		IdleConnTimeout:        clientIdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
@@ -53,12 +61,12 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: h, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout}
+	return &http.Server{Handler: h, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout, MaxHeaderBytes: maxHeadBytes}
 }
 
 // call calls a procedure of another entry.
 func call[Req, Resp any](ctx context.Context, client *http.Client, address, procedure string, req *Req) (*Resp, error) {
-	c := connect.NewClient[Req, Resp](client, "http://"+address+procedure, connect.WithCodec(jsonCodec{}))
+	c := connect.NewClient[Req, Resp](client, "http://"+address+procedure, connect.WithCodec(jsonCodec{}), messageLimit)
 	resp, err := c.CallUnary(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, err
@@ -75,7 +83,7 @@
 		}
 		return connect.NewResponse(resp), nil
 	}
-	mux.Handle(procedure, connect.NewUnaryHandler(procedure, serve, connect.WithCodec(jsonCodec{})))
+	mux.Handle(procedure, connect.NewUnaryHandler(procedure, serve, connect.WithCodec(jsonCodec{}), messageLimit))
 }
 
 // Call calls a procedure of another entry. It serves the other duties of the daemon.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -96,7 +96,7 @@
 		endpointSeqs: map[string]uint64{}, receivedDirectly: map[string]bool{}, syncTrigger: make(chan struct{}, 1),
 	}
 	m.transport = control.NewMesh(o.Name, func(address string) jacinthplankv1connect.QuorumServiceClient {
-		return jacinthplankv1connect.NewQuorumServiceClient(m.client, "http://"+address)
+		return jacinthplankv1connect.NewQuorumServiceClient(m.client, "http://"+address, messageLimit)
 	})
 	m.quorum = newQuorumManager(m)
 	m.gossip = gossip.New(gossip.Options{
@@ -106,7 +106,7 @@
 		},
 		Seeds: o.Seeds,
 		Dial: func(address string) gossip.Peer {
-			return jacinthplankv1connect.NewPeerServiceClient(m.client, "http://"+address)
+			return jacinthplankv1connect.NewPeerServiceClient(m.client, "http://"+address, messageLimit)
 		},
 		Version:  func() fleet.Version { return fleet.Version{} },
 		Backlog:  noBacklog,
@@ -144,8 +144,8 @@
 const dutyControl = "control"
 
 func (m *Mesh) registerHandlers() {
-	m.mux.Handle(jacinthplankv1connect.NewPeerServiceHandler(&peerService{mesh: m}))
-	m.mux.Handle(jacinthplankv1connect.NewQuorumServiceHandler(&quorumService{manager: m.quorum}))
+	m.mux.Handle(jacinthplankv1connect.NewPeerServiceHandler(&peerService{mesh: m}, messageLimit))
+	m.mux.Handle(jacinthplankv1connect.NewQuorumServiceHandler(&quorumService{manager: m.quorum}, messageLimit))
 	handle(m.mux, procedureSync, m.serveSync)
 	handle(m.mux, procedureDocument, m.serveDocument)
 	handle(m.mux, procedurePut, m.quorum.servePut)
--- a/operator/fleetclient.go
+++ b/operator/fleetclient.go
@@ -13,6 +13,7 @@
 	"github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1/jacinthplankv1connect"
 	"github.com/jacinthplank/jacinthplank/settings"
 	"github.com/jacinthplank/jacinthplank/transport"
+	"github.com/jacinthplank/jacinthplank/wire"
 )
 
 // maxCalls is the maximum number of concurrent calls to daemons.
@@ -92,11 +93,11 @@
 }
 
 func (f *fleetClient) peer(address string) jacinthplankv1connect.PeerServiceClient {
-	return jacinthplankv1connect.NewPeerServiceClient(f.transport.Client(), f.transport.URL(address))
+	return jacinthplankv1connect.NewPeerServiceClient(f.transport.Client(), f.transport.URL(address), wire.MessageLimit)
 }
 
 func (f *fleetClient) control(address string) jacinthplankv1connect.ControlServiceClient {
-	return jacinthplankv1connect.NewControlServiceClient(f.transport.Client(), f.transport.URL(address))
+	return jacinthplankv1connect.NewControlServiceClient(f.transport.Client(), f.transport.URL(address), wire.MessageLimit)
 }
 
 // daemons returns the daemons known to the seeds and those expected from the generated
--- a/wire/client.go
+++ b/wire/client.go
@@ -29,7 +29,7 @@
 
 // NewClient returns a client for the endpoint name at the base URL url.
 func NewClient(name, url string, http connect.HTTPClient, options ...connect.ClientOption) *Client {
-	rpc := jacinthplankv1connect.NewEndpointServiceClient(http, url, append(options, connect.WithGRPC())...)
+	rpc := jacinthplankv1connect.NewEndpointServiceClient(http, url, append(options, connect.WithGRPC(), MessageLimit)...)
 	return &Client{name: name, rpc: rpc}
 }
 
--- a/wire/server.go
+++ b/wire/server.go
@@ -19,6 +19,10 @@
 // of a million tokens takes about four to eight million bytes.
 const maxMessageBytes = 64 << 20
 
+// MessageLimit bounds what a client or handler reads of a message. Without it, connect
+// reads all that comes.
+var MessageLimit = connect.WithReadMaxBytes(maxMessageBytes)
+
 // CompressMinBytes is the minimum size in bytes of messages that are compressed
 // between processes; for smaller ones the CPU cost outweighs the bytes saved.
 const CompressMinBytes = 4 << 10
@@ -40,7 +44,7 @@
 
 // Handler returns the path and HTTP handler of the service.
 func (s *Server) Handler(options ...connect.HandlerOption) (string, http.Handler) {
-	options = append(options, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(CompressMinBytes))
+	options = append(options, MessageLimit, connect.WithCompressMinBytes(CompressMinBytes))
 	return jacinthplankv1connect.NewEndpointServiceHandler(s, options...)
 }
 
