mesh: what comes after the limit of a message isn't read

Cause: connect reads and discards the rest of a message over its limit, so that the deadline and not the limit ended it. Change: the client's transport and the server end bodies after 16 MiB.

--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -24,9 +26,40 @@
 	maxMessageBytes = 16 << 20
 )
 
-// messageLimit bounds what is read of a message. Without it, connect reads all that comes.
+// messageLimit bounds what is held of a message. connect reads the rest of a longer one
+// too, which boundedTransport and NewHTTPServer end.
 var messageLimit = connect.WithReadMaxBytes(maxMessageBytes)
 
+// boundedTransport ends the body of a response after maxMessageBytes.
+type boundedTransport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(r)
+	if err == nil {
+		response.Body = &boundedBody{ReadCloser: response.Body, left: maxMessageBytes}
+	}
+	return response, err
+}
+
+var errMessageTooLong = fmt.Errorf("message exceeds %d bytes", maxMessageBytes)
+
+// boundedBody is a body that fails after a number of bytes.
+type boundedBody struct {
+	io.ReadCloser
+	left int64
+}
+
+// Read implements io.Reader.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errMessageTooLong
+	}
+	n, err := b.ReadCloser.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
+}
+
 // jsonCodec encodes messages that are plain structs as JSON.
 type jsonCodec struct{}
 
@@ -45,14 +78,14 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: boundedTransport{&http.Transport{
 		DialContext:            dialer.DialContext,
 		Protocols:              protocols,
 		MaxIdleConnsPerHost:    maxIdleConnsPerPeer,
 		IdleConnTimeout:        clientIdleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	}}}
 }
 
 // NewHTTPServer returns a server for calls between entries.
@@ -61,7 +94,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: h, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout, MaxHeaderBytes: maxHeadBytes}
+	return &http.Server{Handler: http.MaxBytesHandler(h, maxMessageBytes), Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout, MaxHeaderBytes: maxHeadBytes}
 }
 
 // call calls a procedure of another entry.
--- a/mesh/codec_test.go
+++ b/mesh/codec_test.go
@@ -43,7 +43,9 @@
 		g := NewWithT(t)
 		mux := http.NewServeMux()
 		handle(mux, procedureSync, func(context.Context, *syncRequest) (*syncResponse, error) { return &syncResponse{}, nil })
-		server := httptest.NewServer(mux)
+		server := httptest.NewUnstartedServer(nil)
+		server.Config = NewHTTPServer(mux)
+		server.Start()
 		defer server.Close()
 		body := &endlessBody{part: part}
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
