drain: a shutdown awaits the first request of an HTTP/2 connection

Callers whose connection was just open had to repeat their request elsewhere, and found no server if there was one only. Cause: net/http's shutdown sends a GOAWAY that names the streams it has seen: none between the preface and the first HEADERS frame. The client then dials again and is refused.

--- a/drain/server.go
+++ b/drain/server.go
@@ -30,12 +30,26 @@
 	served  chan struct{}         // closed when Serve no longer accepts connections
 	opening map[net.Conn]struct{} // connections with TLS that are not open yet
 	streams map[net.Conn]struct{} // HTTP/2 connections with open streams
+	http2   map[net.Conn]*http2Conn
+}
+
+// http2Conn is the state of an HTTP/2 connection.
+type http2Conn struct {
+	openedAt   time.Time
+	wasIdle    bool // the preface has been read
+	hasRequest bool // a first stream was opened
+}
+
+// awaitsRequest reports whether the first request may still be on its way. A GOAWAY would
+// make its client repeat it elsewhere, where it may find no server.
+func (c *http2Conn) awaitsRequest(now time.Time) bool {
+	return !c.hasRequest && now.Sub(c.openedAt) < serverGrace.New
 }
 
 // NewServer returns a server with the settings of s, which is not used otherwise and
 // has no connection hooks.
 func NewServer(s *http.Server) *Server {
-	d := &Server{http: s, opening: map[net.Conn]struct{}{}, streams: map[net.Conn]struct{}{}}
+	d := &Server{http: s, opening: map[net.Conn]struct{}{}, streams: map[net.Conn]struct{}{}, http2: map[net.Conn]*http2Conn{}}
 	handler := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		marked := &responseWriter{ResponseWriter: w, connections: &d.connections}
@@ -90,7 +104,8 @@
 	if served != nil {
 		<-served
 	}
-	s.awaitOpening(ctx)
+	s.await(ctx, s.isOpening)
+	s.await(ctx, s.awaitsFirstRequest)
 	// Every HTTP/2 connection is known to the http.Server by now, so that it tells
 	// each of them.
 	stopped := make(chan struct{})
@@ -102,12 +117,29 @@
 	s.Close()
 }
 
-// awaitOpening waits until each connection with TLS has been opened or closed. The
-// http.Server's ReadHeaderTimeout limits the time that this takes.
-func (s *Server) awaitOpening(ctx context.Context) {
+// isOpening reports whether a connection with TLS is being opened. The http.Server's
+// ReadHeaderTimeout limits the time that this takes.
+func (s *Server) isOpening() bool { return s.count(s.opening) > 0 }
+
+// awaitsFirstRequest reports whether the first request of an HTTP/2 connection may still
+// be on its way.
+func (s *Server) awaitsFirstRequest() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, c := range s.http2 {
+		if c.awaitsRequest(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// await returns when a condition no longer holds or ctx has ended.
+func (s *Server) await(ctx context.Context, condition func() bool) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	for s.count(s.opening) > 0 {
+	for condition() {
 		select {
 		case <-ctx.Done():
 			return
@@ -168,8 +200,22 @@
 		s.opening[c] = struct{}{}
 	case http.StateActive:
 		s.streams[c] = struct{}{}
-	default: // idle, hijacked or closed
+		s.http2Conn(c).hasRequest = s.http2Conn(c).wasIdle // the first time it only has the preface
+	case http.StateIdle:
+		s.http2Conn(c).wasIdle = true
+	default: // hijacked or closed
+		delete(s.http2, c)
+	}
+}
+
+// http2Conn returns the state of a connection. The caller holds the lock.
+func (s *Server) http2Conn(c net.Conn) *http2Conn {
+	state := s.http2[c]
+	if state == nil {
+		state = &http2Conn{openedAt: time.Now()}
+		s.http2[c] = state
 	}
+	return state
 }
 
 // serverListener makes each tracked connection tell its protocol.
--- a/drain/server_test.go
+++ b/drain/server_test.go
@@ -41,14 +41,17 @@
 	return done
 }
 
-// splitConn sends the first bytes of a connection, a part of the HTTP/2 preface, on its own.
+// splitConn sends the first bytes of a connection, a part of the HTTP/2 preface, on its own,
+// and what follows the preface late.
 type splitConn struct {
 	net.Conn
 	split func()
+	delay time.Duration // before each write after the first
 }
 
 func (c *splitConn) Write(p []byte) (int, error) {
 	if c.split == nil {
+		time.Sleep(c.delay)
 		return c.Conn.Write(p)
 	}
 	n, err := c.Conn.Write(p[:5])
@@ -61,12 +64,14 @@
 	return n + m, err
 }
 
-func http2Client(split func()) *http.Client {
+func http2Client(split func()) *http.Client { return lateHTTP2Client(split, 0) }
+
+func lateHTTP2Client(split func(), delay time.Duration) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Client{Transport: &http.Transport{Protocols: protocols, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := new(net.Dialer).DialContext(ctx, network, address)
-		return &splitConn{c, split}, err
+		return &splitConn{c, split, delay}, err
 	}}}
 }
 
@@ -87,6 +92,39 @@
 	g.Eventually(done, 3*time.Second).Should(BeClosed())
 }
 
+// Guards against a shutdown that sends a GOAWAY to an HTTP/2 connection before its first request, which is on its way, has
+// arrived: the client had to repeat it elsewhere.
+func TestShutdownServesFirstRequestOfHTTP2Connection(t *testing.T) {
+	g := NewWithT(t)
+	s, address := serve(t, g, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") })
+	var done chan struct{}
+	client := lateHTTP2Client(func() {
+		time.Sleep(step)
+		done = shutDown(t, s)
+		time.Sleep(step)
+	}, 50*time.Millisecond)
+	response, err := client.Get("http://" + address)
+	g.Expect(err).NotTo(HaveOccurred(), "the request got no answer")
+	g.Expect(io.ReadAll(response.Body)).To(BeEquivalentTo("answer"))
+	g.Eventually(done, 3*time.Second).Should(BeClosed())
+}
+
+// Guards against a shutdown that waits long for the first request of an HTTP/2 connection.
+func TestShutdownEndsHTTP2ConnectionWithoutRequest(t *testing.T) {
+	g := NewWithT(t)
+	s, address := serve(t, g, func(http.ResponseWriter, *http.Request) {})
+	conn, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	const emptySettings = "\x00\x00\x00\x04\x00\x00\x00\x00\x00"
+	_, err = io.WriteString(conn, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"+emptySettings)
+	g.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(step)
+	done := shutDown(t, s)
+	g.Expect(frameTypes(conn)).To(ContainElement(byte(7)), "the client got no GOAWAY")
+	g.Eventually(done, 4*time.Second).Should(BeClosed())
+}
+
 // Guards against a drain during which HTTP/2 clients go on sending on the connections that they have.
 func TestStartDrainEndsHTTP2ConnectionWithNextResponse(t *testing.T) {
 	g := NewWithT(t)
