ratelimit: values far out of range cost no time

Cause: a limit of 1e18, which an endpoint may state, made the coordinator count requests to grant one by one for hours; so did the number of calls in another entry's report. Class: one odd message takes a process down. Change: limits count up to a million a second, grants are at most 100, calls are charged as a number, records of other entries are checked like responses; waits use allotted rates. Test: TestOddLimitsAreHandledAtOnce doesn't end within the test's time before.

--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -141,9 +141,7 @@
 	mesh.Handle(m, procedureReport, func(_ context.Context, q *reportRequest) (*coordinatorResponse, error) {
 		p.limits.Merge(limitRecords(q.Limits, time.Now()), time.Now())
 		for endpoint, calls := range q.Charges {
-			for range calls {
-				p.limits.Charge(endpoint, time.Now())
-			}
+			p.limits.Charge(endpoint, calls, time.Now())
 		}
 		for _, r := range q.Reports {
 			if r.Started {
--- a/gateway/ratelimits.go
+++ b/gateway/ratelimits.go
@@ -104,7 +104,7 @@
 	if _, limited := p.limits.Limit(endpoint); !limited {
 		return
 	}
-	p.limits.Charge(endpoint, time.Now())
+	p.limits.Charge(endpoint, 1, time.Now())
 	p.queue(func(pending *reportRequest) {
 		if pending.Charges == nil {
 			pending.Charges = map[string]int{}
--- a/ratelimit/allotment.go
+++ b/ratelimit/allotment.go
@@ -22,6 +22,7 @@
 	// grantTime is the rate that the allotting entry grants at once to another one.
 	grantTime     = 20 * time.Millisecond
 	grantLifetime = 250 * time.Millisecond
+	maxGrant      = 100 // requests granted at once
 	// maxDenialTime limits how long an entry doesn't ask again.
 	maxDenialTime = 250 * time.Millisecond
 )
@@ -84,6 +85,18 @@
 	r.allotment.tokens = min(r.allotment.tokens, max(1, rate*burstTime.Seconds()))
 }
 
+// Rate returns the requests a second that this entry may send to an endpoint with a limit,
+// or allot; 0 if it has no share or the endpoint has no limit.
+func (t *Table) Rate(endpoint string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.limitedRecord(endpoint)
+	if r == nil {
+		return 0
+	}
+	return t.rate(r)
+}
+
 // IsAvailable reports whether a request may be sent to an endpoint now.
 func (t *Table) IsAvailable(endpoint string, now time.Time) bool {
 	return t.Wait(endpoint, now) <= 0
@@ -127,8 +140,8 @@
 	return true
 }
 
-// Charge takes a call that has to be sent, whatever is left, out of the allotment.
-func (t *Table) Charge(endpoint string, now time.Time) {
+// Charge takes calls that have to be sent, whatever is left, out of the allotment.
+func (t *Table) Charge(endpoint string, calls int, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.limitedRecord(endpoint)
@@ -136,7 +149,7 @@
 		return
 	}
 	t.refill(r, now)
-	r.allotment.tokens = max(r.allotment.tokens-1, -max(1, t.rate(r)*maxDebtTime.Seconds()))
+	r.allotment.tokens = max(r.allotment.tokens-float64(max(calls, 0)), -max(1, t.rate(r)*maxDebtTime.Seconds()))
 }
 
 // Grant takes requests for another entry out of the allotment of an endpoint. It returns
@@ -147,7 +160,7 @@
 	}
 	perSecond, _ := t.Limit(endpoint)
 	requests = 1
-	for range int(perSecond * grantTime.Seconds()) {
+	for requests < min(1+int(perSecond*grantTime.Seconds()), maxGrant) {
 		if !t.Take(endpoint, now) {
 			break
 		}
--- a/ratelimit/allotment_test.go
+++ b/ratelimit/allotment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -57,7 +58,7 @@
 	table := ratelimit.NewTable()
 	g.Expect(table.Take("e", start)).To(BeTrue())
 	g.Expect(table.Wait("e", start)).To(BeZero())
-	table.Charge("e", start)
+	table.Charge("e", 1, start)
 	g.Expect(table.IsAvailable("e", start)).To(BeTrue())
 }
 
@@ -74,9 +75,9 @@
 	g := NewWithT(t)
 	table := limitedTable(2, start)
 	table.SetAllotsAll(true, start)
-	for range 10 {
-		table.Charge("e", start)
-	}
+	table.Charge("e", 4, start)
+	table.Charge("e", math.MaxInt, start)
+	table.Charge("e", math.MinInt, start)
 	g.Expect(takeUntil(table, start, at(1490*time.Millisecond))).To(BeZero())
 	g.Expect(takeUntil(table, start, at(4*time.Second))).To(BeNumerically(">", 2), "the debt is bounded")
 }
@@ -103,6 +104,23 @@
 	g.Expect(ok).To(BeFalse(), "grants expire")
 }
 
+// Guards against a value that an endpoint or another entry sent and that keeps this
+// process busy for ever.
+func TestOddLimitsAreHandledAtOnce(t *testing.T) {
+	for _, perSecond := range []float64{1e18, math.MaxFloat64, 1e-300, math.NaN(), math.Inf(1), -5} {
+		g := NewWithT(t)
+		table := ratelimit.NewTable()
+		table.SetAllotsAll(true, start)
+		table.Observe("e", ratelimit.LimitTo(perSecond), start, start)
+		table.Merge([]ratelimit.Record{{Endpoint: "f", Limited: true, PerSecond: perSecond, At: start}}, start)
+		for _, endpoint := range []string{"e", "f"} {
+			granted, _ := table.Grant(endpoint, at(10*time.Second))
+			g.Expect(granted).To(And(BeNumerically(">=", 1), BeNumerically("<=", 100)), "%v", perSecond)
+			g.Expect(table.Wait(endpoint, at(time.Hour))).To(BeNumerically("<=", 4*time.Second))
+		}
+	}
+}
+
 // simulatedEntry is an entry that sends as many requests as it may.
 type simulatedEntry struct {
 	table       *ratelimit.Table
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -29,13 +29,16 @@
 	PerSecond float64 // requests a second; set if Kind is Limited
 }
 
+// maxPerSecond is more than any endpoint takes. Higher limits count as this one.
+const maxPerSecond = 1e6
+
 // LimitTo returns the statement of a limit. A limit that is not a finite number of at
 // least 0 is unreadable.
 func LimitTo(perSecond float64) Statement {
 	if !(perSecond >= 0) || math.IsInf(perSecond, 0) {
 		return Statement{Kind: Unreadable}
 	}
-	return Statement{Kind: Limited, PerSecond: perSecond}
+	return Statement{Kind: Limited, PerSecond: min(perSecond, maxPerSecond)}
 }
 
 // Record is the latest usable statement of an endpoint.
@@ -89,12 +92,20 @@
 	}
 }
 
-// Merge applies the records of another entry and returns those that changed a limit.
+// Merge applies the records of another entry and returns those that changed a limit. It
+// passes over values that can't be used.
 func (t *Table) Merge(records []Record, now time.Time) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changed []Record
 	for _, r := range records {
+		if r.Limited {
+			s := LimitTo(r.PerSecond)
+			if s.Kind != Limited {
+				continue
+			}
+			r.PerSecond = s.PerSecond
+		}
 		if r, ok := t.apply(r, now); ok {
 			changed = append(changed, r)
 		}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -412,11 +412,10 @@
 	}
 	shortest, total := ratelimit.Never, 0.0
 	for _, e := range s.order {
-		perSecond, _ := s.limits.Limit(e.ID)
-		total += perSecond
+		total += s.limits.Rate(e.ID)
 		shortest = min(shortest, s.limits.Wait(e.ID, now))
 	}
-	if total <= 0 || shortest == ratelimit.Never {
+	if shortest == ratelimit.Never {
 		return shortest
 	}
 	return shortest + time.Duration(float64(len(s.queue))/total*float64(time.Second))
