soak: replicas state rate limits

Two replicas at a time state a limit (0, 0.3, 1, 2.5, 8, 60, empty, NaN) for 5 to 8 s beside faults or planned work. Counted are requests of entries that were told half a second before and have not been disturbed for 3 s, the platform's rule.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -20,6 +20,12 @@
 	return disturbances{p.faults, p.stops}
 }
 
+func (p *process) origin() origin {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return origin{p, p.disturbedAt}
+}
+
 func (d disturbances) faultlessUntil(later disturbances) bool {
 	return d.faults == later.faults && d.faults%2 == 0
 }
@@ -87,6 +93,7 @@
 	x := &exchange{kind: kind, id: "r" + strconv.FormatInt(s.nextID.Add(1), 10), entry: p, began: time.Now()}
 	x.entryBefore, x.faultsBefore = p.disturbances(), s.replicaFaults()
 	x.connBefore = x.entryBefore
+	s.runs.begin(x.id, p.origin())
 	if kind == "once" {
 		s.mu.Lock()
 		s.nonIdempotent[x.id] = true
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -44,6 +44,8 @@
 	faults  int  // odd while the process is faulted
 	stops   int  // odd from a planned SIGTERM until the next run is ready
 	stopAt  time.Time
+
+	disturbedAt time.Time // latest change of faults or stops
 }
 
 // fleet holds the entries of one run.
@@ -168,6 +170,7 @@
 	defer p.mu.Unlock()
 	if faulted != (p.faults%2 == 1) {
 		p.faults++
+		p.disturbedAt = time.Now()
 	}
 }
 
@@ -177,6 +180,7 @@
 	defer p.mu.Unlock()
 	if stopping != (p.stops%2 == 1) {
 		p.stops++
+		p.disturbedAt = time.Now()
 	}
 	if stopping {
 		p.stopAt = time.Now()
--- a/soak/replica_test.go
+++ b/soak/replica_test.go
@@ -29,15 +29,29 @@
 	faults   int    // odd while there is a fault
 	state    string // announced: "ready", "draining" or "" after the replica has left
 	sequence int    // of the announcements
+	limit    rateLimit
 }
 
 // runLog records the runs of all replicas by request ID.
 type runLog struct {
-	mu   sync.Mutex
-	runs map[string][]string // runs of replicas
+	mu      sync.Mutex
+	runs    map[string][]string // runs of replicas
+	origins map[string]origin
 }
 
-func newRunLog() *runLog { return &runLog{runs: map[string][]string{}} }
+func newRunLog() *runLog { return &runLog{runs: map[string][]string{}, origins: map[string]origin{}} }
+
+func (b *runLog) begin(id string, o origin) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.origins[id] = o
+}
+
+func (b *runLog) origin(id string) origin {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.origins[id]
+}
 
 func (b *runLog) record(id, run string) {
 	b.mu.Lock()
@@ -145,6 +159,12 @@
 	defer r.running.Add(-1)
 	id := q.Header.Get(wire.Request)
 	w.Header().Set(wire.Request, id)
+	r.mu.Lock()
+	limit, stated := r.limit.record(r.runs.origin(id), time.Now())
+	r.mu.Unlock()
+	if stated {
+		w.Header().Set(wire.RateLimit, limit)
+	}
 	fault, duration := r.draw()
 	if q.Header.Get(wire.Expect) != r.id || fault == "refuse" {
 		w.Header().Set(wire.NotRun, "1")
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -110,6 +110,9 @@
 	s.random = s.newRandom("choices")
 	s.wait.Go(func() { s.fleet.watchMemory(ctx) })
 	s.startLoad()
+	for i := range 2 {
+		s.wait.Go(func() { s.limitReplicas(time.Now().Add(*faultPhase), s.newRandom(fmt.Sprint("limits ", i))) })
+	}
 	if kind == planned {
 		s.doPlannedWork()
 	} else {
