gateway: a caller that doesn't read holds its request until its deadline at most

Cause: writes to a caller had no deadline. A response longer than the socket's buffers kept its goroutine and buffers until the caller closed, and a shutdown until its end. Class: a wait on a peer without a bound. Change: writes fail 2 s after the request's deadline; the connection's next request has a limit of its own. Tests: TestCallerThatDoesNotReadHoldsNothingPastItsDeadline (the shutdown took 8 s, now under 5); TestConnectionServesAfterTheDeadlineOfItsFirstRequest.

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -49,9 +49,27 @@
 	defer cancelForShutdown(nil)
 	defer context.AfterFunc(g.shutdown.ended, func() { cancelForShutdown(errShutdown) })()
 	f.ctx = ctx
+	defer f.limitWrites()()
 	f.serve()
 }
 
+// callerWriteGrace is how long after its deadline a caller may take to read its response.
+const callerWriteGrace = 2 * time.Second
+
+// limitWrites makes writes to the caller fail some time after the request's deadline, as a
+// caller that doesn't read would hold the request for ever. The function that it returns
+// takes the limit from the connection for its next request.
+func (f *inflightRequest) limitWrites() (end func()) {
+	control := http.NewResponseController(f.w)
+	set := func(deadline time.Time) {
+		if err := control.SetWriteDeadline(deadline); err != nil {
+			f.g.log.Debug("no write deadline", "request", f.request.ID, "error", err.Error())
+		}
+	}
+	set(f.deadline.Add(callerWriteGrace))
+	return func() { set(time.Time{}) }
+}
+
 // errDeadline is the cancellation cause of a request whose deadline passed.
 var errDeadline = errors.New("the request's time is over")
 
