gateway: the request bodies that are held fit into the memory of the entry

Cause: each body has a limit (4 MiB unless the configuration sets one), all of them together had none; a body is held until its request ends, as it may have to be sent again. Class: a bound for one and none for all.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,7 +33,7 @@
 	FirstStart      bool   // the fleet is bootstrapped for the first time
 	Seeds           []string
 	Listen          Listen
-	MemoryBytes     int64
+	MemoryBytes     int64         // 0 if unknown
 	ShutdownTimeout time.Duration // from the signal until the process is killed
 	Retries         Retries
 }
@@ -76,6 +76,7 @@
 	table      atomic.Pointer[route.Table]
 	configured chan struct{} // closed when the first table is set
 	running    atomic.Int64
+	bodyMemory byteBudget
 	shutdown   *shutdown
 
 	mu           sync.Mutex
@@ -95,6 +96,7 @@
 		client: forward.NewClient(d), breakers: breaker.NewSet(),
 		retryBudgets: map[string]*retry.Window{}, plain: newPlainPicker(), deadlines: newDeadlineHistory(), limits: ratelimit.NewTable(), events: timeline.NewLog(s.Name, eventCapacity, time.Now), configured: make(chan struct{}), shutdown: newShutdown(),
 	}
+	g.bodyMemory.limit = s.MemoryBytes / bodyMemoryDivisor
 	g.callerServer = newCallerServer(http.HandlerFunc(g.serveCaller))
 	g.callerServer.setLimits(route.HeaderLimits{})
 	g.placer = newPlacer(s.Name, g.breakers, g.limits, meshCoordinatorClient{func() *mesh.Mesh { return g.mesh }}, g.log)
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -23,14 +23,15 @@
 	// against the goal for the first event.
 	spentEarlier time.Duration
 
-	table    *route.Table
-	route    *route.Route
-	account  *route.Account
-	request  Request
-	service  string
-	body     []byte
-	bodyRead bool
-	deadline time.Time
+	table     *route.Table
+	route     *route.Route
+	account   *route.Account
+	request   Request
+	service   string
+	body      []byte
+	bodyRead  bool
+	heldBytes int64 // of the body, taken out of the memory for bodies
+	deadline  time.Time
 
 	excluded        []string // endpoints that failed or rejected this request
 	placements      int      // number of placements requested
