forward: a second response without an id answers no other call

Cause: load reports and memory orders carry no id. They shared connections with callers' requests, so a second copy of such a response, late, was taken as the answer to the next request if it was no success; so was the copy of an early refusal without an id. Change: reports have connections of their own; orders use a new one each, as a copy of one would pass for the next; a connection on which a request was answered without an id is closed. Test: TestSecondResponseWithoutIDAnswersNoOtherCall, two of its four cases failed before.

--- a/forward/bounds_test.go
+++ b/forward/bounds_test.go
@@ -141,3 +141,48 @@
 		cancel()
 	}
 }
+
+// Guards against a late second response without an id that is taken as the answer to the
+// next call on its connection.
+func TestSecondResponseWithoutIDAnswersNoOtherCall(t *testing.T) {
+	const answer = "HTTP/1.1 409 Conflict\nContent-Length: 2\n\nno"
+	next := map[string]*Call{
+		"request":            {RequestID: "b", Method: "GET", URI: "/x", Host: "h"},
+		"call without an id": {Method: "POST", URI: "/order", Host: "h", NoID: true, NewConnection: true},
+	}
+	for name, first := range map[string]*Call{
+		"call without an id":    {Method: "GET", URI: "/load", Host: "h", NoID: true},
+		"request refused early": {RequestID: "a", Method: "GET", URI: "/x", Host: "h"},
+	} {
+		for nextName, second := range next {
+			t.Run(nextName+" after "+name, func(t *testing.T) {
+				g := NewWithT(t)
+				var firstConn net.Conn
+				_, target := startEndpoint(t, func(n int64, _ *http.Request, c net.Conn) bool {
+					if n == 1 {
+						firstConn = c
+						return writeResponse(c, answer)
+					}
+					if c == firstConn && !writeResponse(c, answer) { // once more
+						return false
+					}
+					if second.NoID {
+						return writeResponse(c, "HTTP/1.1 200 OK\nContent-Length: 2\n\nhi")
+					}
+					return writeOK(c, "b", "hi")
+				})
+				c := NewClient(testDialect{})
+				for _, call := range []*Call{first, second} {
+					reply, err := c.Send(t.Context(), target, call)
+					g.Expect(err).ToNot(HaveOccurred())
+					_, err = reply.ReadAll(maxTestBody)
+					g.Expect(err).ToNot(HaveOccurred())
+					reply.Close()
+					if call == second {
+						g.Expect(reply.Status).To(Equal(http.StatusOK))
+					}
+				}
+			})
+		}
+	}
+}
--- a/forward/client.go
+++ b/forward/client.go
@@ -102,7 +102,7 @@
 //
 // The error is an *outcome.Error. Its state is NotRun only if no byte was sent.
 func (c *Client) Send(ctx context.Context, t Target, call *Call) (*Reply, error) {
-	conn, err := c.connect(ctx, t, call.NewConnection)
+	conn, err := c.connect(ctx, t, call)
 	if err != nil {
 		return nil, err
 	}
@@ -144,10 +144,10 @@
 	}
 }
 
-func (c *Client) connect(ctx context.Context, t Target, newConnection bool) (*connection, error) {
+func (c *Client) connect(ctx context.Context, t Target, call *Call) (*connection, error) {
 	p := c.pool(t.Address)
-	if !newConnection {
-		if conn := p.get(t.ID, time.Now()); conn != nil {
+	if !call.NewConnection {
+		if conn := p.get(t.ID, call.NoID, time.Now()); conn != nil {
 			connectionsReused.Inc()
 			return conn, nil
 		}
@@ -164,7 +164,7 @@
 	}
 	connectionsOpened.Inc()
 	limiter := &headLimiter{Conn: conn}
-	return &connection{Conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), pool: p, endpoint: t.ID}, nil
+	return &connection{Conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), pool: p, endpoint: t.ID, noID: call.NoID}, nil
 }
 
 func newError(code outcome.Code, state outcome.State, step string, t Target, cause error) *outcome.Error {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -128,6 +128,9 @@
 
 func (x *exchange) newReply(r *http.Response) *Reply {
 	x.conn.idleTimeout = idleTimeout(r.Header)
+	if x.dialect.RequestID(r.Header) == "" && (!x.call.NoID || x.call.NewConnection) {
+		x.conn.idleTimeout = 0 // a second copy would pass for the response to the next call
+	}
 	return &Reply{
 		Status: r.StatusCode, Header: r.Header, body: r.Body, exchange: x,
 		NotRun:        x.dialect.PromisesNotRun(r.StatusCode, r.Header),
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -278,7 +278,7 @@
 	_, err = reply.ReadAll(maxTestBody)
 	g.Expect(err).ToNot(HaveOccurred())
 	reply.Close()
-	g.Expect(c.pool(target.Address).pop()).To(BeNil())
+	g.Expect(c.pool(target.Address).pop(false)).To(BeNil())
 }
 
 func TestCanceledContextClosesConnection(t *testing.T) {
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -15,6 +15,7 @@
 	reader      *bufio.Reader // of limiter
 	pool        *pool
 	endpoint    string // id of the endpoint it was opened for
+	noID        bool   // carries calls without an id, and no others
 	used        bool   // has carried a response
 	idleSince   time.Time
 	idleTimeout time.Duration // time it may stay idle; 0 if the endpoint closes it
@@ -79,10 +80,12 @@
 	p.mu.Unlock()
 }
 
-// get returns a reusable idle connection, or nil if there is none.
-func (p *pool) get(endpoint string, now time.Time) *connection {
+// get returns a reusable idle connection, or nil if there is none. Calls without an id have
+// connections of their own: a second response to one can't be told from the response to
+// the next call.
+func (p *pool) get(endpoint string, noID bool, now time.Time) *connection {
 	for {
-		c := p.pop()
+		c := p.pop(noID)
 		if c == nil {
 			return nil
 		}
@@ -93,15 +96,16 @@
 	}
 }
 
-func (p *pool) pop() *connection {
+func (p *pool) pop(noID bool) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; c.noID == noID {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[len(p.idle)-1]
-	p.idle = p.idle[:len(p.idle)-1]
-	return c
+	return nil
 }
 
 func (p *pool) put(c *connection) {
