gateway, ratelimit: limits hold while endpoints are in use, and are told again

Causes, by reading: a limit was dropped after 15 minutes without a response, though only a response lifts one; a lift that another entry told long ago, delivered late, replaced a newer statement until that was sent again within a second; an entry waited 200 ms for each permit of a coordinator that doesn't answer. Change: limits are dropped with their endpoint; a limit that is stated again is passed on each 200 ms; a coordinator that grants no permit in time counts as silent for a second.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -266,13 +266,24 @@
 		p.g.placer.setPeerCount(peers)
 		if ticks%int(reconcileInterval/placementInterval) == 0 {
 			go p.g.placer.resyncJobs(ctx)
-			p.g.client.CloseIdleConnections(p.g.mesh.ReadyAddresses())
-			p.g.limits.Expire(time.Now())
+			p.g.dropUnused()
 		}
 		p.g.placer.tick(time.Now())
 	}
 }
 
+// dropUnused closes idle connections that expired or go to endpoints that accept no more
+// requests, and drops the limits of those endpoints.
+func (g *Gateway) dropUnused() {
+	addresses := g.mesh.ReadyAddresses()
+	g.client.CloseIdleConnections(addresses)
+	ready := make(map[string]bool, len(addresses))
+	for _, id := range addresses {
+		ready[id] = true
+	}
+	g.limits.Expire(time.Now(), func(endpoint string) bool { return ready[endpoint] })
+}
+
 // breakerCheckTicks is the number of placement intervals between two checks of the
 // circuit breakers.
 const breakerCheckTicks = 4
--- a/gateway/ratelimits.go
+++ b/gateway/ratelimits.go
@@ -46,10 +46,14 @@
 			return
 		}
 	}
-	if r, changed := g.limits.Observe(endpoint, statement, reply.SentAt, time.Now()); changed {
-		g.placer.reportLimit(r)
+	now := time.Now()
+	r, changed := g.limits.Observe(endpoint, statement, reply.SentAt, now)
+	if changed {
 		g.logLimit("endpoint rate limit", r, call)
 	}
+	if g.limits.TakeReport(endpoint, changed, now) {
+		g.placer.reportLimit(r)
+	}
 }
 
 // logLimit logs a change of a rate limit. An endpoint may state another value with each
@@ -126,7 +130,7 @@
 
 // permitTimeout is the maximum time that a request waits for the coordinator's permit
 // before the entry decides by itself.
-const permitTimeout = 200 * time.Millisecond
+const permitTimeout = pingTimeout
 
 // grant answers a request for permits, as the coordinator.
 func (p *placer) grant(q *permitRequest) *permitResponse {
@@ -138,7 +142,7 @@
 
 // takePermit reports whether a request may be sent to an endpoint of a plain service
 // within its rate limit. If not, it returns the time until the next one may be sent.
-func (p *placer) takePermit(ctx context.Context, endpoint string) (ok bool, wait time.Duration) {
+func (p *placer) takePermit(requestCtx context.Context, endpoint string) (ok bool, wait time.Duration) {
 	record, limited := p.limits.Record(endpoint)
 	if !limited {
 		return true, 0
@@ -156,13 +160,15 @@
 	if ok, wait := p.limits.TakeGranted(endpoint, now); ok || wait > 0 {
 		return ok, wait
 	}
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	ctx, cancel := context.WithTimeout(requestCtx, permitTimeout)
 	defer cancel()
 	response, err := p.client.permit(ctx, address, &permitRequest{newLimitReport(record, now)})
 	now = time.Now()
 	if err != nil {
 		permitsFailedTotal.Inc()
-		p.log.Debug("no permit from the coordinator", "step", "gateway.permit", "endpoint", endpoint, "error", err.Error())
+		if requestCtx.Err() == nil {
+			p.markCoordinatorFailed(address, err)
+		}
 		return p.takeOwnPermit(endpoint, now)
 	}
 	if response.Granted < 1 {
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -52,12 +52,13 @@
 	At time.Time
 }
 
-// Retention of records. One that states no limit is kept only to outweigh older
+// liftedRetention is how long the record of a lifted limit is kept, to outweigh older
 // statements that other entries pass on.
-const (
-	liftedRetention  = time.Minute
-	limitedRetention = 15 * time.Minute // the endpoint has left without notice
-)
+const liftedRetention = time.Minute
+
+// reportInterval is how often a limit that is stated again is passed on. Its record may
+// have been replaced at the receiver by one that was delivered late.
+const reportInterval = 200 * time.Millisecond
 
 // Table holds the limits of endpoints. It is safe for concurrent use.
 type Table struct {
@@ -71,7 +72,8 @@
 // record is the statement of an endpoint and what this entry may send it.
 type record struct {
 	Record
-	allotment allotment
+	allotment  allotment
+	reportedAt time.Time
 }
 
 // NewTable returns a table without limits.
@@ -193,21 +195,30 @@
 	t.remove(endpoint)
 }
 
-// Expire drops the records that are past their retention.
-func (t *Table) Expire(now time.Time) {
+// Expire drops the limits of endpoints that are not in use, and the records of lifted
+// limits after liftedRetention.
+func (t *Table) Expire(now time.Time, inUse func(endpoint string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for endpoint, r := range t.records {
-		retention := liftedRetention
-		if r.Limited {
-			retention = limitedRetention
-		}
-		if now.Sub(r.At) > retention {
+		if !inUse(endpoint) || (!r.Limited && now.Sub(r.At) > liftedRetention) {
 			t.remove(endpoint)
 		}
 	}
 }
 
+// TakeReport reports whether a limit is to be passed on to other entries.
+func (t *Table) TakeReport(endpoint string, changed bool, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[endpoint]
+	if r == nil || (!changed && (!r.Limited || now.Sub(r.reportedAt) < reportInterval)) {
+		return false
+	}
+	r.reportedAt = now
+	return true
+}
+
 func (t *Table) remove(endpoint string) {
 	if r := t.records[endpoint]; r != nil && r.Limited {
 		t.limited--
