--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -259,3 +259,14 @@
 		}
 	}
 }
+
+// sendLists sends the running jobs and the rate limits known here to the coordinator, and
+// takes over the limits that it knows.
+func (p *placer) sendLists(ctx context.Context, address string) error {
+	response, err := p.client.adopt(ctx, address, &adoptRequest{Owner: p.self, Running: p.runningJobs(), Limits: p.limitReports()})
+	if err != nil {
+		return err
+	}
+	p.limits.Merge(limitRecords(response.Limits, time.Now()), time.Now())
+	return nil
+}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -438,17 +438,6 @@
 	}
 }
 
-// sendLists sends the running jobs and the rate limits known here to the coordinator, and
-// takes over the limits that it knows.
-func (p *placer) sendLists(ctx context.Context, address string) error {
-	response, err := p.client.adopt(ctx, address, &adoptRequest{Owner: p.self, Running: p.runningJobs(), Limits: p.limitReports()})
-	if err != nil {
-		return err
-	}
-	p.limits.Merge(limitRecords(response.Limits, time.Now()), time.Now())
-	return nil
-}
-
 // runningJobs returns the running jobs of this entry.
 func (p *placer) runningJobs() []schedule.PlacedJob {
 	p.mu.Lock()
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -50,15 +50,6 @@
 	return views
 }
 
-func (s *Scheduler) applyRateLimit(v *engineView, now time.Time) {
-	if _, v.isLimited = s.limits.Limit(v.engine.ID); !v.isLimited {
-		return
-	}
-	if v.atLimit = !s.limits.IsAvailable(v.engine.ID, now); v.atLimit {
-		s.enginesAtLimit++
-	}
-}
-
 // utilization returns how much of an engine is in use, from 0 to 1: an engine with
 // queued prefills is full, one that only decodes can take more jobs.
 func (v *engineView) utilization() float64 {
--- /dev/null
+++ b/schedule/wait.go
@@ -0,0 +1,45 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/jacinthplank/jacinthplank/ratelimit"
+)
+
+// predictWait returns the shortest time until any engine has completed its backlog at
+// the pace that it reports, and until their request rates allow a job behind those that
+// are queued.
+func (s *Scheduler) predictWait(now time.Time) time.Duration {
+	return max(s.predictBacklog(now), s.predictRateWait(now))
+}
+
+// predictBacklog returns the shortest time until any engine has completed its backlog at
+// the pace that it reports.
+func (s *Scheduler) predictBacklog(now time.Time) time.Duration {
+	shortest := time.Duration(-1)
+	for _, e := range s.order {
+		wait := e.prefillBacklog(now) + s.profile.PassTime(len(e.assigned), s.profile.MeanPrompt*len(e.assigned))
+		wait = time.Duration(float64(wait) * e.reportedSlowdown(now))
+		if shortest < 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return max(shortest, 0)
+}
+
+// predictRateWait returns the time until the engines take another request after those
+// that are queued: 0 if one of them has no limit.
+func (s *Scheduler) predictRateWait(now time.Time) time.Duration {
+	if len(s.order) == 0 || s.limitedEngines() < len(s.order) {
+		return 0
+	}
+	shortest, total := ratelimit.Never, 0.0
+	for _, e := range s.order {
+		total += s.limits.Rate(e.ID)
+		shortest = min(shortest, s.limits.Wait(e.ID, now))
+	}
+	if shortest == ratelimit.Never {
+		return shortest
+	}
+	return shortest + time.Duration(float64(len(s.queue))/total*float64(time.Second))
+}
