mesh, delta: the cost of a change at an entry doesn't grow with the fleet

Cause: every entry synced with every other one after each configuration and each change of a member, 10,920 calls with 105 entries; the whole document went uncompressed, as base64 in JSON, to every entry, from whoever named it first; and an entry that started was sent all endpoints by every other one.

Change: documents are sent as zstd differences from the version held, encoded once per version; an entry sends a large one four times and refers others to those that have it. Members of the quorum tell a share of the entries each; who is missed learns it from its periodic syncs. A change of a member makes no calls by itself. Entries compare a digest of the endpoints and fetch the list from one entry when it differs. A read from the quorum returns a number; the document comes from any entry. A wait of a sync turn no longer makes endpoints of plain services look stale (at 105 entries a turn takes 4.4 s).

--- a/announce/announce.go
+++ b/announce/announce.go
@@ -39,6 +39,12 @@
 	Sequence      int64         `json:"sequence"`
 }
 
+// Run identifies one run of an endpoint, from its start to its end.
+type Run struct {
+	ID          string
+	StartedAtMs int64 // as in Endpoint
+}
+
 // Record is an endpoint's latest announcement and the time at which it was made.
 type Record struct {
 	Endpoint
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -22,8 +22,9 @@
 func newPlainPicker() *plainPicker { return &plainPicker{inProgress: map[string]int{}} }
 
 // pick returns the endpoint with the lowest cost, or false if there is none. It skips
-// excluded endpoints; blocked and stale ones come last.
-func (p *plainPicker) pick(all []announce.Record, exclude []string, domain string, b *breaker.Set, now time.Time) (announce.Record, bool) {
+// excluded endpoints; blocked and stale ones come last. turn is the time within which
+// entries pass on what endpoints announce.
+func (p *plainPicker) pick(all []announce.Record, exclude []string, domain string, b *breaker.Set, turn time.Duration, now time.Time) (announce.Record, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, found, minCost := announce.Record{}, false, 0
@@ -40,7 +41,7 @@
 		if b.Blocked(now, h.ID) {
 			cost += blockedCost
 		}
-		if age := now.Sub(h.At); age > staleAfter {
+		if age := now.Sub(h.At); age > staleAfter+turn {
 			cost += staleCost
 		}
 		if !found || cost < minCost {
@@ -58,7 +59,7 @@
 const (
 	blockedCost = 10_000
 	staleCost   = 100
-	staleAfter  = 4 * time.Second // three missed announcements
+	staleAfter  = 4 * time.Second // three missed announcements, besides the time in which entries pass them on
 )
 
 func (p *plainPicker) release(id string) {
@@ -74,10 +75,10 @@
 	const step = "gateway.choose"
 	skip, shortestWait := f.excluded, ratelimit.Never
 	for {
-		h, found := f.g.plain.pick(f.g.readyEndpoints(f.service), skip, f.g.settings.FailureDomain, f.g.breakers, time.Now())
+		h, found := f.g.plain.pick(f.g.readyEndpoints(f.service), skip, f.g.settings.FailureDomain, f.g.breakers, f.g.mesh.SyncTurn(), time.Now())
 		switch {
 		case !found && len(skip) > len(f.excluded):
-			e := outcome.Refuse(outcome.CodeOverloaded, step, "every endpoint is at the request rate that it takes")
+			e := outcome.Refuse(outcome.CodeOverloaded, step, "no endpoint takes a request now: each is at its request rate or asked to wait")
 			e.RetryAfter = min(max(shortestWait, minRetryAfter), f.remaining()/maxRetryAfterDivisor)
 			return h, e
 		case !found:
--- a/mesh/document.go
+++ b/mesh/document.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/jacinthplank/jacinthplank/coord/document"
 )
 
@@ -11,24 +14,39 @@
 const (
 	documentTimeout      = 1500 * time.Millisecond // enough for a document of several megabytes over a slow link
 	confirmRetryInterval = 50 * time.Millisecond   // between two reads from the quorum
+	referralDelay        = 30 * time.Millisecond   // before an entry that has yet to receive a document is asked again
+	maxReferrals         = 6                       // a tree of maxCopies branches of this depth reaches thousands of entries
 	// confirmWait is how long an entry that can't reach a quorum waits before it
 	// applies the newest document of any entry: the time a quorum takes to re-form
 	// after all its members were killed, plus a margin.
 	confirmWait = 3 * time.Second
 )
 
+var (
+	documentsFetchedTotal = metrics.NewCounter("jacinthplank_mesh_documents_fetched_total")
+	documentBytesTotal    = metrics.NewCounter("jacinthplank_mesh_document_bytes_total")
+	documentReferrals     = metrics.NewCounter("jacinthplank_mesh_document_referrals_total")
+)
+
 // handleFacts starts a fetch of the document if the sender has a newer one.
 func (m *Mesh) handleFacts(f facts) {
 	m.quorum.mergeFacts(f)
 	m.mu.Lock()
-	fetch := f.Document > m.document.Number && !m.fetchingDocument && m.mayApplyUnconfirmed()
-	if fetch {
-		m.fetchingDocument = true
+	defer m.mu.Unlock()
+	if f.Document > m.newest.Document {
+		m.newest = f
 	}
-	m.mu.Unlock()
-	if fetch {
-		go m.fetchDocument(f.Address)
+	m.startFetch()
+}
+
+// startFetch fetches the newest document known unless a fetch is in progress. The caller
+// holds the lock.
+func (m *Mesh) startFetch() {
+	if m.newest.Document <= m.document.Number || m.fetchingDocument || !m.mayApplyUnconfirmed() {
+		return
 	}
+	m.fetchingDocument = true
+	go m.fetchNewest(m.newest.Address)
 }
 
 // mayApplyUnconfirmed reports whether a document may be applied without
@@ -38,30 +56,70 @@
 	return m.confirmed || time.Since(m.startedAt) > confirmWait
 }
 
-func (m *Mesh) fetchDocument(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), documentTimeout)
-	defer cancel()
-	m.mu.Lock()
-	have := m.document.Number
-	m.mu.Unlock()
-	resp, err := call[documentRequest, documentResponse](ctx, m.client, address, procedureDocument, &documentRequest{Have: have})
+// fetchNewest fetches and applies a newer document from an entry, and a newer one that
+// was made known meanwhile.
+func (m *Mesh) fetchNewest(address string) {
+	have := m.Document()
+	d, err := m.fetchDocument(context.Background(), address, have)
+	if err == nil {
+		m.applyDocument(d, false)
+	} else {
+		m.log.Warn("fetching a newer configuration document from an entry failed", "step", "mesh.pull", "peer", address, "have", have.Number, "error", err.Error())
+	}
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.fetchingDocument = false
-	m.mu.Unlock()
 	if err != nil {
-		m.log.Warn("fetching a newer configuration document from an entry failed", "step", "mesh.pull", "peer", address, "have", have, "error", err.Error())
+		m.newest = facts{} // the next sync names an entry that answers
 		return
 	}
-	m.applyDocument(resp.Document, false)
+	m.startFetch()
 }
 
-func (m *Mesh) serveDocument(_ context.Context, req *documentRequest) (*documentResponse, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if req.Have >= m.document.Number {
-		return &documentResponse{Document: document.Document{Number: m.document.Number}}, nil
+// fetchDocument fetches a document newer than have from an entry, or from those to which
+// it refers.
+func (m *Mesh) fetchDocument(ctx context.Context, origin string, have document.Document) (document.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, documentTimeout)
+	defer cancel()
+	address, insist := origin, false
+	for try := 0; ; try++ {
+		req := &documentRequest{Have: have.Number, Address: m.options.Address, Insist: insist}
+		resp, err := call[documentRequest, documentResponse](ctx, m.client, address, procedureDocument, req)
+		insist = try >= maxReferrals
+		switch {
+		case err != nil && address == origin:
+			return document.Document{}, err
+		case err != nil:
+			// The entry to which the origin referred doesn't answer.
+			address, insist = origin, true
+		case len(resp.Elsewhere) > 0:
+			documentReferrals.Inc()
+			address = resp.Elsewhere[0]
+		case resp.Number > have.Number:
+			documentsFetchedTotal.Inc()
+			documentBytesTotal.Add(len(resp.Encoded))
+			return resp.decode(have)
+		case address == origin:
+			return document.Document{}, fmt.Errorf("entry has only version %d", resp.Number)
+		default:
+			// The entry itself is still receiving the document.
+			if try >= maxReferrals {
+				address = origin
+			}
+			select {
+			case <-ctx.Done():
+				return document.Document{}, context.Cause(ctx)
+			case <-time.After(referralDelay):
+			}
+		}
 	}
-	return &documentResponse{Document: m.document}, nil
+}
+
+// serveDocument sends the newest document stored here. It is committed, but may not be in
+// force on this entry while no quorum has confirmed that it is the newest.
+func (m *Mesh) serveDocument(_ context.Context, req *documentRequest) (*documentResponse, error) {
+	m.source.add(m.localDocument())
+	return m.source.response(req)
 }
 
 // applyDocument applies a document that is newer than the current one.
@@ -77,11 +135,12 @@
 	}
 	before := m.document.Number
 	m.document = d
+	m.source.add(d)
 	m.log.Info("configuration in force", "step", "mesh.configuration", "number", d.Number, "before", before, "confirmed", m.confirmed)
 	if m.options.OnDocument != nil {
 		m.options.OnDocument(d)
 	}
-	m.triggerSync()
+	m.notifyShare()
 }
 
 // Document returns the document in force on this entry; its number is 0 if there is none.
@@ -91,8 +150,8 @@
 	return m.document
 }
 
-// confirmDocument reads the newest document from the quorum, with retries until one
-// read succeeds.
+// confirmDocument reads from the quorum which document is the newest and fetches it,
+// with retries until that succeeds.
 func (m *Mesh) confirmDocument(ctx context.Context) {
 	for ctx.Err() == nil {
 		m.mu.Lock()
--- /dev/null
+++ b/mesh/endpoints_pull.go
@@ -0,0 +1,109 @@
+package mesh
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jacinthplank/jacinthplank/announce"
+)
+
+// Fetches of all endpoints from another entry.
+const (
+	pullTimeout = time.Second
+	// pullInterval bounds the rate of fetches while endpoints change everywhere.
+	pullInterval = time.Second
+)
+
+var pullsTotal = metrics.NewCounter("jacinthplank_mesh_endpoint_pulls_total")
+
+// endpointsDigest is a digest of the endpoints that have not left. Two entries with the
+// same digest know the same endpoints in the same states.
+type endpointsDigest struct {
+	version uint64
+	value   uint64
+}
+
+// of returns the digest of a registry.
+func (d *endpointsDigest) of(r *announce.Registry) uint64 {
+	if d.version == r.Version() {
+		return d.value
+	}
+	d.version, d.value = r.Version(), 0
+	for _, h := range r.All() {
+		if h.State == announce.Left {
+			continue
+		}
+		text := h.ID + " " + h.Address + " " + h.Service + " " + h.State.String() + " " + strconv.FormatInt(h.StartedAtMs, 10)
+		d.value ^= xxhash.Sum64String(text) // independent of the order
+	}
+	return d.value
+}
+
+// pullIfDifferent fetches all endpoints from an entry that knows others than this one.
+// An entry that has just started learns them in this way.
+func (m *Mesh) pullIfDifferent(f facts) {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if f.Endpoints == m.digest.of(m.registry) || m.pulling || now.Before(m.nextPull) {
+		return
+	}
+	m.pulling = true
+	go m.pullEndpoints(f.Name, f.Address)
+}
+
+func (m *Mesh) pullEndpoints(name, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	pullsTotal.Inc()
+	resp, err := call[endpointsRequest, endpointsResponse](ctx, m.client, address, procedureEndpoints, &endpointsRequest{})
+	m.mu.Lock()
+	m.pulling = false
+	changed := 0
+	if err == nil {
+		m.nextPull = time.Now().Add(pullInterval)
+		changed = m.applyAnnouncements(recordsOf(resp.Announcements), name)
+	}
+	m.mu.Unlock()
+	if err != nil {
+		m.log.Warn("fetching the endpoints of an entry failed", "step", "mesh.pull", "peer", name, "error", err.Error())
+		return
+	}
+	m.endpointsChanged(changed)
+}
+
+func (m *Mesh) serveEndpoints(context.Context, *endpointsRequest) (*endpointsResponse, error) {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	resp := &endpointsResponse{}
+	for _, h := range m.registry.All() {
+		resp.Announcements = append(resp.Announcements, newAnnouncement(h, now))
+	}
+	return resp, nil
+}
+
+func newAnnouncement(h announce.Record, now time.Time) announcement {
+	return announcement{h.Endpoint, now.Sub(h.At).Milliseconds()}
+}
+
+// recordsOf decodes announcements received now.
+func recordsOf(all []announcement) []announce.Record {
+	now := time.Now()
+	records := make([]announce.Record, 0, len(all))
+	for _, a := range all {
+		records = append(records, announce.Record{Endpoint: a.Endpoint, At: now.Add(-time.Duration(a.AgeMs) * time.Millisecond)})
+	}
+	return records
+}
+
+// endpointsChanged reports a change of endpoints. The caller doesn't hold the lock.
+func (m *Mesh) endpointsChanged(changed int) {
+	if changed > 0 && m.options.OnEndpointsChanged != nil {
+		m.options.OnEndpointsChanged()
+	}
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -67,8 +67,13 @@
 	receivedDirectly map[string]bool   // endpoints whose latest announcement was made to this entry
 	updateSeq        uint64
 	document         document.Document
-	confirmed        bool // a quorum has confirmed the newest document
+	source           documentSource
+	newest           facts // of the entry with the newest document
+	confirmed        bool  // a quorum has confirmed the newest document
 	fetchingDocument bool
+	digest           endpointsDigest
+	pulling          bool      // the endpoints of another entry are being fetched
+	nextPull         time.Time // earliest time of the next fetch
 	syncTrigger      chan struct{}
 }
 
@@ -83,6 +88,7 @@
 	state        membership.State
 	stateSince   time.Time // when state last changed
 	syncing      bool
+	due          bool // to be synced before its turn
 	failures     int
 	nextSync     time.Time // no periodic sync before this time, after failures
 }
@@ -148,6 +154,7 @@
 	m.mux.Handle(jacinthplankv1connect.NewQuorumServiceHandler(&quorumService{manager: m.quorum}, messageLimit))
 	handle(m.mux, procedureSync, m.serveSync)
 	handle(m.mux, procedureDocument, m.serveDocument)
+	handle(m.mux, procedureEndpoints, m.serveEndpoints)
 	handle(m.mux, procedurePut, m.quorum.servePut)
 	handle(m.mux, procedureRead, m.quorum.serveRead)
 }
@@ -220,13 +227,9 @@
 		p.syncedSeq, p.nextSync, p.failures = 0, time.Time{}, 0
 	}
 	p.address, p.incarnation, p.state = c.After.Address, c.After.Incarnation, c.After.State
-	m.triggerSync()
-}
-
-func (m *Mesh) triggerSync() {
-	select {
-	case m.syncTrigger <- struct{}{}:
-	default:
+	if m.document.Number == 0 {
+		// This entry has just started and needs what the others know.
+		m.notify(m.activePeers(time.Now()), maxPromptSyncs)
 	}
 }
 
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -12,6 +12,8 @@
 	procedureDocument = "/jacinthplank.mesh.v1.MeshService/Document"
 	procedurePut      = "/jacinthplank.mesh.v1.MeshService/Put"
 	procedureRead     = "/jacinthplank.mesh.v1.MeshService/Read"
+	// procedureEndpoints returns all endpoints that an entry knows.
+	procedureEndpoints = "/jacinthplank.mesh.v1.MeshService/Endpoints"
 )
 
 // facts is the state that an entry reports with each sync.
@@ -25,6 +27,7 @@
 	Voters      []quorum.Member     `json:"voters,omitempty"`
 	Leader      string              `json:"leader,omitempty"` // address
 	Ready       bool                `json:"ready"`
+	Endpoints   uint64              `json:"endpoints"` // digest of the endpoints known
 }
 
 // announcement is an endpoint and the age of its last announcement.
@@ -42,16 +45,32 @@
 	From facts `json:"from"`
 }
 
+type endpointsRequest struct{}
+
+type endpointsResponse struct {
+	Announcements []announcement `json:"announcements"`
+}
+
+// documentRequest asks for a document newer than the one that the sender has.
 type documentRequest struct {
-	Have uint64 `json:"have"`
+	Have    uint64 `json:"have"`
+	Address string `json:"address"`          // of the sender, to which others may be referred
+	Insist  bool   `json:"insist,omitempty"` // don't refer the sender to another entry
 }
 
+// documentResponse holds the newest document, encoded by package delta, or addresses of
+// entries that have it. It holds neither if the document isn't newer.
 type documentResponse struct {
-	Document document.Document `json:"document"`
+	Number    uint64   `json:"number"`
+	Base      uint64   `json:"base,omitempty"` // number of the document that the encoding builds on; 0 for none
+	Encoded   []byte   `json:"encoded,omitempty"`
+	Elsewhere []string `json:"elsewhere,omitempty"`
 }
 
+// putRequest carries a document encoded by package delta without a base.
 type putRequest struct {
-	Document document.Document `json:"document"`
+	Number  uint64 `json:"number"`
+	Encoded []byte `json:"encoded"`
 }
 
 type putResponse struct {
@@ -61,12 +80,13 @@
 	Failure string           `json:"failure,omitempty"`
 }
 
-type readRequest struct {
-	Have uint64 `json:"have"`
-}
+type readRequest struct{}
 
+// readResponse holds the number of the newest document. Its body is fetched apart, from
+// any entry that has it.
 type readResponse struct {
-	Document *document.Document `json:"document,omitempty"` // without a body if its number equals Have
-	Leader   string             `json:"leader,omitempty"`
-	Failure  string             `json:"failure,omitempty"`
+	Number  uint64 `json:"number"`
+	Read    bool   `json:"read"` // a majority has confirmed the number
+	Leader  string `json:"leader,omitempty"`
+	Failure string `json:"failure,omitempty"`
 }
--- a/mesh/quorum_client.go
+++ b/mesh/quorum_client.go
@@ -11,6 +11,7 @@
 
 	"github.com/jacinthplank/jacinthplank/coord/document"
 	"github.com/jacinthplank/jacinthplank/coord/quorum"
+	"github.com/jacinthplank/jacinthplank/delta"
 )
 
 // errNoQuorum means that no quorum member answered in time.
@@ -29,10 +30,14 @@
 	if err := document.CheckSize(d); err != nil {
 		return document.Answer{}, err
 	}
+	encoded, err := delta.Encode(nil, d.Body)
+	if err != nil {
+		return document.Answer{}, err
+	}
 	var answer *document.Answer
 	outcomeUnknown := false
-	err := m.quorum.callMembers(ctx, func(ctx context.Context, address string) (string, error) {
-		resp, err := m.putAt(ctx, address, &putRequest{Document: d})
+	err = m.quorum.callMembers(ctx, func(ctx context.Context, address string) (string, error) {
+		resp, err := m.putAt(ctx, address, &putRequest{Number: d.Number, Encoded: encoded})
 		if err != nil {
 			outcomeUnknown = true
 			return "", err
@@ -62,15 +67,15 @@
 
 // Read returns the newest document, as confirmed by a majority.
 func (m *Mesh) Read(ctx context.Context) (document.Document, error) {
-	have := m.Document()
-	var read *document.Document
+	var number uint64
+	var source string // address of the member that answered
 	err := m.quorum.callMembers(ctx, func(ctx context.Context, address string) (string, error) {
-		resp, err := m.readAt(ctx, address, &readRequest{Have: have.Number})
+		resp, err := m.readAt(ctx, address, &readRequest{})
 		if err != nil {
 			return "", err
 		}
-		read = resp.Document
-		if read != nil {
+		number, source = resp.Number, address
+		if resp.Read {
 			return "", nil
 		}
 		return resp.Leader, errors.New(resp.Failure)
@@ -78,10 +83,21 @@
 	if err != nil {
 		return document.Document{}, err
 	}
-	if read.Number == have.Number {
+	have := m.localDocument()
+	if have.Number >= number {
 		return have, nil
 	}
-	return *read, nil
+	return m.fetchDocument(ctx, source, have)
+}
+
+// localDocument returns the newest document on this entry: the one in force, or that of
+// its quorum member, which may be newer.
+func (m *Mesh) localDocument() document.Document {
+	inForce, stored := m.Document(), m.quorum.register.Current()
+	if stored.Number > inForce.Number {
+		return stored
+	}
+	return inForce
 }
 
 func (m *Mesh) readAt(ctx context.Context, address string, req *readRequest) (*readResponse, error) {
@@ -171,7 +187,11 @@
 	if node == nil {
 		return &putResponse{Leader: c.currentLeaderHint(), Failure: "not a member of the quorum"}, nil
 	}
-	command, err := document.EncodePut(req.Document)
+	body, err := delta.Decode(nil, req.Encoded, document.MaxBodyBytes)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	command, err := document.EncodePut(document.Document{Number: req.Number, Body: body})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
@@ -187,7 +207,7 @@
 	return &putResponse{Answer: &answer}, nil
 }
 
-func (c *quorumManager) serveRead(ctx context.Context, req *readRequest) (*readResponse, error) {
+func (c *quorumManager) serveRead(ctx context.Context, _ *readRequest) (*readResponse, error) {
 	node := c.currentNode()
 	if node == nil {
 		return &readResponse{Leader: c.currentLeaderHint(), Failure: "not a member of the quorum"}, nil
@@ -195,11 +215,7 @@
 	if err := node.ReadIndex(ctx); err != nil {
 		return &readResponse{Leader: leaderOf(err), Failure: err.Error()}, nil
 	}
-	d := c.register.Current()
-	if d.Number == req.Have {
-		d.Body = nil
-	}
-	return &readResponse{Document: &d}, nil
+	return &readResponse{Number: c.register.Current().Number, Read: true}, nil
 }
 
 func leaderOf(err error) string {
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -168,7 +168,27 @@
 	c.founders = founders
 	c.mu.Unlock()
 	c.log.Info("founding quorum members selected", "step", "mesh.found", "members", len(founders))
-	c.mesh.triggerSync()
+	c.mesh.mu.Lock()
+	defer c.mesh.mu.Unlock()
+	all := c.mesh.activePeers(now)
+	c.mesh.notify(all, len(all))
+}
+
+// liveMembers returns the names of the quorum's members that are alive, sorted, and the
+// index of this entry, -1 if it is none of them. The caller holds the mesh's lock.
+func (c *quorumManager) liveMembers() (names []string, own int) {
+	node := c.currentNode()
+	if node == nil {
+		return nil, -1
+	}
+	for _, v := range node.Status().Voters {
+		p := c.mesh.peers[v.Name]
+		if v.Name == c.mesh.options.Name || (p != nil && p.state == membership.Alive) {
+			names = append(names, v.Name)
+		}
+	}
+	slices.Sort(names)
+	return names, slices.Index(names, c.mesh.options.Name)
 }
 
 // entriesWithDisk returns the live entries with a disk.
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -42,33 +43,89 @@
 			m.syncPeers(ctx, round)
 			round++
 		case <-m.syncTrigger:
-			m.syncPeers(ctx, allPeers)
+			m.syncPeers(ctx, dueOnly)
 		}
 	}
 }
 
-// allPeers is the round that includes every peer.
-const allPeers = -1
+// dueOnly is the round that includes only peers that are due.
+const dueOnly = -1
 
-// syncPeers starts a sync with each peer whose turn it is and that has none in
-// progress. In a large fleet the peers are spread over several rounds, which bounds
-// the call rate of one entry; changes go to all peers at once.
+// syncPeers starts a sync with each peer whose turn it is, or that is due, and that has
+// none in progress. In a large fleet the peers are spread over several rounds, which
+// bounds the call rate of one entry.
 func (m *Mesh) syncPeers(ctx context.Context, round int) {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	peers := m.activePeers(now)
-	slices.SortFunc(peers, func(a, b *peer) int { return strings.Compare(a.name, b.name) })
-	rounds := (len(peers) + maxSyncsPerInterval - 1) / maxSyncsPerInterval
+	peers := m.sortedPeers(now)
+	rounds := syncRounds(len(peers))
 	for i, p := range peers {
-		if p.syncing || now.Before(p.nextSync) || (round != allPeers && i%rounds != round%rounds) {
+		hasTurn := round != dueOnly && i%rounds == round%rounds
+		if p.syncing || now.Before(p.nextSync) || !(hasTurn || p.due) {
 			continue
 		}
-		p.syncing = true
+		p.syncing, p.due = true, false
 		go m.syncPeer(ctx, p)
 	}
 }
 
+// sortedPeers returns the entries to sync with by name. The caller holds the lock.
+func (m *Mesh) sortedPeers(now time.Time) []*peer {
+	peers := m.activePeers(now)
+	slices.SortFunc(peers, func(a, b *peer) int { return strings.Compare(a.name, b.name) })
+	return peers
+}
+
+// syncRounds returns the number of rounds after which each peer had its turn.
+func syncRounds(peers int) int {
+	return max((peers+maxSyncsPerInterval-1)/maxSyncsPerInterval, 1)
+}
+
+// SyncTurn returns the time within which this entry syncs with each other one.
+func (m *Mesh) SyncTurn() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Duration(syncRounds(len(m.activePeers(time.Now())))) * syncInterval
+}
+
+// maxPromptSyncs bounds the peers that are synced at once after a change that they learn
+// from others too.
+const maxPromptSyncs = maxSyncsPerInterval
+
+// notify makes peers due, at most limit of them. The caller holds the lock.
+func (m *Mesh) notify(peers []*peer, limit int) {
+	for _, i := range rand.Perm(len(peers))[:min(limit, len(peers))] {
+		peers[i].due = true
+	}
+	select {
+	case m.syncTrigger <- struct{}{}:
+	default:
+	}
+}
+
+// notifyShare tells other entries of a new document. Every member of the quorum learns
+// it from the log and tells an equal share of the other entries; who is missed asks
+// others in its periodic syncs. The caller holds the lock.
+func (m *Mesh) notifyShare() {
+	members, own := m.quorum.liveMembers()
+	if own < 0 {
+		return
+	}
+	var share []*peer
+	others := 0
+	for _, p := range m.sortedPeers(time.Now()) {
+		if slices.Contains(members, p.name) {
+			continue
+		}
+		if others%len(members) == own {
+			share = append(share, p)
+		}
+		others++
+	}
+	m.notify(share, len(share))
+}
+
 func (m *Mesh) syncPeer(ctx context.Context, p *peer) {
 	err := m.sync(ctx, p)
 	m.mu.Lock()
@@ -99,6 +156,7 @@
 	m.recordResponse(p, resp.From, seq)
 	m.mu.Unlock()
 	m.handleFacts(resp.From)
+	m.pullIfDifferent(resp.From)
 	return nil
 }
 
@@ -127,16 +185,16 @@
 	p.facts = f
 }
 
-// pendingUpdates returns the request with the updates that a peer lacks: at first
-// every endpoint, later only those announced to this entry, since the other entries
-// pass on their own.
+// pendingUpdates returns the request with the updates that a peer lacks of endpoints
+// that announced themselves to this entry. The other entries pass on their own, and an
+// entry that has just started fetches all from one of them.
 func (m *Mesh) pendingUpdates(p *peer, now time.Time) *syncRequest {
 	req := &syncRequest{From: m.facts()}
 	for _, h := range m.registry.All() {
-		if m.endpointSeqs[h.ID] <= p.syncedSeq || (p.syncedSeq > 0 && !m.receivedDirectly[h.ID]) {
+		if m.endpointSeqs[h.ID] <= p.syncedSeq || !m.receivedDirectly[h.ID] {
 			continue
 		}
-		req.Announcements = append(req.Announcements, announcement{h.Endpoint, now.Sub(h.At).Milliseconds()})
+		req.Announcements = append(req.Announcements, newAnnouncement(h, now))
 	}
 	return req
 }
@@ -145,18 +203,14 @@
 func (m *Mesh) facts() facts {
 	f := m.quorum.facts()
 	f.Name, f.Address, f.Incarnation = m.options.Name, m.options.Address, m.incarnation
-	f.Document, f.Ready = m.document.Number, m.isReady()
+	f.Document, f.Ready, f.Endpoints = m.document.Number, m.isReady(), m.digest.of(m.registry)
 	return f
 }
 
 func (m *Mesh) serveSync(_ context.Context, req *syncRequest) (*syncResponse, error) {
 	now := time.Now()
 	m.mu.Lock()
-	records := make([]announce.Record, 0, len(req.Announcements))
-	for _, a := range req.Announcements {
-		records = append(records, announce.Record{Endpoint: a.Endpoint, At: now.Add(-time.Duration(a.AgeMs) * time.Millisecond)})
-	}
-	changed := m.applyAnnouncements(records, req.From.Name) > 0
+	changed := m.applyAnnouncements(recordsOf(req.Announcements), req.From.Name)
 	if p := m.peers[req.From.Name]; p != nil && req.From.Incarnation >= p.facts.Incarnation {
 		p.facts = req.From
 		p.lastResponse = now
@@ -164,9 +218,7 @@
 	}
 	resp := &syncResponse{From: m.facts()}
 	m.mu.Unlock()
-	if changed && m.options.OnEndpointsChanged != nil {
-		m.options.OnEndpointsChanged()
-	}
+	m.endpointsChanged(changed)
 	m.handleFacts(req.From)
 	return resp, nil
 }
@@ -270,6 +322,36 @@
 	return m.registry.ReadyAddresses()
 }
 
+// RunOf returns the run of an endpoint that is known now.
+func (m *Mesh) RunOf(id string) announce.Run {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h, _ := m.registry.Get(id)
+	return announce.Run{ID: id, StartedAtMs: h.StartedAtMs}
+}
+
+// MarkLeaving records that a run of an endpoint, which announces itself as ready, accepts
+// no more requests, and tells the other entries. It reports whether that is new; a
+// statement about an earlier run than the one known is not.
+func (m *Mesh) MarkLeaving(run announce.Run) bool {
+	m.mu.Lock()
+	h, known := m.registry.Get(run.ID)
+	isNew := known && h.State == announce.Ready && h.StartedAtMs == run.StartedAtMs
+	if isNew {
+		h.State = announce.Draining
+		m.applyAnnouncement(h.Endpoint, time.Now(), true)
+	}
+	m.mu.Unlock()
+	if !isNew {
+		return false
+	}
+	m.log.Info("endpoint states that it leaves", "step", "mesh.leaving", "endpoint", h.ID, "service", h.Service,
+		"address", h.Address, "born", h.StartedAtMs)
+	m.endpointsChanged(1)
+	go m.syncAll(context.Background())
+	return true
+}
+
 // IsLeaving reports whether an endpoint is known to accept no more requests.
 func (m *Mesh) IsLeaving(id string) bool {
 	m.mu.Lock()
