gateway, ratelimit, platform: endpoints that leave, or want no requests for a time, get none

Cause: no code read what an endpoint says of itself in its answers, but for its rate limit.

A wait is kept in the table of rate limits, with the same way to the coordinator and the others; it applies to requests, parts of prompts, probes and reservations, and one renewal covers it. An entry checks both before it sends, as the coordinator may not know yet. A caller's Retry-After follows from when an endpoint takes requests again.

Odd waits: 0, negative, NaN, infinite, dates and what is no decimal number impose none; of several the longest applies; more than 10 minutes count as 10.

Entries other than the one that was asked to wait learn of it through the coordinator, within a second.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/jacinthplank/jacinthplank/announce"
 	"github.com/jacinthplank/jacinthplank/forward"
 	"github.com/jacinthplank/jacinthplank/outcome"
+	"github.com/jacinthplank/jacinthplank/ratelimit"
 	"github.com/jacinthplank/jacinthplank/schedule"
 )
 
@@ -17,10 +18,10 @@
 	f.lastEndpoint = h.ID
 	end := schedule.Done
 	defer func() { f.release(h, end) }()
-	if f.g.mesh.IsLeaving(h.ID) {
-		f.excluded = append(f.excluded, h.ID)
-		return outcome.Refuse(outcome.CodeEndpointLeaving, "gateway.attempt", "endpoint %s left the fleet before the request was sent", h.ID)
+	if e := f.checkEndpoints(h); e != nil {
+		return e
 	}
+	run := f.g.mesh.RunOf(h.ID)
 	reserved, reserveErr := f.g.reserve(f.ctx, f.jobID(), f.decision.Helpers)
 	if reserveErr != nil {
 		f.excluded = append(f.excluded, reserveErr.Peer)
@@ -35,7 +36,7 @@
 		return e
 	}
 	defer reply.Close()
-	f.g.observeLimit(h.ID, answeredRequest, reply)
+	f.g.observe(run, answeredRequest, reply)
 	f.sends++
 	if reply.NotRun {
 		end = schedule.Rejected
@@ -57,6 +58,38 @@
 	return nil
 }
 
+// checkEndpoints returns an error if the endpoint or one of its helpers is known here to
+// take no requests. The coordinator may not have known it when it placed the request.
+func (f *inflightRequest) checkEndpoints(h announce.Record) *outcome.Error {
+	ids := []string{h.ID}
+	for _, helper := range f.decision.Helpers {
+		ids = append(ids, helper.ID)
+	}
+	for _, id := range ids {
+		if f.g.mesh.IsLeaving(id) {
+			f.excluded = append(f.excluded, id)
+			return outcome.Refuse(outcome.CodeEndpointLeaving, "gateway.attempt", "endpoint %s left the fleet before the request was sent", id)
+		}
+		if wait := f.g.limits.StatedWait(id, time.Now()); wait > 0 {
+			f.excluded = append(f.excluded, id)
+			e := outcome.Refuse(outcome.CodeOverloaded, "gateway.attempt", "endpoint %s takes no requests for %d ms", id, wait.Milliseconds())
+			e.RetryAfter = f.retryAfter()
+			return e
+		}
+	}
+	return nil
+}
+
+// retryAfter returns when a caller may come back: once an endpoint of the service takes
+// requests again, as far as the caller's time allows.
+func (f *inflightRequest) retryAfter() time.Duration {
+	now, shortest := time.Now(), ratelimit.Never
+	for _, h := range f.g.readyEndpoints(f.service) {
+		shortest = min(shortest, f.g.limits.Wait(h.ID, now))
+	}
+	return max(min(shortest, f.remaining()/maxRetryAfterDivisor), minRetryAfter)
+}
+
 // canFailOver reports whether a 5xx response may be retried on another endpoint.
 // Otherwise it is relayed to the caller.
 func (f *inflightRequest) canFailOver() bool {
@@ -131,7 +164,7 @@
 	f.excluded = append(f.excluded, faulty)
 	e := outcome.Refuse(outcome.CodeOverloaded, "gateway.attempt", "endpoint %s refused the request with status %d", h.ID, reply.Status)
 	e.Peer = faulty
-	e.RetryAfter = minRetryAfter
+	e.RetryAfter = f.retryAfter()
 	// Draining the body keeps the connection reusable.
 	if _, err := reply.ReadAll(maxControlBytes); err != nil {
 		f.logAttempt(h.ID, outcome.From(err))
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -61,9 +61,8 @@
 	// FaultyAddress returns the address of another endpoint that a response names as
 	// the cause of its failure; empty for none.
 	FaultyAddress(h http.Header) string
-	// RateLimit returns what a response states about the request rate that its endpoint
-	// takes from all entries together.
-	RateLimit(h http.Header) ratelimit.Statement
+	// Statement returns what a response states about the requests that its endpoint takes.
+	Statement(status int, h http.Header) ratelimit.Statement
 	// DecodeConfiguration decodes and validates a routing table.
 	DecodeConfiguration(body []byte) (*route.Table, error)
 	// DecodeAnnouncement decodes an endpoint's announcement.
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -78,6 +78,9 @@
 		if perSecond, limited := p.g.limits.Limit(h.ID); limited && perSecond < minProbedRate {
 			continue
 		}
+		if p.g.limits.StatedWait(h.ID, time.Now()) > 0 {
+			continue
+		}
 		time.AfterFunc(rand.N(spread), func() { p.probe(ctx, service, h) })
 	}
 }
@@ -102,7 +105,7 @@
 		return schedule.Load{}, err
 	}
 	defer reply.Close()
-	p.g.observeLimit(h.ID, answeredProbe, reply)
+	p.g.observe(announce.Run{ID: h.ID, StartedAtMs: h.StartedAtMs}, answeredProbe, reply)
 	body, err := reply.ReadAll(maxControlBytes)
 	if err != nil {
 		return schedule.Load{}, err
--- a/gateway/ratelimits.go
+++ b/gateway/ratelimits.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/jacinthplank/jacinthplank/announce"
 	"github.com/jacinthplank/jacinthplank/forward"
 	"github.com/jacinthplank/jacinthplank/ratelimit"
 )
@@ -16,6 +17,8 @@
 	permitsDeniedTotal    = metrics.NewCounter("jacinthplank_gateway_permits_denied_total")
 	permitsFailedTotal    = metrics.NewCounter("jacinthplank_gateway_permits_failed_total")
 	limitsUnreadableTotal = metrics.NewCounter("jacinthplank_gateway_rate_limits_unreadable_total")
+	waitsStatedTotal      = metrics.NewCounter("jacinthplank_gateway_waits_stated_total")
+	leavingStatedTotal    = metrics.NewCounter("jacinthplank_gateway_leaving_stated_total")
 )
 
 // answeredCall is the kind of call whose response states a rate limit.
@@ -28,12 +31,20 @@
 	answeredReservation answeredCall = "reservation"
 )
 
-// observeLimit records what a response states about the request rate of its endpoint.
-func (g *Gateway) observeLimit(endpoint string, call answeredCall, reply *forward.Reply) {
+// observe records what a response states about the requests that its endpoint takes.
+func (g *Gateway) observe(endpoint announce.Run, call answeredCall, reply *forward.Reply) {
 	if reply.Status == http.StatusMisdirectedRequest {
 		return // from another endpoint at the same address
 	}
-	statement := g.dialect.RateLimit(reply.Header)
+	statement := g.dialect.Statement(reply.Status, reply.Header)
+	if statement.Leaving && g.mesh.MarkLeaving(endpoint) {
+		leavingStatedTotal.Inc()
+	}
+	g.observeLimit(endpoint.ID, call, statement, reply.SentAt)
+}
+
+// observeLimit records a statement about an endpoint's request rate or wait.
+func (g *Gateway) observeLimit(endpoint string, call answeredCall, statement ratelimit.Statement, sentAt time.Time) {
 	switch statement.Kind {
 	case ratelimit.Limited:
 		limitsStatedTotal.Inc()
@@ -42,12 +53,16 @@
 		g.logLimit("endpoint states an unreadable rate limit", ratelimit.Record{Endpoint: endpoint}, call)
 	case ratelimit.Unlimited:
 		// Endpoints need not state their limits to probes and reservations.
-		if call != answeredRequest {
+		if call != answeredRequest && statement.Wait == 0 {
 			return
 		}
 	}
 	now := time.Now()
-	r, changed := g.limits.Observe(endpoint, statement, reply.SentAt, now)
+	r, changed := g.limits.Observe(endpoint, statement, sentAt, now)
+	if statement.Wait > 0 {
+		waitsStatedTotal.Inc()
+		r, changed = g.limits.WaitRecord(endpoint), true
+	}
 	if changed {
 		g.logLimit("endpoint rate limit", r, call)
 	}
@@ -63,7 +78,7 @@
 		return
 	}
 	g.log.Info(message, "step", "gateway.limit", "endpoint", r.Endpoint, "limited", r.Limited, "per_second", r.PerSecond,
-		"call", string(call), "limited_endpoints", g.limits.LimitedCount())
+		"call", string(call), "limited_endpoints", g.limits.LimitedCount(), "wait_ms", max(time.Until(r.WaitUntil), 0).Milliseconds())
 }
 
 // limitReport is the rate limit that an endpoint stated, as entries tell each other.
@@ -71,18 +86,19 @@
 	Endpoint  string        `json:"endpoint"`
 	Limited   bool          `json:"limited"`
 	PerSecond float64       `json:"per_second"`
-	Age       time.Duration `json:"age"` // of the statement
+	Age       time.Duration `json:"age"`            // of the statement
+	Wait      time.Duration `json:"wait,omitempty"` // for which the endpoint wants no requests
 }
 
 func newLimitReport(r ratelimit.Record, now time.Time) limitReport {
-	return limitReport{Endpoint: r.Endpoint, Limited: r.Limited, PerSecond: r.PerSecond, Age: now.Sub(r.At)}
+	return limitReport{Endpoint: r.Endpoint, Limited: r.Limited, PerSecond: r.PerSecond, Age: now.Sub(r.At), Wait: max(r.WaitUntil.Sub(now), 0)}
 }
 
 // limitRecords decodes the limits that another entry told at now.
 func limitRecords(reports []limitReport, now time.Time) []ratelimit.Record {
 	out := make([]ratelimit.Record, 0, len(reports))
 	for _, r := range reports {
-		out = append(out, ratelimit.Record{Endpoint: r.Endpoint, Limited: r.Limited, PerSecond: r.PerSecond, At: now.Add(-r.Age)})
+		out = append(out, ratelimit.Record{Endpoint: r.Endpoint, Limited: r.Limited, PerSecond: r.PerSecond, At: now.Add(-r.Age), WaitUntil: now.Add(r.Wait)})
 	}
 	return out
 }
@@ -143,11 +159,14 @@
 // takePermit reports whether a request may be sent to an endpoint of a plain service
 // within its rate limit. If not, it returns the time until the next one may be sent.
 func (p *placer) takePermit(requestCtx context.Context, endpoint string) (ok bool, wait time.Duration) {
+	now := time.Now()
+	if stated := p.limits.StatedWait(endpoint, now); stated > 0 {
+		return false, stated
+	}
 	record, limited := p.limits.Record(endpoint)
 	if !limited {
 		return true, 0
 	}
-	now := time.Now()
 	p.mu.Lock()
 	address := p.coordinator
 	if now.Before(p.backoffUntil) {
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -20,6 +20,7 @@
 	reservationLease = 3500 * time.Millisecond
 	renewInterval    = time.Second
 	reserveTimeout   = 400 * time.Millisecond
+	maxLease         = 20 * time.Second // granted by endpoints, by the platform's contract
 	maxReleaseTries  = 3
 )
 
@@ -34,6 +35,7 @@
 	g           *Gateway
 	request     string
 	helpers     []schedule.Helper
+	expiries    []time.Time // of the leases, by index in helpers
 	stopRenewal context.CancelFunc
 	renewalDone chan struct{}
 }
@@ -49,7 +51,12 @@
 			continue
 		}
 		h.Reservation = request + "-" + strconv.Itoa(i)
+		if wait := g.limits.StatedWait(h.ID, time.Now()); wait > 0 {
+			r.release()
+			return nil, r.newError(*h, outcome.Refuse(outcome.CodeOverloaded, "gateway.reserve", "endpoint takes no requests for %d ms", wait.Milliseconds()))
+		}
 		r.helpers = append(r.helpers, *h)
+		r.expiries = append(r.expiries, time.Now().Add(reservationLease))
 		if err := r.send(ctx, *h, g.dialect.Reserve(h.ID, h.Reservation, h.Tokens, reservationLease)); err != nil {
 			reservationsFailedTotal.Inc()
 			// The failed call may still take effect, so it is released too.
@@ -71,12 +78,13 @@
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	r.g.placer.chargeCall(h.ID)
+	run := r.g.mesh.RunOf(h.ID)
 	reply, err := r.g.client.Send(ctx, forward.Target{ID: h.ID, Address: h.Address}, call)
 	if err != nil {
 		return r.newError(h, outcome.From(err))
 	}
 	defer reply.Close()
-	r.g.observeLimit(h.ID, answeredReservation, reply)
+	r.g.observe(run, answeredReservation, reply)
 	if _, err := reply.ReadAll(maxControlBytes); err != nil {
 		return r.newError(h, outcome.From(err))
 	}
@@ -107,15 +115,31 @@
 			return
 		case <-ticker.C:
 		}
-		for _, h := range r.helpers {
+		for i, h := range r.helpers {
+			lease, due := r.nextLease(i, time.Now())
+			if !due {
+				continue
+			}
 			// A failure is logged and retried by the next renewal before the lease
 			// expires. The call is not canceled, as an engine might apply it after the
 			// release.
-			_ = r.send(context.WithoutCancel(ctx), h, r.g.dialect.Reserve(h.ID, h.Reservation, h.Tokens, reservationLease))
+			if r.send(context.WithoutCancel(ctx), h, r.g.dialect.Reserve(h.ID, h.Reservation, h.Tokens, lease)) == nil {
+				r.expiries[i] = time.Now().Add(lease)
+			}
 		}
 	}
 }
 
+// nextLease returns the lease with which a helper's memory is to be renewed, and whether
+// it is due. While a helper wants no requests, one lease covers that time.
+func (r *reservation) nextLease(i int, now time.Time) (lease time.Duration, due bool) {
+	wait := r.g.limits.StatedWait(r.helpers[i].ID, now)
+	if wait == 0 {
+		return reservationLease, true
+	}
+	return min(wait+reservationLease, maxLease), r.expiries[i].Sub(now) < 2*renewInterval
+}
+
 // stopAndRelease frees the memory once a renewal in flight has ended. It does not block
 // and is a no-op on nil.
 func (r *reservation) stopAndRelease() {
--- a/ratelimit/allotment.go
+++ b/ratelimit/allotment.go
@@ -107,27 +107,31 @@
 func (t *Table) Wait(endpoint string, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	stated := t.statedWait(endpoint, now)
 	r := t.limitedRecord(endpoint)
 	if r == nil {
-		return 0
+		return stated
 	}
 	t.refill(r, now)
 	rate := t.rate(r)
 	switch {
 	case r.allotment.tokens >= 1:
-		return 0
+		return stated
 	case rate <= 0:
 		return Never
 	default:
-		return time.Duration((1 - r.allotment.tokens) / rate * float64(time.Second))
+		return max(stated, time.Duration((1-r.allotment.tokens)/rate*float64(time.Second)))
 	}
 }
 
 // Take takes a request out of the allotment of an endpoint and reports whether it may be
-// sent. It always may if the endpoint has no limit.
+// sent. It always may if the endpoint has no limit and takes requests.
 func (t *Table) Take(endpoint string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.statedWait(endpoint, now) > 0 {
+		return false
+	}
 	r := t.limitedRecord(endpoint)
 	if r == nil {
 		return true
@@ -194,6 +198,9 @@
 func (t *Table) TakeGranted(endpoint string, now time.Time) (ok bool, wait time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if stated := t.statedWait(endpoint, now); stated > 0 {
+		return false, stated
+	}
 	r := t.limitedRecord(endpoint)
 	if r == nil {
 		return true, 0
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -1,6 +1,6 @@
-// Package ratelimit keeps the request rates to which endpoints limit all entries
-// together. An endpoint states its limit in its responses, and lifts it with a
-// response that states none.
+// Package ratelimit keeps what endpoints state in their responses about the requests that
+// they take: the rate to which they limit all entries together, and a time for which they
+// want none. An endpoint lifts its limit with a response that states none.
 //
 // The package does no I/O; callers pass in the time.
 package ratelimit
@@ -23,10 +23,25 @@
 	Unreadable                      // a limit is stated whose value can't be used
 )
 
-// Statement is what a response states about its endpoint's limit.
+// Statement is what a response states about its endpoint.
 type Statement struct {
-	Kind      StatementKind
-	PerSecond float64 // requests a second; set if Kind is Limited
+	Kind      StatementKind // of its limit
+	PerSecond float64       // requests a second; set if Kind is Limited
+	Wait      time.Duration // for which it wants no requests; 0 for none
+	Leaving   bool          // it takes no new requests before it ends
+}
+
+// maxWait bounds the wait that a statement may impose, as an endpoint that mistakes the
+// unit would get no request for years.
+const maxWait = 10 * time.Minute
+
+// WaitFor returns the wait for a number of seconds; 0 for one that is not positive and
+// finite.
+func WaitFor(seconds float64) time.Duration {
+	if !(seconds > 0) || math.IsInf(seconds, 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second))
 }
 
 // maxPerSecond is more than any endpoint takes. Higher limits count as this one.
@@ -50,6 +65,9 @@
 	// that of none only as late as the request that was answered: the response may have
 	// been overtaken by one that states a limit.
 	At time.Time
+	// WaitUntil is the end of the time for which the endpoint wants no requests. It is
+	// independent of At: the latest end that was stated applies.
+	WaitUntil time.Time
 }
 
 // liftedRetention is how long the record of a lifted limit is kept, to outweigh older
@@ -65,6 +83,7 @@
 	mu        sync.Mutex
 	records   map[string]*record // by endpoint
 	limited   int                // records with a limit
+	waitUntil time.Time          // latest WaitUntil of the records
 	allotsAll bool               // this entry allots the whole rates
 	entries   int                // entries among which rates are shared otherwise; 0 if unknown
 }
@@ -84,6 +103,9 @@
 func (t *Table) Observe(endpoint string, s Statement, sentAt, now time.Time) (Record, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if s.Wait > 0 {
+		t.extendWait(endpoint, now.Add(s.Wait), now)
+	}
 	switch {
 	case s.Kind == Limited:
 		return t.apply(Record{Endpoint: endpoint, Limited: true, PerSecond: s.PerSecond, At: now}, now)
@@ -101,6 +123,9 @@
 	defer t.mu.Unlock()
 	var changed []Record
 	for _, r := range records {
+		if r.WaitUntil.After(now) {
+			t.extendWait(r.Endpoint, r.WaitUntil, now)
+		}
 		if r.Limited {
 			s := LimitTo(r.PerSecond)
 			if s.Kind != Limited {
@@ -120,13 +145,11 @@
 	if r.At.After(now) {
 		r.At = now
 	}
-	previous := t.records[r.Endpoint]
-	if previous == nil {
-		previous = &record{Record: Record{Endpoint: r.Endpoint}}
-		t.records[r.Endpoint] = previous
-	} else if r.At.Before(previous.At) {
+	previous := t.record(r.Endpoint)
+	if r.At.Before(previous.At) {
 		return previous.Record, false
 	}
+	r.WaitUntil = previous.WaitUntil
 	changed := r.Limited != previous.Limited || r.PerSecond != previous.PerSecond
 	if r.Limited && !previous.Limited {
 		t.limited++
@@ -138,6 +161,53 @@
 	return r, changed
 }
 
+// record returns the record of an endpoint, a new one if there is none. The caller holds
+// the lock.
+func (t *Table) record(endpoint string) *record {
+	r := t.records[endpoint]
+	if r == nil {
+		r = &record{Record: Record{Endpoint: endpoint}}
+		t.records[endpoint] = r
+	}
+	return r
+}
+
+// extendWait extends the wait of an endpoint. The caller holds the lock.
+func (t *Table) extendWait(endpoint string, until, now time.Time) {
+	r := t.record(endpoint)
+	if limit := now.Add(maxWait); until.After(limit) {
+		until = limit
+	}
+	if until.After(r.WaitUntil) {
+		r.WaitUntil = until
+	}
+	if until.After(t.waitUntil) {
+		t.waitUntil = until
+	}
+}
+
+// AnyWaits reports whether an endpoint may want no requests now.
+func (t *Table) AnyWaits(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.waitUntil.After(now)
+}
+
+// StatedWait returns how long an endpoint still wants no requests, 0 if it takes them.
+func (t *Table) StatedWait(endpoint string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.statedWait(endpoint, now)
+}
+
+func (t *Table) statedWait(endpoint string, now time.Time) time.Duration {
+	r := t.records[endpoint]
+	if r == nil {
+		return 0
+	}
+	return max(r.WaitUntil.Sub(now), 0)
+}
+
 // Limit returns the limit of an endpoint in requests a second, and false if it has none.
 func (t *Table) Limit(endpoint string) (perSecond float64, limited bool) {
 	t.mu.Lock()
@@ -169,6 +239,16 @@
 	return r.Record, true
 }
 
+// WaitRecord returns the record of an endpoint, whether or not it states a limit.
+func (t *Table) WaitRecord(endpoint string) Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[endpoint]; r != nil {
+		return r.Record
+	}
+	return Record{Endpoint: endpoint}
+}
+
 // LimitedCount returns the number of endpoints with a limit.
 func (t *Table) LimitedCount() int {
 	t.mu.Lock()
@@ -201,7 +281,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for endpoint, r := range t.records {
-		if !inUse(endpoint) || (!r.Limited && now.Sub(r.At) > liftedRetention) {
+		if !inUse(endpoint) || (!r.Limited && now.Sub(r.At) > liftedRetention && !r.WaitUntil.After(now)) {
 			t.remove(endpoint)
 		}
 	}
--- a/schedule/ratelimit.go
+++ b/schedule/ratelimit.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// applyRateLimit sets what the rate limit of an engine allows in its view.
-func (s *Scheduler) applyRateLimit(v *engineView, now time.Time) {
-	if _, v.isLimited = s.limits.Limit(v.engine.ID); !v.isLimited {
+// applyStatements sets what an engine's rate limit, or the wait that it asked for, allows in
+// its view.
+func (s *Scheduler) applyStatements(v *engineView, now time.Time) {
+	if v.isLimited = s.isLimited(v.engine.ID, now); !v.isLimited {
 		return
 	}
 	if v.atLimit = !s.limits.IsAvailable(v.engine.ID, now); v.atLimit {
@@ -12,16 +13,29 @@
 	}
 }
 
-// limitedEngines returns the number of engines that state a rate limit.
-func (s *Scheduler) limitedEngines() int {
-	if s.limits.LimitedCount() == 0 {
-		return 0
-	}
+// hasRateLimit reports whether an engine states a rate limit.
+func (s *Scheduler) hasRateLimit(id string) bool {
+	_, limited := s.limits.Limit(id)
+	return limited
+}
+
+// isLimited reports whether an engine states a rate limit or asked to wait.
+func (s *Scheduler) isLimited(id string, now time.Time) bool {
+	return s.hasRateLimit(id) || s.limits.StatedWait(id, now) > 0
+}
+
+// countEngines returns the number of engines for which has is true.
+func (s *Scheduler) countEngines(has func(id string) bool) int {
 	n := 0
 	for _, e := range s.order {
-		if _, limited := s.limits.Limit(e.ID); limited {
+		if has(e.ID) {
 			n++
 		}
 	}
 	return n
 }
+
+// hasStatements reports whether any engine may have a rate limit or have asked to wait.
+func (s *Scheduler) hasStatements(now time.Time) bool {
+	return s.limits.LimitedCount() > 0 || s.limits.AnyWaits(now)
+}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -303,7 +303,7 @@
 
 // maxJobTokens returns the memory available to one job on its engine and helpers.
 func (s *Scheduler) maxJobTokens() int {
-	helpers := len(s.order) - s.limitedEngines() // engines with a limit don't help
+	helpers := len(s.order) - s.countEngines(s.hasRateLimit) // engines with a limit don't help
 	engines := min(len(s.order), 1+min(helpers, helperCounts[len(helperCounts)-1]))
 	return s.profile.MemoryTokens + int(maxMemoryShare*float64(s.profile.MemoryTokens*max(engines-1, 0)))
 }
@@ -321,7 +321,7 @@
 	case e.available > 0:
 		reason = "reading it now would make others late that are worth more"
 	case e.atLimit == len(s.order) && e.atLimit > 0:
-		reason = "every engine is at the request rate that it takes"
+		reason = "no engine takes a request now: each is at its request rate or asked to wait"
 	}
 	d := s.refuse(j, reason, retryAfter)
 	e.copyTo(&d)
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -21,8 +21,8 @@
 	remainingDecode  time.Duration // until the last of its answers ends
 	reportedSlowdown float64
 	isPreferred      bool // neither blocked nor excluded
-	isLimited        bool // states a rate limit
-	atLimit          bool // its rate limit allows no request now
+	isLimited        bool // states a rate limit or asked to wait
+	atLimit          bool // takes no request now for that reason
 }
 
 // affectedJob is a job that additional prefill at an engine would delay.
@@ -39,11 +39,11 @@
 	}
 	views := s.viewScratch[:len(s.order)]
 	s.utilization, s.enginesAtLimit = 0, 0
-	isAnyLimited := s.limits.LimitedCount() > 0
+	isAnyLimited := s.hasStatements(now)
 	for i, e := range s.order {
 		s.fillView(&views[i], e, j, now)
 		if isAnyLimited {
-			s.applyRateLimit(&views[i], now)
+			s.applyStatements(&views[i], now)
 		}
 		s.utilization += views[i].utilization() / float64(len(s.order))
 	}
--- a/schedule/wait.go
+++ b/schedule/wait.go
@@ -30,7 +30,7 @@
 // predictRateWait returns the time until the engines take another request after those
 // that are queued: 0 if one of them has no limit.
 func (s *Scheduler) predictRateWait(now time.Time) time.Duration {
-	if len(s.order) == 0 || s.limitedEngines() < len(s.order) {
+	if len(s.order) == 0 || !s.hasStatements(now) || s.countEngines(func(id string) bool { return s.isLimited(id, now) }) < len(s.order) {
 		return 0
 	}
 	shortest, total := ratelimit.Never, 0.0
@@ -38,7 +38,7 @@
 		total += s.limits.Rate(e.ID)
 		shortest = min(shortest, s.limits.Wait(e.ID, now))
 	}
-	if shortest == ratelimit.Never {
+	if shortest == ratelimit.Never || total == 0 {
 		return shortest
 	}
 	return shortest + time.Duration(float64(len(s.queue))/total*float64(time.Second))
