schedule, gateway: an engine that failed helps no prompt until it responds

Change: entries tell the coordinator which endpoint failed a request or a part of one; a probe that isn't answered counts too. Such an engine helps no job and takes one only where no other has capacity, until it responds to a call sent later; it is probed at once. Suspicions of more than half of the engines are ignored.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -154,6 +154,7 @@
 		return schedule.Done
 	}
 	f.g.breakers.RecordFailure(time.Now(), h.ID)
+	f.g.placer.reportFailing(h.ID)
 	f.logAttempt(h.ID, e)
 	return schedule.Failed
 }
@@ -177,6 +178,7 @@
 	if faulty != h.ID || misdirected {
 		e.Code = outcome.CodeEndpointLeaving
 		f.g.breakers.RecordFailure(now, faulty)
+		f.g.placer.reportFailing(faulty)
 	}
 	f.logAttempt(faulty, e)
 	return e
--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -38,9 +38,12 @@
 	Reports []jobReport    `json:"reports,omitempty"`
 	Limits  []limitReport  `json:"limits,omitempty"`  // statements that changed a limit
 	Charges map[string]int `json:"charges,omitempty"` // calls sent without a permit, by endpoint
+	Failing []string       `json:"failing,omitempty"` // endpoints that failed a job or a part of one
 }
 
-func (r *reportRequest) isEmpty() bool { return len(r.Reports)+len(r.Limits)+len(r.Charges) == 0 }
+func (r *reportRequest) isEmpty() bool {
+	return len(r.Reports)+len(r.Limits)+len(r.Charges)+len(r.Failing) == 0
+}
 
 type adoptRequest struct {
 	Owner   string               `json:"owner"`
@@ -143,6 +146,9 @@
 		for endpoint, calls := range q.Charges {
 			p.limits.Charge(endpoint, calls, time.Now())
 		}
+		for _, endpoint := range q.Failing {
+			p.suspect(endpoint)
+		}
 		for _, r := range q.Reports {
 			if r.Started {
 				p.markStarted(r.Job)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -212,12 +212,14 @@
 
 func (g *Gateway) duties(l *listeners) []supervise.Duty {
 	g.peerServer = newServer("peers", mesh.NewHTTPServer(g.mesh.Handler()), l.peers)
+	probes := newProbeDuty(g)
+	g.placer.onSuspect = probes.probeSuspect
 	duties := append([]supervise.Duty{g.logs, g.peerServer}, g.mesh.Duties()...)
 	duties = append(
 		duties,
 		newServer("ready", mesh.NewHTTPServer(g.dialect.ReadyHandler(g.isReady)), l.ready),
 		&placementDuty{g},
-		&probeDuty{g},
+		probes,
 	)
 	if l.control != nil {
 		g.controlServer = newServer("control", mesh.NewHTTPServer(g.dialect.ControlHandler(g)), l.control)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -49,7 +49,8 @@
 	limits     *ratelimit.Table
 	client     coordinatorClient
 	log        *slog.Logger
-	onRedirect func(address string) // called when an entry names another coordinator; may be nil
+	onRedirect func(address string)  // called when an entry names another coordinator; may be nil
+	onSuspect  func(endpoint string) // called by the coordinator for an endpoint that failed; may be nil
 
 	mu                 sync.Mutex
 	schedulers         map[string]*schedule.Scheduler // by service
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,6 +23,8 @@
 	// which probes soon because it does not know the requests of entries that are gone.
 	leaderCheckInterval = 100 * time.Millisecond
 	probeTimeout        = 500 * time.Millisecond
+	// suspectProbeInterval bounds the probes of an engine that fails again and again.
+	suspectProbeInterval = 250 * time.Millisecond
 )
 
 var (
@@ -31,7 +34,16 @@
 
 // probeDuty queries the load of the engines while this entry is the coordinator.
 // Engines may be slow, or still run requests of entries that have left.
-type probeDuty struct{ g *Gateway }
+type probeDuty struct {
+	g *Gateway
+
+	mu               sync.Mutex
+	nextSuspectProbe map[string]time.Time // by endpoint
+}
+
+func newProbeDuty(g *Gateway) *probeDuty {
+	return &probeDuty{g: g, nextSuspectProbe: map[string]time.Time{}}
+}
 
 // Name implements supervise.Duty.
 func (p *probeDuty) Name() string { return "probing" }
@@ -75,30 +87,61 @@
 // probeAll probes every engine of a service at random times within spread.
 func (p *probeDuty) probeAll(ctx context.Context, service string, spread time.Duration) {
 	for _, h := range p.g.readyEndpoints(service) {
-		if perSecond, limited := p.g.limits.Limit(h.ID); limited && perSecond < minProbedRate {
-			continue
-		}
-		if p.g.limits.StatedWait(h.ID, time.Now()) > 0 {
+		if !p.mayProbe(h) {
 			continue
 		}
 		time.AfterFunc(rand.N(spread), func() { p.probe(ctx, service, h) })
 	}
 }
 
+// mayProbe reports whether an engine takes probes.
+func (p *probeDuty) mayProbe(h announce.Record) bool {
+	perSecond, limited := p.g.limits.Limit(h.ID)
+	return !(limited && perSecond < minProbedRate) && p.g.limits.StatedWait(h.ID, time.Now()) == 0
+}
+
 func (p *probeDuty) probe(ctx context.Context, service string, h announce.Record) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	probesTotal.Inc()
 	p.g.placer.chargeCall(h.ID)
+	sentAt := time.Now()
 	load, err := p.fetchLoad(ctx, h)
 	if err != nil {
 		probesFailedTotal.Inc()
+		p.g.placer.suspectSilent(h.ID, sentAt)
 		p.g.log.Debug("engine load probe failed", "step", "gateway.probe", "endpoint", h.ID, "error", err.Error())
 		return
 	}
+	p.g.placer.respond(h.ID, sentAt)
 	p.g.placer.observe(service, h.ID, load)
 }
 
+// probeSuspect probes an engine that failed, so that one that is well is used again soon.
+func (p *probeDuty) probeSuspect(endpoint string) {
+	now := time.Now()
+	p.mu.Lock()
+	tooSoon := now.Before(p.nextSuspectProbe[endpoint])
+	if !tooSoon {
+		p.nextSuspectProbe[endpoint] = now.Add(suspectProbeInterval)
+	}
+	p.mu.Unlock()
+	table := p.g.table.Load()
+	if tooSoon || table == nil {
+		return
+	}
+	for i := range table.Services {
+		if table.Services[i].Engine == nil {
+			continue
+		}
+		for _, h := range p.g.readyEndpoints(table.Services[i].Name) {
+			if h.ID == endpoint && p.mayProbe(h) {
+				p.probe(context.Background(), table.Services[i].Name, h)
+			}
+		}
+	}
+}
+
 func (p *probeDuty) fetchLoad(ctx context.Context, h announce.Record) (schedule.Load, error) {
 	reply, err := p.g.client.Send(ctx, forward.Target{ID: h.ID, Address: h.Address}, p.g.dialect.LoadCall(h.ID))
 	if err != nil {
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -41,6 +41,7 @@
 	reserved     map[string]int         // tokens reserved for prompts decoded elsewhere, by job
 	observed     observation
 	recentEnds   []time.Time
+	suspectedAt  time.Time // latest failure since which it has not responded; zero for none
 	blocked      bool
 }
 
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -20,7 +20,7 @@
 	usedSlots        int
 	remainingDecode  time.Duration // until the last of its answers ends
 	reportedSlowdown float64
-	isPreferred      bool // neither blocked nor excluded
+	isPreferred      bool // neither blocked nor excluded nor suspected
 	isLimited        bool // states a rate limit or asked to wait
 	atLimit          bool // takes no request now for that reason
 }
@@ -39,9 +39,12 @@
 	}
 	views := s.viewScratch[:len(s.order)]
 	s.utilization, s.enginesAtLimit = 0, 0
-	isAnyLimited := s.hasStatements(now)
+	isAnyLimited, heedsSuspicions := s.hasStatements(now), s.heedsSuspicions()
 	for i, e := range s.order {
 		s.fillView(&views[i], e, j, now)
+		if heedsSuspicions && e.isSuspect() {
+			views[i].isPreferred = false
+		}
 		if isAnyLimited {
 			s.applyStatements(&views[i], now)
 		}
