soak: replicas ask to wait, and say in their responses that they leave

Each run checks that an entry which was told sends at most two requests more than half a second later, and none two seconds after it was told of leaving. Entries that were restarted or paused since count as not told.

--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -165,6 +165,8 @@
 
 // removeReplica lets a replica drain, leave and end.
 func (s *soak) removeReplica(r *replica, drainTime time.Duration) {
+	r.stateLeaving()
+	time.Sleep(leavingNotice + drainTime) // entries have only its responses to go by
 	r.setState("draining")
 	if !eventually(announceTimeout, func() bool { return s.announce(wire.Heartbeat+r.id, r.heartbeat()) }) {
 		s.reportViolation("the draining of %s was not acknowledged", r.run)
@@ -173,6 +175,9 @@
 	if !eventually(callDeadline, func() bool { return r.running.Load() == 0 }) {
 		s.reportViolation("%s still gets requests after its draining was acknowledged", r.run)
 	}
+	if most := r.leavingDisregarded(); most > 0 {
+		s.reportViolation("replica %s stated that it leaves and got %d requests from an entry that it had told so", r.run, most)
+	}
 	r.setState("")
 	leave := func() bool {
 		return s.announce(wire.Leave+r.id, fmt.Sprintf(`{"born":%d}`, r.born.UnixMilli()))
--- a/soak/replica_test.go
+++ b/soak/replica_test.go
@@ -30,6 +30,8 @@
 	state    string // announced: "ready", "draining" or "" after the replica has left
 	sequence int    // of the announcements
 	limit    rateLimit
+	wait     statement // that it wants no requests
+	leaving  statement // that it leaves
 }
 
 // runLog records the runs of all replicas by request ID.
@@ -109,8 +111,8 @@
 
 func (r *replica) setState(state string) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.state = state
-	r.mu.Unlock()
 }
 
 func (r *replica) setFault(fault string) {
@@ -160,8 +162,21 @@
 	id := q.Header.Get(wire.Request)
 	w.Header().Set(wire.Request, id)
 	r.mu.Lock()
-	limit, stated := r.limit.record(r.runs.origin(id), time.Now())
+	now, from := time.Now(), r.runs.origin(id)
+	limit, stated := r.limit.record(from, now)
+	waits := r.wait.record(from, waitNotice, now)
+	leaves := r.leaving.record(from, leavingNotice, now)
+	waitUntil := r.wait.until
 	r.mu.Unlock()
+	if leaves {
+		w.Header().Set(wire.Leaving, "1")
+	}
+	if waits {
+		w.Header().Set(wire.RetryAfter, seconds(waitUntil.Sub(now)))
+		w.Header().Set(wire.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if stated {
 		w.Header().Set(wire.RateLimit, limit)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -113,6 +113,7 @@
 	for i := range 2 {
 		s.wait.Go(func() { s.limitReplicas(time.Now().Add(*faultPhase), s.newRandom(fmt.Sprint("limits ", i))) })
 	}
+	s.wait.Go(func() { s.pauseReplicas(time.Now().Add(*faultPhase), s.newRandom("waits")) })
 	if kind == planned {
 		s.doPlannedWork()
 	} else {
