gateway: a coordinator places jobs only once it has their configuration

Change: a job waits up to half a second for the scheduler of its service. TestCoordinatorAwaitsItsConfiguration failed before.

--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -331,6 +331,7 @@
 func (p *placer) placeLocally(ctx context.Context, j schedule.Job, changed <-chan struct{}) (schedule.Decision, error) {
 	localDecisionsTotal.Inc()
 	decided := make(chan schedule.Decision, 1)
+	j = j.After(p.awaitScheduler(ctx, j.Service))
 	p.mu.Lock()
 	s := p.schedulers[j.Service]
 	if s == nil {
@@ -352,6 +353,30 @@
 	}
 }
 
+// maxConfigurationWait limits how long a job waits for the configuration of its service. An
+// entry may become the coordinator, or be asked by one that has a newer configuration,
+// before it has applied it.
+const (
+	maxConfigurationWait      = 500 * time.Millisecond
+	configurationPollInterval = 10 * time.Millisecond
+)
+
+// awaitScheduler waits until there is a scheduler for a service and returns how long it
+// waited.
+func (p *placer) awaitScheduler(ctx context.Context, service string) time.Duration {
+	started := time.Now()
+	for time.Since(started) < maxConfigurationWait && ctx.Err() == nil {
+		p.mu.Lock()
+		s := p.schedulers[service]
+		p.mu.Unlock()
+		if s != nil {
+			break
+		}
+		time.Sleep(configurationPollInterval)
+	}
+	return time.Since(started)
+}
+
 // withdraw removes a queued job, or returns its decision if one was made meanwhile.
 func (p *placer) withdraw(job string, decided <-chan schedule.Decision) (schedule.Decision, error) {
 	p.mu.Lock()
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -449,3 +449,28 @@
 	}).Should(Equal(1))
 	g.Expect(f.adopted[0]).To(HaveLen(1))
 }
+
+// TestCoordinatorAwaitsItsConfiguration places a job at a coordinator that has not applied
+// the configuration of the job's service yet.
+func TestCoordinatorAwaitsItsConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	configured := newTestPlacer(&fakeCoordinator{})
+	p := newPlacer("me", breaker.NewSet(), ratelimit.NewTable(), &fakeCoordinator{}, slog.New(slog.DiscardHandler))
+	p.setCoordinator("", true)
+	time.AfterFunc(50*time.Millisecond, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.schedulers = configured.schedulers
+	})
+	d, err := p.placeForPeer(t.Context(), testJob("j"))
+	g.Expect(err).ToNot(HaveOccurred())
+	g.Expect(d.Endpoint).To(Equal("e-near"))
+
+	started := time.Now()
+	unknown := testJob("k")
+	unknown.Service = "unknown"
+	d, err = p.placeForPeer(t.Context(), unknown)
+	g.Expect(err).ToNot(HaveOccurred())
+	g.Expect(d.Refused()).To(BeTrue())
+	g.Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+}
