schedule: the work of a scan of the queue is bounded

Change: a scan fills the views of the engines once and again only for engines that it changes; a job that needs at least as much memory as one for which no engine has a slot and memory is not evaluated; the interval grows with queue and engines (112 ms at 250 jobs and 112 engines, unchanged below 5,000 pairs).

TestLongQueueTakesBoundedWork (250 jobs, 112 full engines, an end each 5 ms) failed before; TestScanSeesWhatItPlaced guards the views that are kept.

--- a/schedule/export_test.go
+++ b/schedule/export_test.go
@@ -8,3 +8,6 @@
 	n, _ := s.engines[endpoint].untracked(now)
 	return n
 }
+
+// Evaluations returns the number of placements evaluated so far.
+func (s *Scheduler) Evaluations() int { return s.evaluations }
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -26,6 +26,9 @@
 	return j
 }
 
+// need returns the memory that the job needs, in tokens.
+func (j *Job) need() int { return j.Prompt + j.Answer }
+
 // Helper is an endpoint that prefills part of a prompt.
 type Helper struct {
 	ID          string `json:"id"`
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -86,12 +86,19 @@
 	primary.assigned[j.ID] = r
 	s.addPrefills(r, now)
 	s.jobs[j.ID] = r
+	if s.isScanning {
+		s.changed = append(s.changed, primary)
+		for _, h := range best.helpers {
+			s.changed = append(s.changed, h.engine)
+		}
+	}
 	return d, e, true
 }
 
 // bestCandidate returns the best placement of a job and the number of engines with
 // capacity for it. The candidate is empty when that number is 0.
 func (s *Scheduler) bestCandidate(j *Job, now time.Time) (best candidate, available int) {
+	s.evaluations++
 	views := s.engineViews(j, now)
 	var helpers []*engineView
 	if j.Prompt >= minHelperPrompt || j.Prompt+j.Answer > s.profile.MemoryTokens {
--- a/schedule/ratelimit.go
+++ b/schedule/ratelimit.go
@@ -8,9 +8,7 @@
 	if v.isLimited = s.isLimited(v.engine.ID, now); !v.isLimited {
 		return
 	}
-	if v.atLimit = !s.limits.IsAvailable(v.engine.ID, now); v.atLimit {
-		s.enginesAtLimit++
-	}
+	v.atLimit = !s.limits.IsAvailable(v.engine.ID, now)
 }
 
 // hasRateLimit reports whether an engine states a rate limit.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -73,6 +74,9 @@
 	viewScratch    []engineView  // reused between decisions
 	helperScratch  []*engineView // reused between decisions
 	planScratch    []helperPlan
+	isScanning     bool      // the views are kept from one job of the queue to the next
+	changed        []*engine // changed by a placement since their views were filled, during a scan
+	evaluations    int       // placements evaluated so far
 	nextScan       time.Time // earliest time of the next queue scan
 	settledAt      time.Time // until then, long jobs wait for the jobs of other entries
 }
@@ -349,9 +353,16 @@
 	return time.Duration((minLateRetryShare + lateRetryShareRange*part) * float64(j.Remaining))
 }
 
-// scanInterval is the minimum time between two queue scans, as each scan evaluates
-// every queued job.
-const scanInterval = 20 * time.Millisecond
+// The minimum time between two queue scans, as each scan evaluates the queued jobs.
+const (
+	scanInterval = 20 * time.Millisecond
+	// scanTimePerEngine is added for each queued job and each engine, so that scans take a
+	// bounded share of the processor however long the queue and large the fleet.
+	scanTimePerEngine = 4 * time.Microsecond
+)
+
+// noNeed is more memory than any job needs.
+const noNeed = math.MaxInt
 
 // scanQueue places queued jobs by priority, with jobs that can still be on time first
 // and then the earliest due.
@@ -359,7 +370,11 @@
 	if len(s.queue) == 0 || now.Before(s.nextScan) {
 		return nil
 	}
-	s.nextScan = now.Add(scanInterval)
+	s.nextScan = now.Add(max(scanInterval, time.Duration(len(s.queue)*len(s.order))*scanTimePerEngine))
+	s.fillViews(now)
+	s.isScanning = true
+	defer func() { s.isScanning = false }()
+	full := noNeed
 	slices.SortStableFunc(s.queue, func(a, b *queuedJob) int {
 		return cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), compareBool(a.isLate(now), b.isLate(now)), a.dueAt().Compare(b.dueAt()))
 	})
@@ -368,11 +383,18 @@
 		if s.awaitsTakeover(w.job, now) {
 			return false
 		}
+		if w.job.need() >= full && w.job.need() <= s.profile.MemoryTokens {
+			w.evaluation = evaluation{utilization: s.utilization, atLimit: s.enginesAtLimit}
+			return false
+		}
 		waited := now.Sub(w.arrived)
 		j := w.job.After(waited)
 		j.yields = j.isLate() && waited < maxYield
 		d, e, ok := s.place(&j, now)
 		w.evaluation = e
+		if e.available == 0 && !j.yields && len(j.Exclude) == 0 {
+			full = min(full, j.need())
+		}
 		if ok {
 			out = append(out, d)
 		}
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -20,7 +20,8 @@
 	usedSlots        int
 	remainingDecode  time.Duration // until the last of its answers ends
 	reportedSlowdown float64
-	isPreferred      bool // neither blocked nor excluded nor suspected
+	isUsable         bool // neither blocked nor suspected
+	isPreferred      bool // usable and not excluded by the job
 	isLimited        bool // states a rate limit or asked to wait
 	atLimit          bool // takes no request now for that reason
 }
@@ -32,25 +33,52 @@
 	value    float64
 }
 
-// engineViews prepares the views of all engines.
+// engineViews prepares the views of all engines for a job. During a scan of the queue only
+// the views of engines that changed since the previous job are filled again.
 func (s *Scheduler) engineViews(j *Job, now time.Time) []engineView {
+	if !s.isScanning || len(s.viewScratch) != len(s.order) {
+		s.fillViews(now)
+	}
+	s.refillChanged(now)
+	s.utilization, s.enginesAtLimit = 0, 0
+	for i := range s.viewScratch {
+		v := &s.viewScratch[i]
+		v.rank, v.isPreferred = unranked, v.isUsable && !slices.Contains(j.Exclude, v.engine.ID)
+		if v.atLimit {
+			s.enginesAtLimit++
+		}
+		s.utilization += v.utilization() / float64(len(s.order))
+	}
+	return s.viewScratch
+}
+
+// fillViews fills the views of all engines.
+func (s *Scheduler) fillViews(now time.Time) {
 	if cap(s.viewScratch) < len(s.order) {
 		s.viewScratch = make([]engineView, len(s.order))
 	}
-	views := s.viewScratch[:len(s.order)]
-	s.utilization, s.enginesAtLimit = 0, 0
-	isAnyLimited, heedsSuspicions := s.hasStatements(now), s.heedsSuspicions()
+	s.viewScratch = s.viewScratch[:len(s.order)]
+	heedsSuspicions, hasStatements := s.heedsSuspicions(), s.hasStatements(now)
 	for i, e := range s.order {
-		s.fillView(&views[i], e, j, now)
-		if heedsSuspicions && e.isSuspect() {
-			views[i].isPreferred = false
-		}
-		if isAnyLimited {
-			s.applyStatements(&views[i], now)
+		s.fillView(&s.viewScratch[i], e, now)
+		s.viewScratch[i].isUsable = !e.blocked && !(heedsSuspicions && e.isSuspect())
+		if hasStatements {
+			s.applyStatements(&s.viewScratch[i], now)
 		}
-		s.utilization += views[i].utilization() / float64(len(s.order))
 	}
-	return views
+	s.changed = s.changed[:0]
+}
+
+// refillChanged fills the views of the engines that a placement changed.
+func (s *Scheduler) refillChanged(now time.Time) {
+	for _, e := range s.changed {
+		i := slices.Index(s.order, e)
+		isUsable := s.viewScratch[i].isUsable
+		s.fillView(&s.viewScratch[i], e, now)
+		s.viewScratch[i].isUsable = isUsable
+		s.applyStatements(&s.viewScratch[i], now)
+	}
+	s.changed = s.changed[:0]
 }
 
 // utilization returns how much of an engine is in use, from 0 to 1: an engine with
@@ -62,10 +90,11 @@
 	return min(float64(len(v.engine.assigned))/packingLimit, 1)
 }
 
-func (s *Scheduler) fillView(v *engineView, e *engine, j *Job, now time.Time) {
+// fillView fills what doesn't depend on the job to be placed.
+func (s *Scheduler) fillView(v *engineView, e *engine, now time.Time) {
 	e.dropCompleted(now)
 	affected := v.affected[:0]
-	*v = engineView{engine: e, rank: unranked, isPreferred: !e.blocked && !slices.Contains(j.Exclude, e.ID)}
+	*v = engineView{engine: e}
 	decoding, context := 0, 0
 	overdue := time.Duration(0)
 	for _, tokens := range e.reserved {
