--- a/mesh/document.go
+++ b/mesh/document.go
@@ -15,6 +15,7 @@
 	documentTimeout      = 1500 * time.Millisecond // enough for a document of several megabytes over a slow link
 	confirmRetryInterval = 50 * time.Millisecond   // between two reads from the quorum
 	referralDelay        = 30 * time.Millisecond   // before an entry that has yet to receive a document is asked again
+	referralTimeout      = 500 * time.Millisecond  // of a call to an entry named by another one, which may be frozen
 	maxReferrals         = 6                       // a tree of maxCopies branches of this depth reaches thousands of entries
 	// confirmWait is how long an entry that can't reach a quorum waits before it
 	// applies the newest document of any entry: the time a quorum takes to re-form
@@ -84,7 +85,7 @@
 	address, insist := origin, false
 	for try := 0; ; try++ {
 		req := &documentRequest{Have: have.Number, Address: m.options.Address, Insist: insist}
-		resp, err := call[documentRequest, documentResponse](ctx, m.client, address, procedureDocument, req)
+		resp, err := m.requestDocument(ctx, address, address != origin, req)
 		insist = try >= maxReferrals
 		switch {
 		case err != nil && address == origin:
@@ -115,6 +116,16 @@
 	}
 }
 
+// requestDocument asks an entry for a document.
+func (m *Mesh) requestDocument(ctx context.Context, address string, isReferral bool, req *documentRequest) (*documentResponse, error) {
+	if isReferral {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, referralTimeout)
+		defer cancel()
+	}
+	return call[documentRequest, documentResponse](ctx, m.client, address, procedureDocument, req)
+}
+
 // serveDocument sends the newest document stored here. It is committed, but may not be in
 // force on this entry while no quorum has confirmed that it is the newest.
 func (m *Mesh) serveDocument(_ context.Context, req *documentRequest) (*documentResponse, error) {
--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -264,3 +265,28 @@
 	missed.mu.Unlock()
 	g.Eventually(func() bool { return missed.IsLeaving(draining.ID) }).WithTimeout(3 * time.Second).Should(BeTrue())
 }
+
+// TestFetchGoesOnElsewhere fetches a document from an entry that refers to one that is
+// frozen: it accepts calls and doesn't answer.
+func TestFetchGoesOnElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	thaw := make(chan struct{})
+	frozen := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-thaw }))
+	t.Cleanup(func() {
+		close(thaw)
+		frozen.Close()
+	})
+	f := newTestFleet(t, testMembers)
+	origin := f.entries[0]
+	d := document.Document{Number: 9, Body: noise(1, 10*smallEncoding)}
+	origin.source.add(d)
+	for range maxCopies {
+		_, err := origin.source.response(&documentRequest{Address: frozen.Listener.Addr().String()})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	started := time.Now()
+	got, err := f.entries[1].fetchDocument(t.Context(), origin.options.Address, document.Document{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(d))
+	g.Expect(time.Since(started)).To(BeNumerically("<", documentTimeout))
+}
