--- a/capacity.sh
+++ b/capacity.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the benchmarks that produce the slopes in docs/CAPACITY.md. They take about
+# Runs the benchmarks that produce the slopes in docs/MEASUREMENTS-capacity.md. They take about
 # fifteen minutes on an idle machine with 12 cores, use less than 4 GiB of memory
 # and run in one process at a time.
 set -euo pipefail
