--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -147,7 +147,7 @@
 			p.limits.Charge(endpoint, calls, time.Now())
 		}
 		for _, endpoint := range q.Failing {
-			p.suspect(endpoint)
+			p.suspectAndProbe(endpoint, "it failed a request of another entry")
 		}
 		for _, r := range q.Reports {
 			if r.Started {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -109,7 +109,7 @@
 	load, err := p.fetchLoad(ctx, h)
 	if err != nil {
 		probesFailedTotal.Inc()
-		p.g.placer.suspectSilent(h.ID, sentAt)
+		p.g.placer.suspect(h.ID, sentAt, "it did not answer a probe")
 		p.g.log.Debug("engine load probe failed", "step", "gateway.probe", "endpoint", h.ID, "error", err.Error())
 		return
 	}
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -9,7 +9,7 @@
 // the coordinator. A dead engine may be a helper of many prompts, each of which would
 // fail before the breaker of its own entry opens.
 func (p *placer) reportFailing(endpoint string) {
-	p.suspect(endpoint)
+	p.suspectAndProbe(endpoint, "it failed a request")
 	p.queue(func(pending *reportRequest) {
 		if !slices.Contains(pending.Failing, endpoint) {
 			pending.Failing = append(pending.Failing, endpoint)
@@ -17,32 +17,34 @@
 	})
 }
 
-// suspect marks an endpoint as failing until it responds.
-func (p *placer) suspect(endpoint string) {
+// suspect marks an endpoint as failing since a time, until it responds to a later call.
+func (p *placer) suspect(endpoint string, since time.Time, reason string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.schedulers {
-		s.Suspect(endpoint, time.Now())
-	}
-	if p.isCoordinator && p.onSuspect != nil {
-		go p.onSuspect(endpoint)
+		if s.Suspect(endpoint, since) && p.isCoordinator {
+			p.log.Info("endpoint suspected", "step", "gateway.suspect", "endpoint", endpoint, "reason", reason)
+		}
 	}
 }
 
-// respond records that an endpoint responded to a call sent at a time.
-func (p *placer) respond(endpoint string, sentAt time.Time) {
+// suspectAndProbe marks an endpoint as failing. On the coordinator it is probed at once.
+func (p *placer) suspectAndProbe(endpoint, reason string) {
+	p.suspect(endpoint, time.Now(), reason)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, s := range p.schedulers {
-		s.Respond(endpoint, sentAt)
+	if p.isCoordinator && p.onSuspect != nil {
+		go p.onSuspect(endpoint)
 	}
 }
 
-// suspectSilent marks an endpoint that did not answer a probe as failing.
-func (p *placer) suspectSilent(endpoint string, sentAt time.Time) {
+// respond records that an endpoint responded to a call sent at a time.
+func (p *placer) respond(endpoint string, sentAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.schedulers {
-		s.Suspect(endpoint, sentAt)
+		if s.Respond(endpoint, sentAt) {
+			p.log.Info("suspected endpoint responds", "step", "gateway.suspect", "endpoint", endpoint)
+		}
 	}
 }
--- a/schedule/suspect.go
+++ b/schedule/suspect.go
@@ -8,18 +8,26 @@
 
 // Suspect records that an engine failed a job, or part of one, or didn't answer a probe.
 // It helps no job, and is used for others only where no other engine has capacity, until
-// it responds.
-func (s *Scheduler) Suspect(endpoint string, now time.Time) {
-	if e := s.engines[endpoint]; e != nil {
-		e.suspectedAt = now
+// it responds. It reports whether the engine was not suspected before.
+func (s *Scheduler) Suspect(endpoint string, now time.Time) bool {
+	e := s.engines[endpoint]
+	if e == nil {
+		return false
 	}
+	isNew := !e.isSuspect()
+	e.suspectedAt = now
+	return isNew
 }
 
-// Respond records that an engine responded to a call sent at a time.
-func (s *Scheduler) Respond(endpoint string, sentAt time.Time) {
-	if e := s.engines[endpoint]; e != nil && sentAt.After(e.suspectedAt) {
-		e.suspectedAt = time.Time{}
+// Respond records that an engine responded to a call sent at a time. It reports whether
+// that ends a suspicion.
+func (s *Scheduler) Respond(endpoint string, sentAt time.Time) bool {
+	e := s.engines[endpoint]
+	if e == nil || !e.isSuspect() || !sentAt.After(e.suspectedAt) {
+		return false
 	}
+	e.suspectedAt = time.Time{}
+	return true
 }
 
 // isSuspect reports whether the engine has not responded since it was suspected.
