--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -52,13 +51,6 @@
 	remaining time.Duration
 }
 
-// queuedJob is a job that waits for an endpoint.
-type queuedJob struct {
-	job        *Job
-	arrived    time.Time
-	evaluation evaluation // from the latest queue scan
-}
-
 // Scheduler places the jobs of one service. It is not safe for concurrent use.
 type Scheduler struct {
 	name           string
@@ -279,21 +271,6 @@
 	}
 }
 
-// Tick places queued jobs where possible and refuses those that have waited too long.
-func (s *Scheduler) Tick(now time.Time) []Decision {
-	out := s.scanQueue(now)
-	s.queue = slices.DeleteFunc(s.queue, func(w *queuedJob) bool {
-		waited := now.Sub(w.arrived)
-		if waited < w.job.MaxWait() {
-			return false
-		}
-		j := w.job.After(waited)
-		out = append(out, s.refuseEvaluated(&j, w.evaluation, s.predictWait(now)))
-		return true
-	})
-	return out
-}
-
 // EndpointOf returns the endpoint of a job, empty for none, and whether its first
 // event has arrived.
 func (s *Scheduler) EndpointOf(job string) (endpoint string, isDecoding bool) {
@@ -303,9 +280,6 @@
 	return "", false
 }
 
-// QueueLength returns the number of queued jobs.
-func (s *Scheduler) QueueLength() int { return len(s.queue) }
-
 // maxJobTokens returns the memory available to one job on its engine and helpers.
 func (s *Scheduler) maxJobTokens() int {
 	helpers := len(s.order) - s.countEngines(s.hasRateLimit) // engines with a limit don't help
@@ -352,70 +326,3 @@
 	}
 	return time.Duration((minLateRetryShare + lateRetryShareRange*part) * float64(j.Remaining))
 }
-
-// The minimum time between two queue scans, as each scan evaluates the queued jobs.
-const (
-	scanInterval = 20 * time.Millisecond
-	// scanTimePerEngine is added for each queued job and each engine, so that scans take a
-	// bounded share of the processor however long the queue and large the fleet.
-	scanTimePerEngine = 4 * time.Microsecond
-)
-
-// noNeed is more memory than any job needs.
-const noNeed = math.MaxInt
-
-// scanQueue places queued jobs by priority, with jobs that can still be on time first
-// and then the earliest due.
-func (s *Scheduler) scanQueue(now time.Time) []Decision {
-	if len(s.queue) == 0 || now.Before(s.nextScan) {
-		return nil
-	}
-	s.nextScan = now.Add(max(scanInterval, time.Duration(len(s.queue)*len(s.order))*scanTimePerEngine))
-	s.fillViews(now)
-	s.isScanning = true
-	defer func() { s.isScanning = false }()
-	full := noNeed
-	slices.SortStableFunc(s.queue, func(a, b *queuedJob) int {
-		return cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), compareBool(a.isLate(now), b.isLate(now)), a.dueAt().Compare(b.dueAt()))
-	})
-	var out []Decision
-	s.queue = slices.DeleteFunc(s.queue, func(w *queuedJob) bool {
-		if s.awaitsTakeover(w.job, now) {
-			return false
-		}
-		if w.job.need() >= full && w.job.need() <= s.profile.MemoryTokens {
-			w.evaluation = evaluation{utilization: s.utilization, atLimit: s.enginesAtLimit}
-			return false
-		}
-		waited := now.Sub(w.arrived)
-		j := w.job.After(waited)
-		j.yields = j.isLate() && waited < maxYield
-		d, e, ok := s.place(&j, now)
-		w.evaluation = e
-		if e.available == 0 && !j.yields && len(j.Exclude) == 0 {
-			full = min(full, j.need())
-		}
-		if ok {
-			out = append(out, d)
-		}
-		return ok
-	})
-	return out
-}
-
-func (w *queuedJob) dueAt() time.Time { return w.arrived.Add(w.job.Goal) }
-
-// isLate reports whether the job's goal has passed; late jobs go last.
-func (w *queuedJob) isLate(now time.Time) bool { return now.After(w.dueAt()) }
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
