mesh: endpoints that start together are passed on together

Cause: each new endpoint was passed on to every entry by calls of its own, so that a start costs entries times endpoints calls.

Change: new endpoints are passed on in rounds, at most one a second; an endpoint that drains or leaves is still passed on before it is acknowledged. Fetches of all endpoints are spaced by their number.

--- a/mesh/endpoints_pull.go
+++ b/mesh/endpoints_pull.go
@@ -14,8 +14,10 @@
 // Fetches of all endpoints from another entry.
 const (
 	pullTimeout = time.Second
-	// pullInterval bounds the rate of fetches while endpoints change everywhere.
-	pullInterval = time.Second
+	// minPullInterval and pullTimePerEndpoint bound the rate of fetches while endpoints
+	// change everywhere, and the bytes of those from a large fleet.
+	minPullInterval     = time.Second
+	pullTimePerEndpoint = 2 * time.Millisecond
 )
 
 var pullsTotal = metrics.NewCounter("jacinthplank_mesh_endpoint_pulls_total")
@@ -65,7 +67,7 @@
 	m.pulling = false
 	changed := 0
 	if err == nil {
-		m.nextPull = time.Now().Add(pullInterval)
+		m.nextPull = time.Now().Add(max(minPullInterval, time.Duration(len(resp.Announcements))*pullTimePerEndpoint))
 		changed = m.applyAnnouncements(recordsOf(resp.Announcements), name)
 	}
 	m.mu.Unlock()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -72,6 +72,8 @@
 	confirmed        bool  // a quorum has confirmed the newest document
 	fetchingDocument bool
 	digest           endpointsDigest
+	passingOn        bool      // new endpoints are about to be passed on to all peers
+	nextPassOn       time.Time // earliest time for that
 	pulling          bool      // the endpoints of another entry are being fetched
 	nextPull         time.Time // earliest time of the next fetch
 	syncTrigger      chan struct{}
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -272,8 +272,9 @@
 		"age_ms", time.Since(at).Milliseconds())
 }
 
-// Announce applies an announcement made to this entry. After a change it returns
-// once the reachable entries know of it, so that the endpoint may rely on it.
+// Announce applies an announcement made to this entry. After a change to a state in which
+// the endpoint takes no requests it returns once the reachable entries know of it, so that
+// the endpoint may rely on it. They learn of a new endpoint soon afterwards.
 func (m *Mesh) Announce(ctx context.Context, e announce.Endpoint) announce.ApplyResult {
 	m.mu.Lock()
 	result := m.applyAnnouncement(e, time.Now(), true)
@@ -285,10 +286,36 @@
 	if m.options.OnEndpointsChanged != nil {
 		m.options.OnEndpointsChanged()
 	}
+	if e.State == announce.Ready {
+		m.passOnSoon()
+		return result
+	}
 	m.syncAll(ctx)
 	return result
 }
 
+// passOnInterval is the minimum time between two rounds of calls to all peers that pass on
+// new endpoints. When a fleet starts, each entry hears of many within a second.
+const passOnInterval = time.Second
+
+// passOnSoon makes all peers due, at once or when passOnInterval has passed since it last
+// did.
+func (m *Mesh) passOnSoon() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.passingOn {
+		return
+	}
+	m.passingOn = true
+	time.AfterFunc(time.Until(m.nextPassOn), func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.passingOn, m.nextPassOn = false, time.Now().Add(passOnInterval)
+		peers := m.activePeers(time.Now())
+		m.notify(peers, len(peers))
+	})
+}
+
 // syncAll sends the updates to every peer and waits for the responses. A peer that
 // does not answer gets them with a later periodic sync.
 func (m *Mesh) syncAll(ctx context.Context) {
