mesh: an entry passes on what it was told, also after it fetched a copy

A fetch of another entry's endpoints marked them as passed on by others, until their next announcement. TestCopyOfAnnouncementLeavesItToTheReceiver failed before. Found by reading the change.

--- a/mesh/announcements_test.go
+++ b/mesh/announcements_test.go
@@ -44,3 +44,22 @@
 	g.Expect(m.applyAnnouncements(records(0, 2700), "peer")).To(BeZero(), "announcements already known")
 	g.Expect(logLines()).To(BeZero())
 }
+
+// TestCopyOfAnnouncementLeavesItToTheReceiver guards against an entry that stops passing
+// on what an endpoint announced to it because it fetched a copy of that from another entry.
+func TestCopyOfAnnouncementLeavesItToTheReceiver(t *testing.T) {
+	g := NewWithT(t)
+	m := New(Options{Name: "me", Address: "127.0.0.1:1", Log: slog.New(slog.DiscardHandler)})
+	t.Cleanup(m.Stop)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := announce.Endpoint{ID: "e", Service: "s", Address: "1.1.1.1:1", StartedAtMs: 1, Sequence: 1}
+	pending := func() int { return len(m.pendingUpdates(&peer{name: "p"}, time.Now()).Announcements) }
+	m.applyAnnouncement(e, time.Now(), true)
+	g.Expect(pending()).To(Equal(1))
+	m.applyAnnouncement(e, time.Now(), false)
+	g.Expect(pending()).To(Equal(1))
+	e.Sequence++
+	m.applyAnnouncement(e, time.Now(), false)
+	g.Expect(pending()).To(BeZero(), "another entry passes on the later announcement")
+}
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -234,9 +234,12 @@
 	if known && (e.State == announce.Left || e.StartedAtMs != previous.StartedAtMs) && m.options.OnEndpointRunEnded != nil {
 		m.options.OnEndpointRunEnded(e.ID)
 	}
-	m.updateSeq++
-	m.endpointSeqs[e.ID] = m.updateSeq
-	m.receivedDirectly[e.ID] = direct
+	isCopy := result == announce.Refreshed && !direct && e.Sequence == previous.Sequence
+	if !isCopy {
+		m.updateSeq++
+		m.endpointSeqs[e.ID] = m.updateSeq
+		m.receivedDirectly[e.ID] = direct
+	}
 	return result
 }
 
