mesh: a read returns no older document than the one that the quorum confirmed

Cause, found by reading the change: the body of a confirmed version is fetched from any entry, and one to which the origin refers may have an older version that is newer than the caller's. Change: a fetch names the number that it needs. TestFetchReturnsNoOlderDocument failed before (version 8 for 9).

--- a/mesh/document.go
+++ b/mesh/document.go
@@ -61,7 +61,7 @@
 // was made known meanwhile.
 func (m *Mesh) fetchNewest(address string) {
 	have := m.Document()
-	d, err := m.fetchDocument(context.Background(), address, have)
+	d, err := m.fetchDocument(context.Background(), address, have, have.Number+1)
 	if err == nil {
 		m.applyDocument(d, false)
 	} else {
@@ -77,9 +77,9 @@
 	m.startFetch()
 }
 
-// fetchDocument fetches a document newer than have from an entry, or from those to which
-// it refers.
-func (m *Mesh) fetchDocument(ctx context.Context, origin string, have document.Document) (document.Document, error) {
+// fetchDocument fetches a document of at least a number, which is higher than that of have,
+// from an entry or from those to which it refers.
+func (m *Mesh) fetchDocument(ctx context.Context, origin string, have document.Document, atLeast uint64) (document.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, documentTimeout)
 	defer cancel()
 	address, insist := origin, false
@@ -96,12 +96,12 @@
 		case len(resp.Elsewhere) > 0:
 			documentReferrals.Inc()
 			address = resp.Elsewhere[0]
-		case resp.Number > have.Number:
+		case resp.Number >= atLeast:
 			documentsFetchedTotal.Inc()
 			documentBytesTotal.Add(len(resp.Encoded))
 			return resp.decode(have)
 		case address == origin:
-			return document.Document{}, fmt.Errorf("entry has only version %d", resp.Number)
+			return document.Document{}, fmt.Errorf("entry has only version %d, need %d", resp.Number, atLeast)
 		default:
 			// The entry itself is still receiving the document.
 			if try >= maxReferrals {
--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -288,7 +288,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 	}
 	started := time.Now()
-	got, err := f.entries[1].fetchDocument(t.Context(), origin.options.Address, document.Document{})
+	got, err := f.entries[1].fetchDocument(t.Context(), origin.options.Address, document.Document{}, 9)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(got).To(Equal(d))
 	g.Expect(time.Since(started)).To(BeNumerically("<", documentTimeout))
@@ -313,3 +313,21 @@
 	t.Logf("known everywhere after %v, %d calls", time.Since(started), f.syncs()-syncs)
 	g.Expect(f.syncs()-syncs).To(BeNumerically("<", size*(size-1)*(2+intervals)), "calls grow with the entries, not with the endpoints")
 }
+
+// TestFetchReturnsNoOlderDocument fetches the document that a quorum has confirmed from an
+// entry that refers to one which has an older version so far.
+func TestFetchReturnsNoOlderDocument(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(t, testMembers)
+	origin, behind := f.entries[0], f.entries[2]
+	newest := document.Document{Number: 9, Body: noise(1, 10*smallEncoding)}
+	origin.source.add(newest)
+	behind.source.add(document.Document{Number: 8, Body: noise(2, 10*smallEncoding)})
+	for range maxCopies {
+		_, err := origin.source.response(&documentRequest{Address: behind.options.Address})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	got, err := f.entries[1].fetchDocument(t.Context(), origin.options.Address, document.Document{}, 9)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got.Number).To(BeEquivalentTo(9))
+}
--- a/mesh/quorum_client.go
+++ b/mesh/quorum_client.go
@@ -87,7 +87,7 @@
 	if have.Number >= number {
 		return have, nil
 	}
-	return m.fetchDocument(ctx, source, have)
+	return m.fetchDocument(ctx, source, have, number)
 }
 
 // localDocument returns the newest document on this entry: the one in force, or that of
