--- a/mesh/document.go
+++ b/mesh/document.go
@@ -16,6 +16,7 @@
 	confirmRetryInterval = 50 * time.Millisecond   // between two reads from the quorum
 	referralDelay        = 30 * time.Millisecond   // before an entry that has yet to receive a document is asked again
 	referralTimeout      = 500 * time.Millisecond  // of a call to an entry named by another one, which may be frozen
+	maxPolls             = 4                       // of entries that have yet to receive a document
 	maxReferrals         = 6                       // a tree of maxCopies branches of this depth reaches thousands of entries
 	// confirmWait is how long an entry that can't reach a quorum waits before it
 	// applies the newest document of any entry: the time a quorum takes to re-form
@@ -82,7 +83,7 @@
 func (m *Mesh) fetchDocument(ctx context.Context, origin string, have document.Document, atLeast uint64) (document.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, documentTimeout)
 	defer cancel()
-	address, insist := origin, false
+	address, insist, polls := origin, false, 0
 	for try := 0; ; try++ {
 		req := &documentRequest{Have: have.Number, Address: m.options.Address, Insist: insist}
 		resp, err := m.requestDocument(ctx, address, address != origin, req)
@@ -104,8 +105,8 @@
 			return document.Document{}, fmt.Errorf("entry has only version %d, need %d", resp.Number, atLeast)
 		default:
 			// The entry itself is still receiving the document.
-			if try >= maxReferrals {
-				address = origin
+			if polls++; polls >= maxPolls {
+				address, insist = origin, true
 			}
 			select {
 			case <-ctx.Done():
