mesh, gateway: an entry is ready once it knows the endpoints

Callers saw: 503 'no endpoint of the service accepts requests' from an entry that had just started.

Change: readiness, and a request that arrives before, wait until another entry's endpoints are known here or were fetched; 2 s if no other answers.

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -112,21 +112,26 @@
 	return nil
 }
 
-// initialTableTimeout is how long a request waits for the first configuration of an
-// entry that has just started. It covers an election and two round trips.
+// initialTableTimeout is how long a request waits for the first configuration and the
+// endpoints of an entry that has just started. It covers an election and two round trips.
 const initialTableTimeout = 1500 * time.Millisecond
 
-// awaitTable returns the routing table, or nil if none arrives in time.
+// awaitTable returns the routing table, or nil if none arrives in time. It also waits for
+// the endpoints that other entries know.
 func (g *Gateway) awaitTable(ctx context.Context) *route.Table {
-	if t := g.table.Load(); t != nil {
+	if t := g.table.Load(); t != nil && g.mesh.IsCaughtUp() {
 		return t
 	}
 	timer := time.NewTimer(initialTableTimeout)
 	defer timer.Stop()
-	select {
-	case <-g.configured:
-	case <-ctx.Done():
-	case <-timer.C:
+	for _, known := range []<-chan struct{}{g.configured, g.mesh.CaughtUp()} {
+		select {
+		case <-known:
+		case <-ctx.Done():
+			return g.table.Load()
+		case <-timer.C:
+			return g.table.Load()
+		}
 	}
 	return g.table.Load()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,7 +138,9 @@
 func (g *Gateway) refreshEndpoints() { g.placer.setEndpoints(g.mesh.ReadyEndpoints, time.Now()) }
 
 // isReady reports whether the load balancer may send requests.
-func (g *Gateway) isReady() bool { return g.table.Load() != nil && !g.shutdown.begun() }
+func (g *Gateway) isReady() bool {
+	return g.table.Load() != nil && g.mesh.IsCaughtUp() && !g.shutdown.begun()
+}
 
 // listeners holds the open listeners of a gateway. metrics and control may be nil.
 type listeners struct {
--- a/mesh/announcements_test.go
+++ b/mesh/announcements_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"log/slog"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -63,3 +64,30 @@
 	m.applyAnnouncement(e, time.Now(), false)
 	g.Expect(pending()).To(BeZero(), "another entry passes on the later announcement")
 }
+
+// Guards against an entry that counts as ready, and refuses requests, before it knows the
+// endpoints that the others know.
+func TestStartingEntryCatchesUpBeforeItIsReady(t *testing.T) {
+	g := NewWithT(t)
+	const endpoints = 50
+	f := newTestFleet(t, testMembers)
+	f.awaitLeader(g)
+	for i := range endpoints {
+		f.entries[0].Announce(t.Context(), endpoint(i))
+	}
+	for range 5 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		e := f.start(len(f.entries), l)
+		f.entries = append(f.entries, e)
+		g.Eventually(e.CaughtUp(), "10s", "1ms").Should(BeClosed())
+		g.Expect(e.ReadyEndpoints("s")).To(HaveLen(endpoints))
+	}
+}
+
+// Guards against an entry that waits for ever for others that don't exist or answer.
+func TestLoneEntryIsReadySoon(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(t, 1)
+	g.Eventually(f.entries[0].CaughtUp(), 2*maxCatchUp).Should(BeClosed())
+}
--- a/mesh/endpoints_pull.go
+++ b/mesh/endpoints_pull.go
@@ -51,7 +51,11 @@
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if f.Endpoints == m.digest.of(m.registry) || m.pulling || now.Before(m.nextPull) {
+	if f.Endpoints == m.digest.of(m.registry) {
+		m.setCaughtUp("the endpoints of " + f.Name + " are known")
+		return
+	}
+	if m.pulling || now.Before(m.nextPull) {
 		return
 	}
 	m.pulling = true
@@ -71,6 +75,9 @@
 		changed = m.applyAnnouncements(recordsOf(resp.Announcements), name)
 	}
 	m.mu.Unlock()
+	if err == nil {
+		m.setCaughtUp("the endpoints of " + name + " were fetched")
+	}
 	if err != nil {
 		m.log.Warn("fetching the endpoints of an entry failed", "step", "mesh.pull", "peer", name, "error", err.Error())
 		return
@@ -109,3 +116,28 @@
 		m.options.OnEndpointsChanged()
 	}
 }
+
+// maxCatchUp limits how long an entry that finds no other one waits for their endpoints. It
+// covers the first rounds of calls to the seeds.
+const maxCatchUp = 2 * time.Second
+
+// CaughtUp returns a channel that is closed once this entry knows the endpoints that
+// another one knew, or has found none to ask for maxCatchUp.
+func (m *Mesh) CaughtUp() <-chan struct{} { return m.caughtUp }
+
+// IsCaughtUp reports whether the channel of CaughtUp is closed. It doesn't take the lock.
+func (m *Mesh) IsCaughtUp() bool {
+	select {
+	case <-m.caughtUp:
+		return true
+	default:
+		return false
+	}
+}
+
+func (m *Mesh) setCaughtUp(reason string) {
+	m.caughtUpOnce.Do(func() {
+		m.log.Info("endpoints are known", "step", "mesh.catch_up", "reason", reason, "took_ms", time.Since(m.startedAt).Milliseconds())
+		close(m.caughtUp)
+	})
+}
--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -73,7 +73,7 @@
 		}
 		listeners = append(listeners, l)
 	}
-	for _, l := range listeners[:3] {
+	for _, l := range listeners[:min(size, testMembers)] {
 		f.seeds = append(f.seeds, l.Addr().String())
 	}
 	for i, l := range listeners {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -77,6 +77,9 @@
 	pulling          bool      // the endpoints of another entry are being fetched
 	nextPull         time.Time // earliest time of the next fetch
 	syncTrigger      chan struct{}
+
+	caughtUp     chan struct{} // closed once this entry knows the endpoints that another one knows
+	caughtUpOnce sync.Once
 }
 
 // peer is another entry.
@@ -102,6 +105,7 @@
 		incarnation: uint64(time.Now().UnixMicro()), startedAt: time.Now(),
 		peers: map[string]*peer{}, registry: announce.New(),
 		endpointSeqs: map[string]uint64{}, receivedDirectly: map[string]bool{}, syncTrigger: make(chan struct{}, 1),
+		caughtUp: make(chan struct{}),
 	}
 	m.transport = control.NewMesh(o.Name, func(address string) jacinthplankv1connect.QuorumServiceClient {
 		return jacinthplankv1connect.NewQuorumServiceClient(m.client, "http://"+address, messageLimit)
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -32,6 +32,7 @@
 func (m *Mesh) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
+	defer time.AfterFunc(maxCatchUp, func() { m.setCaughtUp("no other entry told its endpoints") }).Stop()
 	for round := 0; ; {
 		select {
 		case <-ctx.Done():
