gateway, platform: logs tell the parts of prompts under which an endpoint ended

An entry now decodes the shared parts of a prompt, and after a connection that broke asks the endpoint's port. If nothing listens, it logs 'endpoint ended under a request' with the run, the events so far and the parts.

--- a/forward/client.go
+++ b/forward/client.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -117,6 +118,22 @@
 	return reply, nil
 }
 
+// IsListening reports whether a process accepts connections at an address. The error
+// tells why it can't be known.
+func (c *Client) IsListening(ctx context.Context, address string) (bool, error) {
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close() // it was not used
+		return true, nil
+	}
+	var timeout net.Error
+	isAbsent := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EHOSTUNREACH) || (errors.As(err, &timeout) && timeout.Timeout())
+	if ctx.Err() == nil && isAbsent {
+		return false, nil
+	}
+	return false, err
+}
+
 func (c *Client) pool(address string) *pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		e := f.classifySendError(outcome.From(err))
 		end = f.recordFailure(h, e)
+		f.checkEnd(h, run, e)
 		return e
 	}
 	defer reply.Close()
@@ -52,6 +53,7 @@
 	}
 	if e := f.relay(reply); e != nil {
 		end = f.recordFailure(h, e)
+		f.checkEnd(h, run, e)
 		return e
 	}
 	f.g.breakers.RecordSuccess(time.Now(), h.ID)
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -23,6 +23,9 @@
 	MaxAnswerTokens      int
 	ExpectedAnswerTokens int    // caller's estimate; 0 for none
 	LastEventID          string // id of the last event that the caller received
+	// PromptParts are the ids of the parts of the prompt that other prompts may share, in
+	// order. The last part, which belongs to the request or its session, is left out.
+	PromptParts []string
 }
 
 // Outgoing is the metadata that the gateway adds to a request for an endpoint.
