blame, gateway: a part of prompts that ends endpoint after endpoint is kept off them

Callers saw: requests cut again and again, each time on another engine; those with the part got 502, at the price of up to two engines each.

Cause: a failure was charged to the endpoint alone, so retries and new requests took the part to the next one.

Change: entries report the ends that they see to the coordinator, with what the cut requests have in common; it blames the key that explains most ends on three occasions without an answer since, and tells all with its responses. Such requests get 503 at once. Answers clear; verdicts age after ten minutes; the next coordinator is told by all entries.

--- a/api/errors.go
+++ b/api/errors.go
@@ -66,6 +66,7 @@
 	outcome.CodeNoQuorum:           http.StatusServiceUnavailable,
 	outcome.CodeMemoryReserved:     http.StatusServiceUnavailable,
 	outcome.CodeGroupUnavailable:   http.StatusServiceUnavailable,
+	outcome.CodeEndsEndpoints:      http.StatusServiceUnavailable,
 	outcome.CodeShuttingDown:       http.StatusServiceUnavailable,
 	outcome.CodeDeadlinePassed:     http.StatusGatewayTimeout,
 	outcome.CodeEngineStalled:      http.StatusGatewayTimeout,
--- /dev/null
+++ b/blame/blame.go
@@ -0,0 +1,250 @@
+// Package blame finds out what ends the endpoints that run it. When an endpoint's process
+// ends, everything that it was answering is suspected; what the requests under which
+// endpoint after endpoint ended have in common, and no answered request has, is blamed.
+//
+// One entry, which hears of the ends at all entries, judges for all of them. The others
+// follow its verdicts, and judge by what they have seen themselves while they hear none.
+// All of them keep what they know, so that the next one to judge can be told.
+//
+// The package does no I/O; callers pass in the time.
+package blame
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jacinthplank/jacinthplank/announce"
+)
+
+// Key names something that requests have in common, such as a part of their prompts.
+type Key string
+
+const partPrefix = "part "
+
+// PartKey returns the key of a part of prompts.
+func PartKey(id string) Key { return Key(partPrefix + id) }
+
+// Bounds of what is kept.
+const (
+	maxEnds      = 128 // latest ends of endpoints
+	maxSuspects  = 256 // keys of one end
+	maxVerdicts  = 256 // keys that are blamed
+	maxWatched   = 64  // keys that are told to other entries without being blamed
+	endRetention = 30 * time.Minute
+	blameTime    = 10 * time.Minute // from the last end until requests with the key are tried again
+	judgeAfter   = 3                // occasions on which endpoints ended
+	watchAfter   = 2
+	toldLifetime = 3 * time.Second // without word from the judging entry, an entry judges itself
+)
+
+// occasionGap separates two occasions. Endpoints that end closer together may have
+// ended for a common reason of their own, such as the loss of a failure domain.
+const occasionGap = 100 * time.Millisecond
+
+// end is the end of a run of an endpoint, with the keys of what it was answering.
+type end struct {
+	run      announce.Run
+	at       time.Time
+	suspects map[Key]bool
+}
+
+// record is what is known of a key.
+type record struct {
+	ends       []*end    // in order of time
+	survivedAt time.Time // latest answer to a request with the key; zero for none
+}
+
+// Verdict is what an entry believes of a key.
+type Verdict struct {
+	Key     Key
+	Ends    int       // occasions on which endpoints ended
+	LastEnd time.Time // latest of them
+	Until   time.Time // no request with the key is sent before; zero if the key is only watched
+}
+
+// blames reports whether requests with the key are not sent.
+func (v Verdict) blames(now time.Time) bool { return v.Until.After(now) }
+
+// Store keeps the ends of endpoints and the verdicts. It is safe for concurrent use.
+type Store struct {
+	// OnChange is called when a key is blamed or no longer is. It must not call the Store.
+	OnChange func(v Verdict, isBlamed bool)
+
+	mu       sync.Mutex
+	ends     []*end // in order of time
+	records  map[Key]*record
+	verdicts map[Key]Verdict
+	id       uint64
+	judgeID  uint64    // id of the store of the judging entry; 0 if it is not known
+	digest   uint64    // of the verdicts of the judging entry
+	toldAt   time.Time // when the verdicts were last told or confirmed; zero on the judging entry
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{id: rand.Uint64(), records: map[Key]*record{}, verdicts: map[Key]Verdict{}}
+}
+
+// Judge makes this entry judge for all, from what it knows.
+func (s *Store) Judge(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.toldAt.IsZero() {
+		return
+	}
+	s.toldAt = time.Time{}
+	s.judge(now)
+}
+
+// Blamed returns the verdict on the first of the keys that is blamed.
+func (s *Store) Blamed(keys []Key, now time.Time) (Verdict, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.verdicts) == 0 {
+		return Verdict{}, false
+	}
+	for _, k := range keys {
+		if v, known := s.verdicts[k]; known && v.blames(now) {
+			return v, true
+		}
+	}
+	return Verdict{}, false
+}
+
+// RecordEnd records that a run of an endpoint ended while it was answering requests with
+// the keys. The same end may be recorded several times, with different keys.
+func (s *Store) RecordEnd(run announce.Run, keys []Key, at, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addEnd(run, keys, at, now)
+	s.judge(now)
+}
+
+// RecordSurvival records that a request with the keys was answered to its end. It returns
+// the keys under which endpoints have ended since the last such answer that is known.
+func (s *Store) RecordSurvival(keys []Key, now time.Time) (cleared []Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range keys {
+		if s.survive(k, now) {
+			cleared = append(cleared, k)
+		}
+	}
+	if len(cleared) > 0 {
+		s.judge(now)
+	}
+	return cleared
+}
+
+// survive records an answer to a request with a key. The caller holds the lock.
+func (s *Store) survive(k Key, at time.Time) bool {
+	v, isKnown := s.verdicts[k]
+	r := s.records[k]
+	matters := isKnown && v.LastEnd.Before(at)
+	if r != nil {
+		if r.hasEndBetween(r.survivedAt, at) {
+			matters = true
+		}
+		r.survivedAt = later(r.survivedAt, at)
+	}
+	if isKnown && v.LastEnd.Before(at) {
+		s.drop(v, at)
+	}
+	return matters
+}
+
+func (r *record) hasEndBetween(from, to time.Time) bool {
+	return slices.ContainsFunc(r.ends, func(e *end) bool { return e.at.After(from) && e.at.Before(to) })
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// addEnd adds an end, or the keys to one that is known. The caller holds the lock.
+func (s *Store) addEnd(run announce.Run, keys []Key, at, now time.Time) {
+	if at.After(now) {
+		at = now
+	}
+	if len(keys) == 0 || now.Sub(at) > endRetention {
+		return
+	}
+	i := slices.IndexFunc(s.ends, func(e *end) bool { return e.run == run })
+	if i < 0 {
+		e := &end{run: run, at: at, suspects: map[Key]bool{}}
+		i, _ = slices.BinarySearchFunc(s.ends, e, byTime)
+		s.ends = slices.Insert(s.ends, i, e)
+	}
+	e := s.ends[i]
+	for _, k := range keys {
+		if e.suspects[k] || len(e.suspects) >= maxSuspects {
+			continue
+		}
+		e.suspects[k] = true
+		r := s.records[k]
+		if r == nil {
+			r = &record{}
+			s.records[k] = r
+		}
+		at, _ := slices.BinarySearchFunc(r.ends, e, byTime)
+		r.ends = slices.Insert(r.ends, at, e)
+	}
+	for len(s.ends) > maxEnds || now.Sub(s.ends[0].at) > endRetention {
+		s.forgetOldest()
+	}
+}
+
+func byTime(a, b *end) int { return a.at.Compare(b.at) }
+
+func (s *Store) forgetOldest() {
+	oldest := s.ends[0]
+	s.ends = s.ends[1:]
+	for k := range oldest.suspects {
+		r := s.records[k]
+		if r.ends = slices.DeleteFunc(r.ends, func(e *end) bool { return e == oldest }); len(r.ends) == 0 {
+			delete(s.records, k)
+		}
+	}
+}
+
+// drop removes a verdict. The caller holds the lock.
+func (s *Store) drop(v Verdict, now time.Time) {
+	delete(s.verdicts, v.Key)
+	if v.blames(now) && s.OnChange != nil {
+		s.OnChange(v, false)
+	}
+}
+
+// set replaces a verdict. The caller holds the lock.
+func (s *Store) set(v Verdict, now time.Time) {
+	wasBlamed := s.verdicts[v.Key].blames(now)
+	s.verdicts[v.Key] = v
+	if v.blames(now) != wasBlamed && s.OnChange != nil {
+		s.OnChange(v, !wasBlamed)
+	}
+}
+
+// sortedVerdicts returns the verdicts, blamed keys and late ends first. The caller holds
+// the lock.
+func (s *Store) sortedVerdicts(now time.Time) []Verdict {
+	out := make([]Verdict, 0, len(s.verdicts))
+	for _, v := range s.verdicts {
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b Verdict) int {
+		if a.blames(now) != b.blames(now) {
+			if a.blames(now) {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(b.LastEnd.Compare(a.LastEnd), cmp.Compare(a.Key, b.Key))
+	})
+	return out
+}
--- /dev/null
+++ b/blame/blame_test.go
@@ -0,0 +1,200 @@
+package blame
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/announce"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// step is something that an entry learns.
+type step struct {
+	at       float64 // seconds
+	endpoint string  // that ended; empty for an answer
+	keys     []Key
+}
+
+func ends(at float64, endpoint string, keys ...Key) step { return step{at, endpoint, keys} }
+
+func answers(at float64, keys ...Key) step { return step{at: at, keys: keys} }
+
+func (s *Store) apply(steps []step) {
+	for _, x := range steps {
+		now := at(x.at)
+		if x.endpoint == "" {
+			s.RecordSurvival(x.keys, now)
+			continue
+		}
+		s.RecordEnd(announce.Run{ID: x.endpoint}, x.keys, now, now)
+	}
+}
+
+func (s *Store) blamedAt(seconds float64) []Key {
+	out := []Key{}
+	for _, v := range s.sortedVerdicts(at(seconds)) {
+		if v.blames(at(seconds)) {
+			out = append(out, v.Key)
+		}
+	}
+	return out
+}
+
+const bad, shared, own Key = "part bad", "part shared", "part own"
+
+func TestJudge(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		steps []step
+		want  []Key
+	}{
+		{"two ends are too few", []step{ends(1, "a", bad), ends(2, "b", bad)}, nil},
+		{"three ends on separate occasions", []step{ends(1, "a", bad), ends(2, "b", bad), ends(3, "c", bad)}, []Key{bad}},
+		{
+			"several entries report the same end",
+			[]step{ends(1, "a", bad), ends(1.2, "a", bad, own), ends(2, "b", bad), ends(2.3, "b", bad)},
+			nil,
+		},
+		{
+			"a failure domain is lost with all its endpoints",
+			[]step{ends(1, "a", shared), ends(1.01, "b", shared), ends(1.05, "c", shared), ends(1.08, "d", shared)},
+			nil,
+		},
+		{
+			"sound requests that share a part with the cause are answered",
+			[]step{ends(1, "a", bad, shared), answers(1.5, shared), ends(2, "b", bad, shared), ends(3, "c", bad, shared), answers(3.1, shared), ends(4, "d", bad, shared)},
+			[]Key{bad},
+		},
+		{
+			"a sound request was retried where the cause ended the endpoints",
+			[]step{ends(1, "a", bad, own), ends(2, "b", bad, own), ends(3, "c", bad), ends(4, "d", bad, own)},
+			[]Key{bad},
+		},
+		{
+			"a sound request that is blamed first is cleared by a better cause",
+			[]step{ends(1, "a", "part x", bad), ends(2, "b", "part x", bad), ends(3, "c", "part x"), ends(3.05, "d", bad), ends(4, "e", bad), ends(5, "f", bad)},
+			[]Key{bad},
+		},
+		{
+			"two causes at once",
+			[]step{ends(1, "a", bad), ends(2, "b", "part z"), ends(3, "c", bad), ends(4, "d", "part z"), ends(5, "e", bad), ends(6, "f", "part z")},
+			[]Key{"part z", bad},
+		},
+		{
+			"an answer after the verdict clears",
+			[]step{ends(1, "a", bad), ends(2, "b", bad), ends(3, "c", bad), answers(3.5, bad)},
+			nil,
+		},
+		{
+			"an answer between the ends starts the count anew",
+			[]step{ends(1, "a", bad), ends(2, "b", bad), answers(2.5, bad), ends(3, "c", bad), ends(4, "d", bad)},
+			nil,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := NewStore()
+			s.apply(test.steps)
+			NewWithT(t).Expect(s.blamedAt(7)).To(ConsistOf(test.want))
+		})
+	}
+}
+
+// Guards against a cause that is let through for good, or never again, once its verdict
+// has expired.
+func TestVerdictExpiresAndOneEndRenewsIt(t *testing.T) {
+	g := NewWithT(t)
+	s := NewStore()
+	s.apply([]step{ends(1, "a", bad), ends(2, "b", bad), ends(3, "c", bad)})
+	v, isBlamed := s.Blamed([]Key{own, bad}, at(4))
+	g.Expect(isBlamed).To(BeTrue())
+	g.Expect(v.Until).To(Equal(at(3).Add(blameTime)))
+	again := 3 + blameTime.Seconds() + 1
+	g.Expect(s.blamedAt(again)).To(BeEmpty())
+	s.apply([]step{ends(again, "d", bad)})
+	g.Expect(s.blamedAt(again)).To(ConsistOf(bad))
+	s.apply([]step{ends(again+blameTime.Seconds()+1, "e", bad), answers(again+blameTime.Seconds()+2, bad)})
+	g.Expect(s.blamedAt(again + blameTime.Seconds() + 3)).To(BeEmpty())
+}
+
+// Guards against a store that grows with the number of ends, requests or causes.
+func TestStoreIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := NewStore()
+	for n := range 10 * maxEnds {
+		keys := []Key{Key(fmt.Sprint("part cause", n/4))}
+		for i := range 20 {
+			keys = append(keys, Key(fmt.Sprint("part ", n, "-", i)))
+		}
+		s.RecordEnd(announce.Run{ID: fmt.Sprint(n)}, keys, at(float64(n)), at(float64(n)))
+	}
+	g.Expect(s.ends).To(HaveLen(maxEnds))
+	g.Expect(len(s.records)).To(BeNumerically("<=", maxEnds*maxSuspects))
+	g.Expect(len(s.records)).To(BeNumerically("<", 22*maxEnds))
+	g.Expect(len(s.verdicts)).To(BeNumerically("<=", maxVerdicts))
+	later := 10*maxEnds + endRetention.Seconds() + 1
+	s.apply([]step{ends(later, "last", own)})
+	g.Expect(s.ends).To(HaveLen(1))
+	g.Expect(s.records).To(HaveLen(1))
+}
+
+// tell passes the verdicts of one entry to another.
+func tell(judge, follower *Store, seconds float64) {
+	follower.Follow(judge.Tell(follower.Digest(), at(seconds)), true, at(seconds))
+}
+
+// Guards against an entry that blames or clears by itself what the judging entry, which
+// knows more, does not, and against one that lets everything through while it hears none.
+func TestFollower(t *testing.T) {
+	g := NewWithT(t)
+	judge, follower := NewStore(), NewStore()
+	tell(judge, follower, 0)
+	follower.apply([]step{ends(1, "a", own), ends(1.5, "b", own), ends(2, "c", own)})
+	g.Expect(follower.blamedAt(2)).To(BeEmpty(), "the other entry judges")
+
+	judge.apply([]step{ends(1, "a", bad), ends(2, "b", bad), ends(2.1, "d", shared), ends(2.9, "e", shared), ends(3, "c", bad)})
+	tell(judge, follower, 3.1)
+	g.Expect(follower.blamedAt(3.1)).To(ConsistOf(bad))
+	g.Expect(judge.Tell(follower.Digest(), at(3.2))).To(BeNil(), "nothing has changed")
+	g.Expect(follower.RecordSurvival([]Key{shared, "part unknown"}, at(3.3))).To(ConsistOf(shared), "the judging entry has to know")
+
+	judge.apply([]step{answers(3.4, bad)})
+	tell(judge, follower, 3.5)
+	g.Expect(follower.blamedAt(3.5)).To(BeEmpty())
+
+	alone := 4 + toldLifetime.Seconds()
+	follower.apply([]step{ends(alone, "f", own)})
+	g.Expect(follower.blamedAt(alone)).To(ConsistOf(own))
+}
+
+// Guards against verdicts that are lost with the entry that judged, and against an entry
+// that begins to judge and blames what was answered elsewhere.
+func TestNextJudgeKnowsWhatTheOthersKnow(t *testing.T) {
+	g := NewWithT(t)
+	judge, first, second := NewStore(), NewStore(), NewStore()
+	first.apply([]step{ends(1, "a", bad, shared), ends(2, "b", bad, shared), answers(2.5, shared)})
+	second.apply([]step{ends(3, "c", bad, shared), answers(3.2, shared)})
+	for _, s := range []*Store{first, second} {
+		report := s.Report(at(4))
+		judge.Merge(&report, at(4))
+	}
+	g.Expect(judge.blamedAt(4)).To(ConsistOf(bad))
+	tell(judge, first, 4)
+	tell(judge, second, 4)
+
+	next := second
+	next.Judge(at(5))
+	report := first.Report(at(5))
+	next.Merge(&report, at(5))
+	g.Expect(next.blamedAt(5)).To(ConsistOf(bad))
+	starting := NewStore()
+	tell(next, starting, 6)
+	g.Expect(starting.blamedAt(6)).To(ConsistOf(bad))
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -15,9 +15,12 @@
 // attempt sends the request to an endpoint and relays the response to the caller.
 // It returns nil once the caller has the complete response.
 func (f *inflightRequest) attempt(h announce.Record) *outcome.Error {
-	f.lastEndpoint = h.ID
+	f.lastEndpoint, f.writingSince = h.ID, time.Time{}
 	end := schedule.Done
 	defer func() { f.release(h, end) }()
+	if e := f.checkBlame(); e != nil {
+		return e // it was blamed while this request waited
+	}
 	if e := f.checkEndpoints(h); e != nil {
 		return e
 	}
@@ -57,6 +60,9 @@
 		return e
 	}
 	f.g.breakers.RecordSuccess(time.Now(), h.ID)
+	if reply.Status < http.StatusMultipleChoices {
+		f.recordSurvival()
+	}
 	return nil
 }
 
--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/jacinthplank/jacinthplank/blame"
 	"github.com/jacinthplank/jacinthplank/mesh"
 	"github.com/jacinthplank/jacinthplank/schedule"
 )
@@ -39,32 +40,36 @@
 	Limits  []limitReport  `json:"limits,omitempty"`  // statements that changed a limit
 	Charges map[string]int `json:"charges,omitempty"` // calls sent without a permit, by endpoint
 	Failing []string       `json:"failing,omitempty"` // endpoints that failed a job or a part of one
+	blameRequest
 }
 
 func (r *reportRequest) isEmpty() bool {
-	return len(r.Reports)+len(r.Limits)+len(r.Charges)+len(r.Failing) == 0
+	return len(r.Reports)+len(r.Limits)+len(r.Charges)+len(r.Failing) == 0 && r.Blame.IsEmpty()
 }
 
 type adoptRequest struct {
 	Owner   string               `json:"owner"`
 	Running []schedule.PlacedJob `json:"running"`
 	Limits  []limitReport        `json:"limits,omitempty"`
+	blameRequest
 }
 
 type adoptResponse struct {
-	NotCoordinator bool          `json:"not_coordinator,omitempty"`
-	Limits         []limitReport `json:"limits,omitempty"`
+	NotCoordinator bool            `json:"not_coordinator,omitempty"`
+	Limits         []limitReport   `json:"limits,omitempty"`
+	Verdicts       *blame.Verdicts `json:"verdicts,omitempty"` // nil if the caller has them
 }
 
-type coordinatorResponse struct {
-	NotCoordinator bool `json:"not_coordinator,omitempty"`
+type reportResponse struct {
+	NotCoordinator bool            `json:"not_coordinator,omitempty"`
+	Verdicts       *blame.Verdicts `json:"verdicts,omitempty"` // nil if the caller has them
 }
 
 // coordinatorClient calls a coordinator.
 type coordinatorClient interface {
 	place(ctx context.Context, address string, j schedule.Job) (schedule.Decision, error)
 	adopt(ctx context.Context, address string, r *adoptRequest) (*adoptResponse, error)
-	report(ctx context.Context, address string, r *reportRequest) error
+	report(ctx context.Context, address string, r *reportRequest) (*reportResponse, error)
 	permit(ctx context.Context, address string, r *permitRequest) (*permitResponse, error)
 }
 
@@ -93,15 +98,15 @@
 	return response, nil
 }
 
-func (c meshCoordinatorClient) report(ctx context.Context, address string, r *reportRequest) error {
-	response, err := mesh.Call[reportRequest, coordinatorResponse](ctx, c.mesh(), address, procedureReport, r)
+func (c meshCoordinatorClient) report(ctx context.Context, address string, r *reportRequest) (*reportResponse, error) {
+	response, err := mesh.Call[reportRequest, reportResponse](ctx, c.mesh(), address, procedureReport, r)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if response.NotCoordinator {
-		return errNotCoordinator
+		return nil, errNotCoordinator
 	}
-	return nil
+	return response, nil
 }
 
 func (c meshCoordinatorClient) permit(ctx context.Context, address string, r *permitRequest) (*permitResponse, error) {
@@ -141,7 +146,8 @@
 		}
 		return &placeResponse{Decision: d}, nil
 	})
-	mesh.Handle(m, procedureReport, func(_ context.Context, q *reportRequest) (*coordinatorResponse, error) {
+	mesh.Handle(m, procedureReport, func(_ context.Context, q *reportRequest) (*reportResponse, error) {
+		p.blame.Merge(&q.Blame, time.Now())
 		p.limits.Merge(limitRecords(q.Limits, time.Now()), time.Now())
 		for endpoint, calls := range q.Charges {
 			p.limits.Charge(endpoint, calls, time.Now())
@@ -157,15 +163,19 @@
 				p.markEnded(r.Job)
 			}
 		}
-		return &coordinatorResponse{NotCoordinator: !isCoordinator()}, nil
+		if !isCoordinator() {
+			return &reportResponse{NotCoordinator: true}, nil
+		}
+		return &reportResponse{Verdicts: p.blame.Tell(q.Verdicts, time.Now())}, nil
 	})
 	mesh.Handle(m, procedureAdopt, func(_ context.Context, q *adoptRequest) (*adoptResponse, error) {
 		if !isCoordinator() {
 			return &adoptResponse{NotCoordinator: true}, nil
 		}
+		p.blame.Merge(&q.Blame, time.Now())
 		p.limits.Merge(limitRecords(q.Limits, time.Now()), time.Now())
 		p.reconcile(q.Owner, q.Running)
-		return &adoptResponse{Limits: p.limitReports()}, nil
+		return &adoptResponse{Limits: p.limitReports(), Verdicts: p.blame.Tell(q.Verdicts, time.Now())}, nil
 	})
 	mesh.Handle(m, procedurePermit, func(_ context.Context, q *permitRequest) (*permitResponse, error) {
 		if !isCoordinator() {
@@ -254,7 +264,7 @@
 		}
 		p.mu.Unlock()
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
-		err := p.client.report(ctx, address, &report)
+		err := p.sendReport(ctx, address, &report)
 		cancel()
 		if err != nil {
 			p.mu.Lock()
@@ -266,13 +276,41 @@
 	}
 }
 
+// sendReport sends a report and takes over the verdicts of the coordinator.
+func (p *placer) sendReport(ctx context.Context, address string, r *reportRequest) error {
+	r.Verdicts = p.blame.Digest()
+	response, err := p.client.report(ctx, address, r)
+	if err == nil {
+		p.followVerdicts(response.Verdicts, false)
+	}
+	return err
+}
+
+// followVerdicts takes over the verdicts of a coordinator. hasReported is set if it was
+// told the ends of endpoints that are known here. One that has started again is told with
+// the next lists.
+func (p *placer) followVerdicts(v *blame.Verdicts, hasReported bool) {
+	if p.blame.Follow(v, hasReported, time.Now()) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.adopted = false
+	}
+}
+
 // sendLists sends the running jobs and the rate limits known here to the coordinator, and
-// takes over the limits that it knows.
-func (p *placer) sendLists(ctx context.Context, address string) error {
-	response, err := p.client.adopt(ctx, address, &adoptRequest{Owner: p.self, Running: p.runningJobs(), Limits: p.limitReports()})
+// takes over the limits and verdicts that it knows. A new coordinator is also told the ends
+// of endpoints that are known here.
+func (p *placer) sendLists(ctx context.Context, address string, isNew bool) error {
+	request := &adoptRequest{Owner: p.self, Running: p.runningJobs(), Limits: p.limitReports()}
+	if isNew {
+		request.Blame = p.blame.Report(time.Now())
+	}
+	request.Verdicts = p.blame.Digest()
+	response, err := p.client.adopt(ctx, address, request)
 	if err != nil {
 		return err
 	}
 	p.limits.Merge(limitRecords(response.Limits, time.Now()), time.Now())
+	p.followVerdicts(response.Verdicts, isNew)
 	return nil
 }
--- a/gateway/coordinator_call.go
+++ b/gateway/coordinator_call.go
@@ -84,7 +84,7 @@
 	p.pendingReport = reportRequest{}
 	p.adopted = true
 	p.mu.Unlock()
-	err := p.sendLists(ctx, address)
+	err := p.sendLists(ctx, address, true)
 	if err != nil {
 		p.mu.Lock()
 		p.adopted = false
--- a/gateway/coordinator_watch.go
+++ b/gateway/coordinator_watch.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		pingCtx, cancel := context.WithTimeout(context.Background(), pingTimeout)
-		err := p.client.report(pingCtx, address, &reportRequest{})
+		err := p.sendReport(pingCtx, address, &reportRequest{})
 		cancel()
 		p.endPing(address, err)
 	}
--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -11,32 +11,68 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/jacinthplank/jacinthplank/announce"
+	"github.com/jacinthplank/jacinthplank/blame"
 	"github.com/jacinthplank/jacinthplank/outcome"
 )
 
-var endpointsEndedTotal = metrics.NewCounter("jacinthplank_gateway_endpoints_ended_under_requests_total")
+var (
+	endpointsEndedTotal = metrics.NewCounter("jacinthplank_gateway_endpoints_ended_under_requests_total")
+	blamedTotal         = metrics.NewCounter("jacinthplank_gateway_keys_blamed_total")
+	clearedTotal        = metrics.NewCounter("jacinthplank_gateway_keys_cleared_total")
+	blameRefusedTotal   = metrics.NewCounter("jacinthplank_gateway_blamed_requests_refused_total")
+)
+
+// blameKeys returns what a request has in common with others that may end endpoints.
+func blameKeys(r *Request) []blame.Key {
+	keys := make([]blame.Key, 0, len(r.PromptParts))
+	for _, id := range r.PromptParts {
+		keys = append(keys, blame.PartKey(id))
+	}
+	return keys
+}
+
+// checkBlame returns an error if endpoints have ended under requests that have something
+// in common with this one, as it would end another.
+func (f *inflightRequest) checkBlame() *outcome.Error {
+	now := time.Now()
+	v, isBlamed := f.g.blame.Blamed(f.keys, now)
+	if !isBlamed {
+		return nil
+	}
+	blameRefusedTotal.Inc()
+	e := outcome.Refuse(outcome.CodeEndsEndpoints, "gateway.blame", "%d endpoints ended under requests with %s; none is sent for the next %d s",
+		v.Ends, v.Key, int(v.Until.Sub(now).Seconds())+1)
+	e.RetryAfter = v.Until.Sub(now)
+	return e
+}
 
-// maxLoggedParts bounds the parts of a prompt in a log line.
-const maxLoggedParts = 8
+// writingTime is how long an endpoint that writes an answer is expected to last if the
+// request ends it.
+const writingTime = 2 * time.Second
 
 // checkEnd finds out whether the process of an endpoint ended under this request, after
 // an attempt that broke off.
 func (f *inflightRequest) checkEnd(h announce.Record, run announce.Run, e *outcome.Error) {
-	if !isConnectionBroken(e) || f.g.mesh.IsLeaving(run.ID) {
+	now := time.Now()
+	if len(f.keys) == 0 || !isConnectionBroken(e) || f.g.mesh.IsLeaving(run.ID) {
 		return
 	}
-	events, parts := f.eventCount, f.request.PromptParts[:min(len(f.request.PromptParts), maxLoggedParts)]
+	if !f.writingSince.IsZero() && now.Sub(f.writingSince) > writingTime {
+		return
+	}
+	events, keys, request := f.eventCount, f.keys, f.request.ID
 	go func() {
 		isListening, err := f.g.client.IsListening(context.Background(), h.Address)
 		if isListening {
 			return // it only broke off this response
 		}
 		endpointsEndedTotal.Inc()
-		if !f.g.logs.AllowRequestLine(time.Now()) {
-			return
+		f.g.blame.RecordEnd(run, keys, now, time.Now())
+		f.g.placer.reportEnd(run, keys, now)
+		if f.g.logs.AllowRequestLine(time.Now()) {
+			f.g.log.Info("endpoint ended under a request", "step", "gateway.ended", "request", request, "endpoint", run.ID,
+				"born", run.StartedAtMs, "events", events, "keys", formatKeys(keys), "error", errorText(err))
 		}
-		f.g.log.Info("endpoint ended under a request", "step", "gateway.ended", "request", f.request.ID, "endpoint", run.ID,
-			"born", run.StartedAtMs, "events", events, "parts", strings.Join(parts, ","), "error", errorText(err))
 	}()
 }
 
@@ -45,3 +81,60 @@
 func isConnectionBroken(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
+
+// recordSurvival records that this request was answered, which clears what it has in
+// common with others.
+func (f *inflightRequest) recordSurvival() {
+	if cleared := f.g.blame.RecordSurvival(f.keys, time.Now()); len(cleared) > 0 {
+		f.g.placer.reportSurvival(cleared)
+	}
+}
+
+// maxLoggedKeys bounds the keys in a log line.
+const maxLoggedKeys = 8
+
+func formatKeys(keys []blame.Key) string {
+	var b strings.Builder
+	for i, k := range keys[:min(len(keys), maxLoggedKeys)] {
+		if i > 0 {
+			b.WriteString(", ")
+		}
+		b.WriteString(string(k))
+	}
+	return b.String()
+}
+
+// logVerdict logs a change of what is believed of a key.
+func (g *Gateway) logVerdict(v blame.Verdict, isBlamed bool) {
+	if isBlamed {
+		blamedTotal.Inc()
+		g.log.Warn("requests are blamed for the ends of endpoints", "step", "gateway.blame", "key", string(v.Key), "ends", v.Ends,
+			"last_end_ms", time.Since(v.LastEnd).Milliseconds(), "left_ms", time.Until(v.Until).Milliseconds())
+		return
+	}
+	clearedTotal.Inc()
+	g.log.Info("requests are no longer blamed", "step", "gateway.blame", "key", string(v.Key), "ends", v.Ends)
+}
+
+// blameRequest is what an entry tells the coordinator of the ends of endpoints.
+type blameRequest struct {
+	Blame    blame.Report `json:"blame,omitzero"`
+	Verdicts uint64       `json:"verdicts,omitempty"` // digest of those that the entry has
+}
+
+// reportEnd tells the coordinator of an end.
+func (p *placer) reportEnd(run announce.Run, keys []blame.Key, at time.Time) {
+	p.queue(func(pending *reportRequest) {
+		pending.Blame.Ends = append(pending.Blame.Ends, blame.EndReport{Endpoint: run.ID, StartedAtMs: run.StartedAtMs, Age: time.Since(at), Suspects: keys})
+	})
+}
+
+// reportSurvival tells the coordinator of an answer to a request with keys under which
+// endpoints had ended.
+func (p *placer) reportSurvival(keys []blame.Key) {
+	p.queue(func(pending *reportRequest) {
+		for _, k := range keys {
+			pending.Blame.Survivals = append(pending.Blame.Survivals, blame.SurvivalReport{Key: k})
+		}
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/jacinthplank/jacinthplank/announce"
+	"github.com/jacinthplank/jacinthplank/blame"
 	"github.com/jacinthplank/jacinthplank/breaker"
 	"github.com/jacinthplank/jacinthplank/coord/document"
 	"github.com/jacinthplank/jacinthplank/decision"
@@ -68,6 +69,7 @@
 	plain     *plainPicker
 	deadlines *deadlineHistory
 	limits    *ratelimit.Table
+	blame     *blame.Store
 
 	callerServer  *callerServer
 	peerServer    *server
@@ -94,12 +96,13 @@
 		settings: s, dialect: d, logs: logs,
 		log:    logs.Logger(slog.LevelInfo).With("instance", s.Name),
 		client: forward.NewClient(d), breakers: breaker.NewSet(),
-		retryBudgets: map[string]*retry.Window{}, plain: newPlainPicker(), deadlines: newDeadlineHistory(), limits: ratelimit.NewTable(), events: timeline.NewLog(s.Name, eventCapacity, time.Now), configured: make(chan struct{}), shutdown: newShutdown(),
+		retryBudgets: map[string]*retry.Window{}, plain: newPlainPicker(), deadlines: newDeadlineHistory(), limits: ratelimit.NewTable(), blame: blame.NewStore(), events: timeline.NewLog(s.Name, eventCapacity, time.Now), configured: make(chan struct{}), shutdown: newShutdown(),
 	}
 	g.bodyMemory.limit = s.MemoryBytes / bodyMemoryDivisor
 	g.callerServer = newCallerServer(http.HandlerFunc(g.serveCaller))
 	g.callerServer.setLimits(route.HeaderLimits{})
-	g.placer = newPlacer(s.Name, g.breakers, g.limits, meshCoordinatorClient{func() *mesh.Mesh { return g.mesh }}, g.log)
+	g.placer = newPlacer(s.Name, g.breakers, g.limits, g.blame, meshCoordinatorClient{func() *mesh.Mesh { return g.mesh }}, g.log)
+	g.blame.OnChange = g.logVerdict
 	g.breakers.OnChange = func(endpoint string, state breaker.State, reason string) {
 		g.log.Warn("breaker", "step", "gateway.breaker", "endpoint", endpoint, "state", state.String(), "reason", reason)
 	}
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jacinthplank/jacinthplank/announce"
+	"github.com/jacinthplank/jacinthplank/blame"
 	"github.com/jacinthplank/jacinthplank/outcome"
 	"github.com/jacinthplank/jacinthplank/route"
 	"github.com/jacinthplank/jacinthplank/schedule"
@@ -30,7 +31,8 @@
 	service   string
 	body      []byte
 	bodyRead  bool
-	heldBytes int64 // of the body, taken out of the memory for bodies
+	keys      []blame.Key // what it has in common with other requests
+	heldBytes int64       // of the body, taken out of the memory for bodies
 	deadline  time.Time
 
 	excluded        []string // endpoints that failed or rejected this request
@@ -48,6 +50,7 @@
 	placementWait   time.Duration // total over all placements
 	maxEventGap     time.Duration // between two consecutive events
 	lastEventAt     time.Time
+	writingSince    time.Time // first event of the current attempt; zero before
 }
 
 // maxTries limits the endpoints tried for one request, including those that were never
@@ -70,6 +73,10 @@
 	f.g.retryBudget(f.service).RecordRequest(time.Now())
 	var last *outcome.Error
 	for range maxTries {
+		if e := f.checkBlame(); e != nil {
+			last = moreSevere(last, e)
+			break
+		}
 		target, e := f.chooseEndpoint()
 		if e != nil {
 			last = moreSevere(last, e)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/jacinthplank/jacinthplank/announce"
+	"github.com/jacinthplank/jacinthplank/blame"
 	"github.com/jacinthplank/jacinthplank/breaker"
 	"github.com/jacinthplank/jacinthplank/ratelimit"
 	"github.com/jacinthplank/jacinthplank/route"
@@ -47,6 +48,7 @@
 	self       string
 	breakers   *breaker.Set
 	limits     *ratelimit.Table
+	blame      *blame.Store
 	client     coordinatorClient
 	log        *slog.Logger
 	onRedirect func(address string)  // called when an entry names another coordinator; may be nil
@@ -67,9 +69,9 @@
 	reporting          bool
 }
 
-func newPlacer(self string, b *breaker.Set, limits *ratelimit.Table, client coordinatorClient, log *slog.Logger) *placer {
+func newPlacer(self string, b *breaker.Set, limits *ratelimit.Table, blamed *blame.Store, client coordinatorClient, log *slog.Logger) *placer {
 	return &placer{
-		self: self, breakers: b, limits: limits, client: client, log: log, schedulers: map[string]*schedule.Scheduler{},
+		self: self, breakers: b, limits: limits, blame: blamed, client: client, log: log, schedulers: map[string]*schedule.Scheduler{},
 		waiters: map[string]chan schedule.Decision{}, serviceByJob: map[string]string{}, coordinatorChanged: make(chan struct{}),
 	}
 }
@@ -124,6 +126,9 @@
 	}
 	p.isCoordinator = isSelf
 	p.limits.SetAllotsAll(isSelf, time.Now())
+	if isSelf {
+		p.blame.Judge(time.Now())
+	}
 	if address == p.coordinator {
 		return
 	}
@@ -335,17 +340,25 @@
 // how long the effects of a lost report last.
 const reconcileInterval = time.Second
 
-// resyncJobs sends all jobs of this entry to the coordinator.
+// resyncJobs sends all jobs of this entry to the coordinator. An entry without jobs learns
+// the verdicts of the coordinator in this way.
 func (p *placer) resyncJobs(ctx context.Context) {
 	p.mu.Lock()
-	address, due := p.coordinator, p.coordinator != "" && p.adopted
+	address, isAdopted := p.coordinator, p.adopted
+	due := address != "" && !time.Now().Before(p.backoffUntil)
 	p.mu.Unlock()
 	if !due {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	if err := p.sendLists(ctx, address); err != nil {
+	var err error
+	if isAdopted {
+		err = p.sendLists(ctx, address, false)
+	} else {
+		err = p.ensureAdopted(ctx, address)
+	}
+	if err != nil {
 		p.markCoordinatorFailed(address, err)
 	}
 }
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/jacinthplank/jacinthplank/announce"
+	"github.com/jacinthplank/jacinthplank/blame"
 	"github.com/jacinthplank/jacinthplank/breaker"
 	"github.com/jacinthplank/jacinthplank/ratelimit"
 	"github.com/jacinthplank/jacinthplank/route"
@@ -37,6 +38,8 @@
 	permitCalls    int
 	granted        int // requests granted for each permit
 	permitWait     time.Duration
+
+	judge *blame.Store // nil if the ends of endpoints are of no interest
 }
 
 func (f *fakeCoordinator) place(ctx context.Context, address string, j schedule.Job) (schedule.Decision, error) {
@@ -66,7 +69,7 @@
 		return nil, errors.New("gone")
 	}
 	f.adopted = append(f.adopted, r.Running)
-	return &adoptResponse{Limits: f.limits}, nil
+	return &adoptResponse{Limits: f.limits, Verdicts: f.judgeEnds(&r.blameRequest)}, nil
 }
 
 func (f *fakeCoordinator) permit(context.Context, string, *permitRequest) (*permitResponse, error) {
@@ -79,13 +82,13 @@
 	return &permitResponse{Granted: f.granted, Wait: f.permitWait}, nil
 }
 
-func (f *fakeCoordinator) report(ctx context.Context, _ string, r *reportRequest) error {
+func (f *fakeCoordinator) report(ctx context.Context, _ string, r *reportRequest) (*reportResponse, error) {
 	f.mu.Lock()
 	frozen := f.frozen
 	f.mu.Unlock()
 	if frozen {
 		<-ctx.Done()
-		return ctx.Err()
+		return nil, ctx.Err()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -94,7 +97,7 @@
 	for endpoint, calls := range r.Charges {
 		f.charges[endpoint] += calls
 	}
-	return nil
+	return &reportResponse{Verdicts: f.judgeEnds(&r.blameRequest)}, nil
 }
 
 func (f *fakeCoordinator) update(change func()) {
@@ -116,7 +119,7 @@
 }
 
 func newTestPlacer(f *fakeCoordinator) *placer {
-	p := newPlacer("me", breaker.NewSet(), ratelimit.NewTable(), f, slog.New(slog.DiscardHandler))
+	p := newPlacer("me", breaker.NewSet(), ratelimit.NewTable(), blame.NewStore(), f, slog.New(slog.DiscardHandler))
 	p.configure(&route.Table{Services: []route.Service{{Name: "s", Engine: &schedule.EngineProfile{
 		Slots: 4, MemoryTokens: 100_000, StepsPerPass: 10, Step: time.Millisecond, PrefillPerSecond: 100_000, ChunkTokens: 1000,
 	}}}})
@@ -455,7 +458,7 @@
 func TestCoordinatorAwaitsItsConfiguration(t *testing.T) {
 	g := NewWithT(t)
 	configured := newTestPlacer(&fakeCoordinator{})
-	p := newPlacer("me", breaker.NewSet(), ratelimit.NewTable(), &fakeCoordinator{}, slog.New(slog.DiscardHandler))
+	p := newPlacer("me", breaker.NewSet(), ratelimit.NewTable(), blame.NewStore(), &fakeCoordinator{}, slog.New(slog.DiscardHandler))
 	p.setCoordinator("", true)
 	time.AfterFunc(50*time.Millisecond, func() {
 		p.mu.Lock()
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -71,6 +71,7 @@
 	CodeNotFound           Code = "not_found"
 	CodeMemoryReserved     Code = "memory_reserved"
 	CodeGroupUnavailable   Code = "group_unavailable"
+	CodeEndsEndpoints      Code = "ends_endpoints" // endpoints ended under requests like this one
 )
 
 // Error is a failure with the step and peer where it occurred.
