gateway: a stream without a length and without an event is not whole

An answer may have neither a length nor chunks and end with its connection. A stream whose connection ended before its first event was given to the caller as a whole answer of no bytes, status 200; an endpoint that ends as it begins to write leaves just that.

It counts as broken off now and is resumed elsewhere, or answered 502. One that has a length or chunks may be empty.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -209,6 +209,10 @@
 	return data, err
 }
 
+// IsSelfDelimited reports whether the end of the body can be told from that of the
+// connection.
+func (r *Reply) IsSelfDelimited() bool { return r.selfDelimited }
+
 // Close returns the connection to the pool if the response was read completely
 // and no data is left on the connection; otherwise it closes the connection.
 func (r *Reply) Close() {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -93,6 +93,10 @@
 	}
 }
 
+// errEmptyStream ends a stream without an event whose end is that of its connection: the
+// endpoint may have ended before it wrote one.
+var errEmptyStream = errors.New("the connection ended before the first event of a stream without a length")
+
 // relayStream forwards complete events as they arrive. A broken stream is resumed from
 // another endpoint without sending the headers again.
 func (f *inflightRequest) relayStream(reply *forward.Reply) *outcome.Error {
@@ -100,6 +104,9 @@
 	flush := http.NewResponseController(f.w)
 	for {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && f.writingSince.IsZero() && !reply.IsSelfDelimited() {
+			return f.streamError(errEmptyStream)
+		}
 		if errors.Is(err, io.EOF) {
 			return f.finishStream(reply)
 		}
