--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -95,7 +96,7 @@
 
 // errEmptyStream ends a stream without an event whose end is that of its connection: the
 // endpoint may have ended before it wrote one.
-var errEmptyStream = errors.New("the connection ended before the first event of a stream without a length")
+var errEmptyStream = fmt.Errorf("the connection ended before the first event of a stream without a length: %w", io.ErrUnexpectedEOF)
 
 // relayStream forwards complete events as they arrive. A broken stream is resumed from
 // another endpoint without sending the headers again.
