blame, gateway: sound requests are cleared sooner, and not blamed by chance

An answer that has been written for half a second clears now, and the square of a key's occasions has to be twice all occasions of its time.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -35,7 +35,7 @@
 	maxWatched   = 64  // keys that are told to other entries without being blamed
 	endRetention = 30 * time.Minute
 	blameTime    = 10 * time.Minute // from the last end until requests with the key are tried again
-	judgeAfter   = 3                // occasions on which endpoints ended
+	judgeAfter   = 3                // occasions on which endpoints ended, at least
 	watchAfter   = 2
 	toldLifetime = 3 * time.Second // without word from the judging entry, an entry judges itself
 )
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -85,9 +85,28 @@
 		},
 		{
 			"two causes at once",
-			[]step{ends(1, "a", bad), ends(2, "b", "part z"), ends(3, "c", bad), ends(4, "d", "part z"), ends(5, "e", bad), ends(6, "f", "part z")},
+			[]step{
+				ends(1, "a", bad), ends(1.5, "b", "part z"), ends(2, "c", bad), ends(2.5, "d", "part z"),
+				ends(3, "e", bad), ends(3.5, "f", "part z"), ends(4, "g", bad), ends(4.5, "h", "part z"),
+			},
 			[]Key{"part z", bad},
 		},
+		{
+			"endpoints end often, and a sound request was on some of them",
+			[]step{
+				ends(1, "a", "part a", own), ends(1.5, "b", "part b"), ends(2, "c", "part c", own), ends(2.5, "d", "part d"),
+				ends(3, "e", "part e", own), ends(3.5, "f", "part f"), ends(4, "g", "part g"),
+			},
+			nil,
+		},
+		{
+			"endpoints go on ending for another reason after a verdict",
+			[]step{
+				ends(1, "a", bad), ends(1.5, "b", bad), ends(2, "c", bad), ends(2.5, "d", "part d"), ends(3, "e", "part e"),
+				ends(3.5, "f", "part f"), ends(4, "g", "part g"), ends(4.5, "h", "part h"),
+			},
+			[]Key{bad},
+		},
 		{
 			"an answer after the verdict clears",
 			[]step{ends(1, "a", bad), ends(2, "b", bad), ends(3, "c", bad), answers(3.5, bad)},
--- a/blame/judge.go
+++ b/blame/judge.go
@@ -11,6 +11,9 @@
 // Of the keys under which endpoints ended on enough occasions, the one with the most is
 // blamed first and explains its ends, which no longer count against the others: sound
 // requests that were on the same endpoints are cleared by that.
+//
+// While many endpoints end, sound requests are cut on several of them by chance. The
+// occasions of a key must be more than that, see isBeyondChance.
 func (s *Store) judge(now time.Time) {
 	if !s.toldAt.IsZero() && now.Sub(s.toldAt) < toldLifetime {
 		return
@@ -19,12 +22,12 @@
 	blamed := map[Key]bool{}
 	candidates := s.candidates()
 	for {
-		key, occasions, lastEnd := s.mostSuspect(candidates, explained, blamed)
-		if occasions < judgeAfter {
+		key, c := s.mostSuspect(candidates, explained, blamed)
+		if c.occasions < judgeAfter {
 			break
 		}
 		blamed[key] = true
-		s.set(Verdict{Key: key, Ends: occasions, LastEnd: lastEnd, Until: lastEnd.Add(blameTime)}, now)
+		s.set(Verdict{Key: key, Ends: c.occasions, LastEnd: c.last, Until: c.last.Add(blameTime)}, now)
 		s.explain(key, explained)
 	}
 	for k, v := range s.verdicts {
@@ -64,56 +67,81 @@
 func (s *Store) candidates() []Key {
 	var out []Key
 	for k, r := range s.records {
-		if len(r.ends) < watchAfter {
-			continue
-		}
-		if n, _ := r.countOccasions(nil); n >= watchAfter {
+		if len(r.ends) >= watchAfter && r.count(nil).occasions >= watchAfter {
 			out = append(out, k)
 		}
 	}
 	return out
 }
 
-// mostSuspect returns the key with the most occasions that nothing explains.
-func (s *Store) mostSuspect(candidates []Key, explained map[*end]bool, blamed map[Key]bool) (best Key, occasions int, lastEnd time.Time) {
+// mostSuspect returns the key with the most occasions that nothing explains, of those
+// whose occasions are not by chance.
+func (s *Store) mostSuspect(candidates []Key, explained map[*end]bool, blamed map[Key]bool) (best Key, most count) {
 	for _, k := range candidates {
 		if blamed[k] {
 			continue
 		}
-		n, last := s.records[k].countOccasions(explained)
-		if n > occasions || (n == occasions && n > 0 && compareKeys(k, best) < 0) {
-			best, occasions, lastEnd = k, n, last
+		c := s.records[k].count(explained)
+		if c.occasions < max(judgeAfter, most.occasions) || (c.occasions == most.occasions && compareKeys(k, best) > 0) {
+			continue
+		}
+		if s.isBeyondChance(c, explained) {
+			best, most = k, c
 		}
 	}
-	return best, occasions, lastEnd
+	return best, most
 }
 
 // compareKeys orders keys with the same ends.
 func compareKeys(a, b Key) int { return cmp.Compare(a, b) }
 
-// countOccasions returns on how many occasions endpoints have ended under a key since a
-// request with it was answered, without those that are explained, and the last end of these.
-func (r *record) countOccasions(explained map[*end]bool) (n int, lastEnd time.Time) {
+// chanceFactor is the least ratio between the square of a key's occasions and all
+// occasions in its time. Two causes that end equally many endpoints are told from chance
+// after four ends each, one alone after judgeAfter.
+const chanceFactor = 2
+
+// isBeyondChance reports whether a key explains enough of what ended in its time.
+func (s *Store) isBeyondChance(c count, explained map[*end]bool) bool {
+	all := countOccasions(s.ends, func(e *end) bool {
+		return !explained[e] && !e.at.Before(c.first) && !e.at.After(c.last)
+	})
+	return c.occasions*c.occasions >= chanceFactor*all.occasions
+}
+
+// count is a number of occasions and the time of the first and last end.
+type count struct {
+	occasions   int
+	first, last time.Time
+}
+
+func countOccasions(ends []*end, counts func(*end) bool) count {
+	var c count
 	var occasion time.Time // its first end
-	for _, e := range r.ends {
-		if !e.at.After(r.survivedAt) || explained[e] {
+	for _, e := range ends {
+		if !counts(e) {
 			continue
 		}
-		if n == 0 || e.at.Sub(occasion) > occasionGap {
-			n++
+		if c.occasions == 0 {
+			c.first = e.at
+		}
+		if c.occasions == 0 || e.at.Sub(occasion) > occasionGap {
+			c.occasions++
 			occasion = e.at
 		}
-		lastEnd = e.at
+		c.last = e.at
 	}
-	return n, lastEnd
+	return c
 }
 
-// hasEvidence reports whether enough ends are known to blame a key, explained or not.
-func (r *record) hasEvidence() bool {
-	n, _ := r.countOccasions(nil)
-	return n >= judgeAfter
+// count returns on how many occasions endpoints have ended under a key since a request
+// with it was answered, without those that are explained.
+func (r *record) count(explained map[*end]bool) count {
+	return countOccasions(r.ends, func(e *end) bool { return e.at.After(r.survivedAt) && !explained[e] })
 }
 
+// hasEvidence reports whether enough ends are known to blame a key, explained or not.
+func (r *record) hasEvidence() bool { return r.count(nil).occasions >= judgeAfter }
+
 // watch adds the keys that may be blamed next, so that other entries tell when a request
 // with one of them is answered.
 func (s *Store) watch(candidates []Key, explained map[*end]bool, blamed map[Key]bool, now time.Time) {
@@ -125,8 +153,8 @@
 		if blamed[k] || s.verdicts[k].blames(now) {
 			continue
 		}
-		if n, lastEnd := s.records[k].countOccasions(explained); n >= watchAfter {
-			s.set(Verdict{Key: k, Ends: n, LastEnd: lastEnd}, now)
+		if c := s.records[k].count(explained); c.occasions >= watchAfter {
+			s.set(Verdict{Key: k, Ends: c.occasions, LastEnd: c.last}, now)
 			watched++
 		}
 	}
--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -46,9 +46,21 @@
 	return e
 }
 
-// writingTime is how long an endpoint that writes an answer is expected to last if the
-// request ends it.
-const writingTime = 2 * time.Second
+// writingTime is how long an endpoint has to write an answer to show that the request
+// doesn't end it. One that it ends does so as it begins.
+const writingTime = 500 * time.Millisecond
+
+// recordWriting records an event of a stream. Many answers last for longer than the time
+// in which endpoint after endpoint may end, so they clear before they are complete.
+func (f *inflightRequest) recordWriting() {
+	if f.writingSince.IsZero() {
+		f.writingSince, f.hasSurvived = f.lastEventAt, false
+	}
+	if !f.hasSurvived && f.lastEventAt.Sub(f.writingSince) > writingTime {
+		f.hasSurvived = true
+		f.recordSurvival()
+	}
+}
 
 // checkEnd finds out whether the process of an endpoint ended under this request, after
 // an attempt that broke off.
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -51,6 +51,7 @@
 	maxEventGap     time.Duration // between two consecutive events
 	lastEventAt     time.Time
 	writingSince    time.Time // first event of the current attempt; zero before
+	hasSurvived     bool      // the current attempt's endpoint has been writing for writingTime
 }
 
 // maxTries limits the endpoints tried for one request, including those that were never
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -127,9 +127,7 @@
 			return f.callerError(err)
 		}
 		f.recordEventGap()
-		if f.writingSince.IsZero() {
-			f.writingSince = f.lastEventAt
-		}
+		f.recordWriting()
 		f.eventCount++
 		if event.ID != "" {
 			f.lastEventID = event.ID
