blame: keys that were answered before are blamed last, and tried again soon

A test in which requests end engines faster than these come back: the part that all requests have was at every end, was blamed, and as nothing with it was sent, nothing could clear it for ten minutes: all requests refused.

Entries keep which keys they have seen answered and tell that with an end. Keys that never were come first; the others are blamed for ten seconds, doubled with each further end.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -35,7 +35,11 @@
 	maxWatched   = 64  // keys that are told to other entries without being blamed
 	endRetention = 30 * time.Minute
 	blameTime    = 10 * time.Minute // from the last end until requests with the key are tried again
-	judgeAfter   = 3                // occasions on which endpoints ended, at least
+	// provenTime is the same of a key that has been answered before. It is doubled with each
+	// further end.
+	provenTime   = 10 * time.Second
+	maxAnswered  = 4096 // keys that are known to have been answered, in each half of the time
+	judgeAfter   = 3    // occasions on which endpoints ended, at least
 	watchAfter   = 2
 	toldLifetime = 3 * time.Second // without word from the judging entry, an entry judges itself
 )
@@ -54,9 +58,13 @@
 // record is what is known of a key.
 type record struct {
 	ends       []*end    // in order of time
-	survivedAt time.Time // latest answer to a request with the key; zero for none
+	survivedAt time.Time // latest answer to a request with the key, also before the ends; zero for none
 }
 
+// isProven reports whether requests with the key have been answered. It may still end
+// endpoints, such as those of a new version.
+func (r *record) isProven() bool { return !r.survivedAt.IsZero() }
+
 // Verdict is what an entry believes of a key.
 type Verdict struct {
 	Key     Key
@@ -76,6 +84,7 @@
 	mu       sync.Mutex
 	ends     []*end // in order of time
 	records  map[Key]*record
+	answered answeredKeys
 	verdicts map[Key]Verdict
 	id       uint64
 	judgeID  uint64    // id of the store of the judging entry; 0 if it is not known
@@ -115,12 +124,20 @@
 }
 
 // RecordEnd records that a run of an endpoint ended while it was answering requests with
-// the keys. The same end may be recorded several times, with different keys.
-func (s *Store) RecordEnd(run announce.Run, keys []Key, at, now time.Time) {
+// the keys, and returns what to tell the entry that judges. The same end may be recorded
+// several times, with different keys.
+func (s *Store) RecordEnd(run announce.Run, keys []Key, at, now time.Time) Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.addEnd(run, keys, at, now)
+	report := Report{Ends: []EndReport{{Endpoint: run.ID, StartedAtMs: run.StartedAtMs, Age: now.Sub(at), Suspects: keys}}}
+	for _, k := range keys {
+		if r := s.records[k]; r != nil && r.isProven() {
+			report.Survivals = append(report.Survivals, SurvivalReport{Key: k, Age: now.Sub(r.survivedAt)})
+		}
+	}
 	s.judge(now)
+	return report
 }
 
 // RecordSurvival records that a request with the keys was answered to its end. It returns
@@ -129,6 +146,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, k := range keys {
+		s.answered.add(k, now)
 		if s.survive(k, now) {
 			cleared = append(cleared, k)
 		}
@@ -189,7 +207,7 @@
 		e.suspects[k] = true
 		r := s.records[k]
 		if r == nil {
-			r = &record{}
+			r = &record{survivedAt: s.answered.at(k)}
 			s.records[k] = r
 		}
 		at, _ := slices.BinarySearchFunc(r.ends, e, byTime)
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -107,6 +107,11 @@
 			},
 			[]Key{bad},
 		},
+		{
+			"a part that all requests have was answered before, but no endpoint lasts to answer now",
+			[]step{answers(0.5, "part all"), ends(1, "a", bad, "part all"), ends(2, "b", bad, "part all"), ends(3, "c", bad, "part all"), ends(4, "d", bad, "part all")},
+			[]Key{bad},
+		},
 		{
 			"an answer after the verdict clears",
 			[]step{ends(1, "a", bad), ends(2, "b", bad), ends(3, "c", bad), answers(3.5, bad)},
@@ -143,6 +148,22 @@
 	g.Expect(s.blamedAt(again + blameTime.Seconds() + 3)).To(BeEmpty())
 }
 
+// Guards against a sound part that nearly all requests have and that is blamed for long,
+// as nothing with it is sent that could clear it.
+func TestKeyThatWasAnsweredIsTriedAgainSoon(t *testing.T) {
+	g := NewWithT(t)
+	s := NewStore()
+	s.apply([]step{answers(0.5, shared), ends(1, "a", shared), ends(2, "b", shared), ends(3, "c", shared)})
+	g.Expect(s.blamedAt(3 + provenTime.Seconds() - 1)).To(ConsistOf(shared))
+	g.Expect(s.blamedAt(3 + provenTime.Seconds() + 1)).To(BeEmpty())
+	s.apply([]step{ends(15, "d", shared)})
+	g.Expect(s.blamedAt(15 + 2*provenTime.Seconds() - 1)).To(ConsistOf(shared))
+	for n := range 20 {
+		s.apply([]step{ends(float64(16+n), fmt.Sprint("e", n), shared)})
+	}
+	g.Expect(s.verdicts[shared].Until).To(Equal(at(35).Add(blameTime)))
+}
+
 // Guards against a store that grows with the number of ends, requests or causes.
 func TestStoreIsBounded(t *testing.T) {
 	g := NewWithT(t)
@@ -158,6 +179,10 @@
 	g.Expect(len(s.records)).To(BeNumerically("<=", maxEnds*maxSuspects))
 	g.Expect(len(s.records)).To(BeNumerically("<", 22*maxEnds))
 	g.Expect(len(s.verdicts)).To(BeNumerically("<=", maxVerdicts))
+	for n := range 5 * maxAnswered {
+		s.RecordSurvival([]Key{Key(fmt.Sprint("part answered ", n))}, at(0))
+	}
+	g.Expect(len(s.answered.current) + len(s.answered.previous)).To(BeNumerically("<=", 2*maxAnswered))
 	later := 10*maxEnds + endRetention.Seconds() + 1
 	s.apply([]step{ends(later, "last", own)})
 	g.Expect(s.ends).To(HaveLen(1))
--- a/blame/judge.go
+++ b/blame/judge.go
@@ -12,6 +12,9 @@
 // blamed first and explains its ends, which no longer count against the others: sound
 // requests that were on the same endpoints are cleared by that.
 //
+// Keys that have never been answered come before those that have: a part that most
+// requests have is at every end, too, and may find no endpoint that lasts to clear it.
+//
 // While many endpoints end, sound requests are cut on several of them by chance. The
 // occasions of a key must be more than that, see isBeyondChance.
 func (s *Store) judge(now time.Time) {
@@ -21,14 +24,16 @@
 	explained := s.explainedElsewhere(now)
 	blamed := map[Key]bool{}
 	candidates := s.candidates()
-	for {
-		key, c := s.mostSuspect(candidates, explained, blamed)
-		if c.occasions < judgeAfter {
-			break
-		}
-		blamed[key] = true
-		s.set(Verdict{Key: key, Ends: c.occasions, LastEnd: c.last, Until: c.last.Add(blameTime)}, now)
-		s.explain(key, explained)
+	for _, isProven := range []bool{false, true} {
+		for {
+			key, c := s.mostSuspect(candidates, isProven, explained, blamed)
+			if c.occasions < judgeAfter {
+				break
+			}
+			blamed[key] = true
+			s.set(Verdict{Key: key, Ends: c.occasions, LastEnd: c.last, Until: c.last.Add(blameTimeOf(c, isProven))}, now)
+			s.explain(key, explained)
+		}
 	}
 	for k, v := range s.verdicts {
 		if blamed[k] {
@@ -74,11 +79,22 @@
 	return out
 }
 
+// blameTimeOf returns for how long after the last end a key is blamed.
+func blameTimeOf(c count, isProven bool) time.Duration {
+	if !isProven {
+		return blameTime
+	}
+	return min(provenTime<<min(c.occasions-judgeAfter, maxDoublings), blameTime)
+}
+
+const maxDoublings = 6 // of provenTime, beyond which blameTime is shorter
+
 // mostSuspect returns the key with the most occasions that nothing explains, of those
-// whose occasions are not by chance.
-func (s *Store) mostSuspect(candidates []Key, explained map[*end]bool, blamed map[Key]bool) (best Key, most count) {
+// whose occasions are not by chance. It looks at keys that have been answered, or at the
+// others.
+func (s *Store) mostSuspect(candidates []Key, isProven bool, explained map[*end]bool, blamed map[Key]bool) (best Key, most count) {
 	for _, k := range candidates {
-		if blamed[k] {
+		if blamed[k] || s.records[k].isProven() != isProven {
 			continue
 		}
 		c := s.records[k].count(explained)
--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -79,8 +79,7 @@
 			return // it only broke off this response
 		}
 		endpointsEndedTotal.Inc()
-		f.g.blame.RecordEnd(run, keys, now, time.Now())
-		f.g.placer.reportEnd(run, keys, now)
+		f.g.placer.reportEnd(f.g.blame.RecordEnd(run, keys, now, time.Now()))
 		if f.g.logs.AllowRequestLine(time.Now()) {
 			f.g.log.Info("endpoint ended under a request", "step", "gateway.ended", "request", request, "endpoint", run.ID,
 				"born", run.StartedAtMs, "events", events, "keys", formatKeys(keys), "error", errorText(err))
@@ -135,9 +134,10 @@
 }
 
 // reportEnd tells the coordinator of an end.
-func (p *placer) reportEnd(run announce.Run, keys []blame.Key, at time.Time) {
+func (p *placer) reportEnd(r blame.Report) {
 	p.queue(func(pending *reportRequest) {
-		pending.Blame.Ends = append(pending.Blame.Ends, blame.EndReport{Endpoint: run.ID, StartedAtMs: run.StartedAtMs, Age: time.Since(at), Suspects: keys})
+		pending.Blame.Ends = append(pending.Blame.Ends, r.Ends...)
+		pending.Blame.Survivals = append(pending.Blame.Survivals, r.Survivals...)
 	})
 }
 
