blame, gateway: a request that ends endpoint after endpoint is kept off them

Callers saw: sound requests cut and late beside one request that came again and again with the same path, caller and body, and ended what ran it.

Cause: as for parts of prompts, a failure was charged to the endpoint alone, and nothing knew the request again: each try has an id of its own.

Change: what requests have in common has a second kind of key, the request itself: caller, method, target, body; for plain services too. With the same ends as a part of its prompt it is blamed in place of that.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -13,20 +13,41 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jacinthplank/jacinthplank/announce"
 )
 
 // Key names something that requests have in common, such as a part of their prompts.
 type Key string
 
-const partPrefix = "part "
+const (
+	partPrefix    = "part "
+	requestPrefix = "request "
+)
 
 // PartKey returns the key of a part of prompts.
 func PartKey(id string) Key { return Key(partPrefix + id) }
 
+// RequestKey returns the key of the requests of a caller with the same method, target and
+// body.
+func RequestKey(caller, method, target string, body []byte) Key {
+	digest := xxhash.New()
+	for _, text := range []string{caller, method, target} {
+		_, _ = digest.WriteString(strconv.Itoa(len(text)) + ":" + text) // never fails
+	}
+	_, _ = digest.Write(body) // never fails
+	return Key(requestPrefix + strconv.FormatUint(digest.Sum64(), 16))
+}
+
+// isRequest reports whether the key is that of whole requests.
+func (k Key) isRequest() bool { return strings.HasPrefix(string(k), requestPrefix) }
+
 // Bounds of what is kept.
 const (
 	maxEnds      = 128 // latest ends of endpoints
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -48,7 +48,7 @@
 	return out
 }
 
-const bad, shared, own Key = "part bad", "part shared", "part own"
+const bad, shared, own, same Key = "part bad", "part shared", "part own", "request 1"
 
 func TestJudge(t *testing.T) {
 	for _, test := range []struct {
@@ -112,6 +112,26 @@
 			[]step{answers(0.5, "part all"), ends(1, "a", bad, "part all"), ends(2, "b", bad, "part all"), ends(3, "c", bad, "part all"), ends(4, "d", bad, "part all")},
 			[]Key{bad},
 		},
+		{
+			"one request comes again and again, and shares its parts with sound ones",
+			[]step{
+				answers(0.5, shared), ends(1, "a", same, shared), ends(2, "b", same, shared), ends(3, "c", same, shared),
+			},
+			[]Key{same},
+		},
+		{
+			"one request comes again and again, and a part of its prompt was never seen before",
+			[]step{ends(1, "a", same, bad), ends(2, "b", same, bad), ends(3, "c", same, bad)},
+			[]Key{same},
+		},
+		{
+			"several requests, each repeated, share the cause",
+			[]step{
+				ends(1, "a", same, bad), ends(1.5, "b", same, bad), ends(2, "c", "request 2", bad), ends(2.5, "d", "request 2", bad),
+				ends(3, "e", same, bad), ends(3.5, "f", "request 2", bad),
+			},
+			[]Key{bad},
+		},
 		{
 			"an answer after the verdict clears",
 			[]step{ends(1, "a", bad), ends(2, "b", bad), ends(3, "c", bad), answers(3.5, bad)},
@@ -242,3 +262,16 @@
 	tell(next, starting, 6)
 	g.Expect(starting.blamedAt(6)).To(ConsistOf(bad))
 }
+
+func TestRequestKey(t *testing.T) {
+	g := NewWithT(t)
+	key := RequestKey("caller", "POST", "host/path", []byte("body"))
+	g.Expect(RequestKey("caller", "POST", "host/path", []byte("body"))).To(Equal(key))
+	for _, other := range []Key{
+		RequestKey("another", "POST", "host/path", []byte("body")), RequestKey("caller", "GET", "host/path", []byte("body")),
+		RequestKey("caller", "POST", "host/path2", []byte("body")), RequestKey("caller", "POST", "host/path", nil),
+		RequestKey("callerP", "OST", "host/path", []byte("body")),
+	} {
+		g.Expect(other).NotTo(Equal(key))
+	}
+}
--- a/blame/judge.go
+++ b/blame/judge.go
@@ -108,8 +108,17 @@
 	return best, most
 }
 
-// compareKeys orders keys with the same ends.
-func compareKeys(a, b Key) int { return cmp.Compare(a, b) }
+// compareKeys orders keys with the same ends: whole requests come before the parts that
+// they share with others.
+func compareKeys(a, b Key) int {
+	if a.isRequest() != b.isRequest() {
+		if a.isRequest() {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a, b)
+}
 
 // chanceFactor is the least ratio between the square of a key's occasions and all
 // occasions in its time. Two causes that end equally many endpoints are told from chance
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -107,7 +107,7 @@
 	if e := f.readBody(); e != nil {
 		return e
 	}
-	f.keys = blameKeys(&f.request)
+	f.keys = f.blameKeys()
 	f.spentEarlier = f.g.deadlines.spentEarlier(f.route.Name, request.Timeout, f.arrived)
 	f.service = f.route.Choose(rand.Uint64())
 	return nil
--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -22,10 +22,15 @@
 	blameRefusedTotal   = metrics.NewCounter("jacinthplank_gateway_blamed_requests_refused_total")
 )
 
-// blameKeys returns what a request has in common with others that may end endpoints.
-func blameKeys(r *Request) []blame.Key {
-	keys := make([]blame.Key, 0, len(r.PromptParts))
-	for _, id := range r.PromptParts {
+// blameKeys returns what the request has in common with others that may end endpoints.
+func (f *inflightRequest) blameKeys() []blame.Key {
+	caller := f.request.Key
+	if f.account != nil {
+		caller = f.account.Name
+	}
+	keys := make([]blame.Key, 0, 1+len(f.request.PromptParts))
+	keys = append(keys, blame.RequestKey(caller, f.r.Method, f.r.Host+f.r.URL.RequestURI(), f.body))
+	for _, id := range f.request.PromptParts {
 		keys = append(keys, blame.PartKey(id))
 	}
 	return keys
