soak: a request that ends each replica which runs it

In runs with faults one request, always the same, comes at any entry and ends each replica that begins to run it; the replica is back after one to two seconds. At most three reach replicas later than 3 s after the third end, from entries that were not disturbed; a restart of all entries at the same time excuses, as they forget.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -22,7 +22,9 @@
 	for time.Now().Before(end) {
 		time.Sleep(between(random, 150*time.Millisecond, 650*time.Millisecond))
 		p := s.fleet.processes[random.IntN(len(s.fleet.processes))]
+		s.mu.Lock()
 		r := s.replicas[random.IntN(len(s.replicas))]
+		s.mu.Unlock()
 		choice, mode, down := random.IntN(9), random.IntN(5), between(random, 300*time.Millisecond, 1500*time.Millisecond)
 		switch choice {
 		case 0, 1, 2, 3:
@@ -66,6 +68,7 @@
 		wait.Go(func() { s.disturb(p, "kill", down) })
 	}
 	wait.Wait()
+	s.deadly.reset()
 }
 
 // disturb applies a fault to one entry and restarts it after down.
--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -126,6 +126,7 @@
 		s.t.Error(err)
 		return
 	}
+	r.onDeadly = s.endReplica
 	s.t.Cleanup(r.close)
 	s.mu.Lock()
 	s.replicas, s.replicaRuns[run] = append(s.replicas, r), r
--- a/soak/replica_test.go
+++ b/soak/replica_test.go
@@ -32,6 +32,9 @@
 	limit    rateLimit
 	wait     statement // that it wants no requests
 	leaving  statement // that it leaves
+
+	endOnce  sync.Once
+	onDeadly func(r *replica, from origin) // ends the replica
 }
 
 // runLog records the runs of all replicas by request ID.
@@ -186,6 +189,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if r.serveDeadly(q) {
+		panic(http.ErrAbortHandler)
+	}
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
 		return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -98,6 +98,7 @@
 	crossed       int // requests that crossed the close of their connection
 	cutAtGrace    int // requests cut at the end of the grace period
 	stops         atomic.Int64
+	deadly        deadlyRecord
 }
 
 func runSeed(t *testing.T, binary, kind string, seed uint64) {
@@ -117,6 +118,7 @@
 	if kind == planned {
 		s.doPlannedWork()
 	} else {
+		s.wait.Go(func() { s.sendDeadly(time.Now().Add(*faultPhase), s.newRandom("deadly")) })
 		s.injectFaults()
 	}
 	s.awaitRecovery()
@@ -127,8 +129,8 @@
 	for _, f := range s.violations {
 		t.Error(f)
 	}
-	t.Logf("seed %d: statuses %v, %d non-idempotent, %d requests crossed a close, %d cut at the end of the grace period, %d planned stops, configuration %d acknowledged of %d sent, %d MB",
-		seed, s.statuses, len(s.nonIdempotent), s.crossed, s.cutAtGrace, s.stops.Load(), s.ackedVersion, s.sentVersion, memory)
+	t.Logf("seed %d: statuses %v, %d non-idempotent, %d requests crossed a close, %d cut at the end of the grace period, %d planned stops, configuration %d acknowledged of %d sent, %d MB; %s",
+		seed, s.statuses, len(s.nonIdempotent), s.crossed, s.cutAtGrace, s.stops.Load(), s.ackedVersion, s.sentVersion, memory, s.describeDeadly())
 	if t.Failed() {
 		s.saveLog()
 	}
