entry: a prompt under which engine after engine failed is kept off them

It is refused at once, not run. Entries don't tell each other yet; calls to plain services of that path are not covered.

--- a/entry/inflight.go
+++ b/entry/inflight.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jacinthplank/jacinthplank/answer"
+	"github.com/jacinthplank/jacinthplank/blame"
 	"github.com/jacinthplank/jacinthplank/outcome"
 	"github.com/jacinthplank/jacinthplank/placement"
 	"github.com/jacinthplank/jacinthplank/retry"
@@ -40,6 +41,7 @@
 	mayHaveRun     bool // an earlier attempt may have run
 	admitted       bool // admission has passed
 	finalErr       error
+	keys           []blame.Key // what the request has in common with others
 }
 
 // permanentError marks an error that is not retried.
@@ -53,6 +55,7 @@
 		request:   req,
 		deadline:  time.Now().Add(req.Remaining),
 		assembler: answer.New(req.ID, req.Generated, req.Offset),
+		keys:      blameKeys(&req),
 	}
 	f.ctx, f.cancel = context.WithDeadline(ctx, f.deadline)
 	return f
@@ -112,6 +115,9 @@
 }
 
 func (f *inflightRequest) startAttempt() error {
+	if err := f.checkBlame(); err != nil {
+		return err
+	}
 	f.request.Attempt++
 	f.request.Remaining = time.Until(f.deadline)
 	f.request.Generated = f.assembler.Text()
@@ -199,6 +205,7 @@
 		return cause
 	}
 	f.router.breakers.RecordFailure(now, a.member.Name)
+	f.recordEnd(a, err, now)
 	return cause
 }
 
@@ -261,6 +268,7 @@
 	}
 	if f.assembler.Complete() {
 		f.router.breakers.RecordSuccess(now, f.current.member.Name)
+		f.router.blame.RecordSurvival(f.keys, now)
 		f.recordCachedPrefix(now, frame)
 	}
 	return true, nil
--- a/entry/router.go
+++ b/entry/router.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jacinthplank/jacinthplank/blame"
 	"github.com/jacinthplank/jacinthplank/breaker"
 	"github.com/jacinthplank/jacinthplank/directory"
 	"github.com/jacinthplank/jacinthplank/expect"
@@ -48,6 +49,7 @@
 	policy        placement.Policy
 	limiter       *limits.Limiter
 	breakers      *breaker.Set
+	blame         *blame.Store // of this entry alone
 	retries       *retry.Budgets
 	lengths       *expect.Estimator
 	roundTrips    domainRoundTrips
@@ -92,11 +94,13 @@
 		policy:        o.Policy,
 		limiter:       o.Limiter,
 		breakers:      breaker.NewSet(),
+		blame:         blame.NewStore(),
 		retries:       retry.NewBudgets(),
 		lengths:       expect.New(),
 		random:        rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		clients:       map[string]cachedClient{},
 	}
+	r.blame.OnChange = r.recordVerdict
 	r.breakers.OnChange = func(endpoint string, s breaker.State, reason string) {
 		r.recorder.Record(timeline.Event{
 			Kind: timeline.KindBreaker, Endpoint: endpoint, Step: "entry", Outcome: s.String(), Detail: reason,
