blame: keys are bounded in length and number

Callers choose the ids of parts: one of 16 KB would be kept 128 times, and a request may have thousands of parts. Long ids are kept as a hash, 64 parts of a request at most. Found on reading.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -31,8 +31,16 @@
 	requestPrefix = "request "
 )
 
+// maxPartID is the longest id, in bytes, that a key holds as it is. Callers choose ids.
+const maxPartID = 64
+
 // PartKey returns the key of a part of prompts.
-func PartKey(id string) Key { return Key(partPrefix + id) }
+func PartKey(id string) Key {
+	if len(id) > maxPartID {
+		id = "hash " + strconv.FormatUint(xxhash.Sum64String(id), 16)
+	}
+	return Key(partPrefix + id)
+}
 
 // RequestKey returns the key of the requests of a caller with the same method, target and
 // body.
@@ -161,8 +169,9 @@
 	return report
 }
 
-// RecordSurvival records that a request with the keys was answered to its end. It returns
-// the keys under which endpoints have ended since the last such answer that is known.
+// RecordSurvival records that a request with the keys was answered, or for long enough to
+// show that it doesn't end its endpoint. It returns the keys under which endpoints have
+// ended since the last such answer that is known.
 func (s *Store) RecordSurvival(keys []Key, now time.Time) (cleared []Key) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -231,8 +240,8 @@
 			r = &record{survivedAt: s.answered.at(k)}
 			s.records[k] = r
 		}
-		at, _ := slices.BinarySearchFunc(r.ends, e, byTime)
-		r.ends = slices.Insert(r.ends, at, e)
+		position, _ := slices.BinarySearchFunc(r.ends, e, byTime)
+		r.ends = slices.Insert(r.ends, position, e)
 	}
 	for len(s.ends) > maxEnds || now.Sub(s.ends[0].at) > endRetention {
 		s.forgetOldest()
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -275,3 +276,11 @@
 		g.Expect(other).NotTo(Equal(key))
 	}
 }
+
+func TestPartKeyIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(PartKey("5c1e07a2")).To(Equal(Key("part 5c1e07a2")))
+	long := strings.Repeat("x", 10_000)
+	g.Expect(len(PartKey(long))).To(BeNumerically("<=", len(partPrefix)+maxPartID))
+	g.Expect(PartKey(long)).NotTo(Equal(PartKey(long + "y")))
+}
--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -22,15 +22,19 @@
 	blameRefusedTotal   = metrics.NewCounter("jacinthplank_gateway_blamed_requests_refused_total")
 )
 
+// maxBlamedParts bounds the parts of a prompt that are kept.
+const maxBlamedParts = 64
+
 // blameKeys returns what the request has in common with others that may end endpoints.
 func (f *inflightRequest) blameKeys() []blame.Key {
 	caller := f.request.Key
 	if f.account != nil {
 		caller = f.account.Name
 	}
-	keys := make([]blame.Key, 0, 1+len(f.request.PromptParts))
+	parts := f.request.PromptParts[:min(len(f.request.PromptParts), maxBlamedParts)]
+	keys := make([]blame.Key, 0, 1+len(parts))
 	keys = append(keys, blame.RequestKey(caller, f.r.Method, f.r.Host+f.r.URL.RequestURI(), f.body))
-	for _, id := range f.request.PromptParts {
+	for _, id := range parts {
 		keys = append(keys, blame.PartKey(id))
 	}
 	return keys
