gateway: a coordinator that has to be told of ends keeps the job list

An entry that found that the coordinator's store of ends is another one than before took its job list for lost, too, and dropped reports until its next call.

--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -290,19 +290,20 @@
 // told the ends of endpoints that are known here. One that has started again is told with
 // the next lists.
 func (p *placer) followVerdicts(v *blame.Verdicts, hasReported bool) {
-	if p.blame.Follow(v, hasReported, time.Now()) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.adopted = false
+	mustReport := p.blame.Follow(v, hasReported, time.Now())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if mustReport || hasReported {
+		p.mustReportEnds = mustReport
 	}
 }
 
 // sendLists sends the running jobs and the rate limits known here to the coordinator, and
-// takes over the limits and verdicts that it knows. A new coordinator is also told the ends
-// of endpoints that are known here.
-func (p *placer) sendLists(ctx context.Context, address string, isNew bool) error {
+// takes over the limits and verdicts that it knows. With reportsEnds, for a new coordinator,
+// it is also told the ends of endpoints that are known here.
+func (p *placer) sendLists(ctx context.Context, address string, reportsEnds bool) error {
 	request := &adoptRequest{Owner: p.self, Running: p.runningJobs(), Limits: p.limitReports()}
-	if isNew {
+	if reportsEnds {
 		request.Blame = p.blame.Report(time.Now())
 	}
 	request.Verdicts = p.blame.Digest()
@@ -311,6 +312,6 @@
 		return err
 	}
 	p.limits.Merge(limitRecords(response.Limits, time.Now()), time.Now())
-	p.followVerdicts(response.Verdicts, isNew)
+	p.followVerdicts(response.Verdicts, reportsEnds)
 	return nil
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -61,6 +61,7 @@
 	coordinator        string            // address; empty if there is none or it is this entry
 	isCoordinator      bool
 	adopted            bool      // the coordinator has this entry's job list
+	mustReportEnds     bool      // the coordinator doesn't know the ends of endpoints that are known here
 	lastHeard          time.Time // of the coordinator
 	pinging            bool
 	backoffUntil       time.Time     // no calls to the coordinator before this time
@@ -344,7 +345,7 @@
 // the verdicts of the coordinator in this way.
 func (p *placer) resyncJobs(ctx context.Context) {
 	p.mu.Lock()
-	address, isAdopted := p.coordinator, p.adopted
+	address, isAdopted, mustReportEnds := p.coordinator, p.adopted, p.mustReportEnds
 	due := address != "" && !time.Now().Before(p.backoffUntil)
 	p.mu.Unlock()
 	if !due {
@@ -354,7 +355,7 @@
 	defer cancel()
 	var err error
 	if isAdopted {
-		err = p.sendLists(ctx, address, false)
+		err = p.sendLists(ctx, address, mustReportEnds)
 	} else {
 		err = p.ensureAdopted(ctx, address)
 	}
