mesh: a test of starting entries waits until the others know the endpoints

The test announced the endpoints to the first entry alone and didn't wait for the second that it takes until all know them; no entry can know more than the ones it asks. What is checked of the starting entries stays as it is.

Open: two entries that start together and know nothing yet may take each other's word.

--- a/mesh/announcements_test.go
+++ b/mesh/announcements_test.go
@@ -75,6 +75,9 @@
 	for i := range endpoints {
 		f.entries[0].Announce(t.Context(), endpoint(i))
 	}
+	for _, e := range f.entries {
+		g.Eventually(func() int { return len(e.ReadyEndpoints("s")) }, "10s", "10ms").Should(Equal(endpoints), "they are passed on within a second")
+	}
 	for range 5 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		g.Expect(err).NotTo(HaveOccurred())
