--- a/entry/ended_test.go
+++ b/entry/ended_test.go
@@ -15,7 +15,7 @@
 
 // Guards against an entry that takes a request from engine to engine although each that
 // ran it failed, and against the refusal of other requests of its account.
-func TestRequestThatEndsEnginesIsKeptOff(t *testing.T) {
+func TestPromptThatEndsEnginesIsKeptOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		const deadly, maxReached = "deadly", 3 // times that the request reaches engines
