--- a/review/standin/firstloss.go
+++ b/review/standin/firstloss.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"path/filepath"
-	"strings"
 	"syscall"
 	"time"
 )
@@ -22,7 +20,7 @@
 		return false, err
 	}
 	defer f.stop()
-	spare := &machine{name: "front-8", ip: strings.TrimSuffix(f.machines[0].ip, ".1") + ".8", zone: f.machines[2].zone, hasDisk: true, dataDir: filepath.Join(e.folder, "disk-front-8"), settings: filepath.Join(e.folder, "front-8.toml")}
+	spare := f.newSpare(8, f.machines[2].zone)
 	started := time.Now()
 	for _, m := range f.machines {
 		if err := f.start(m); err != nil {
