--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -62,6 +62,10 @@
 	machines []*machine
 	ports    ports
 	logs     *os.File
+
+	mu      sync.Mutex
+	started []*machine // all whose process was started, also those that were replaced
+	stopped bool
 }
 
 // ports are the same on all machines.
@@ -69,6 +73,21 @@
 
 const portsPerMachine = 19
 
+// fleets are those whose processes have to be ended before this process ends.
+var fleets struct {
+	mu  sync.Mutex
+	all []*fleet
+}
+
+// stopFleets ends the processes of all fleets.
+func stopFleets() {
+	fleets.mu.Lock()
+	defer fleets.mu.Unlock()
+	for _, f := range fleets.all {
+		f.stop()
+	}
+}
+
 // newFleet returns the machines, not yet started: those with a disk first.
 func newFleet(r *record, folder string, disks, others int) (*fleet, error) {
 	f := &fleet{record: r, folder: folder}
@@ -91,6 +110,9 @@
 		return nil, err
 	}
 	f.ports = ports{front: base, ready: base + 1, control: base + 2, first: base + 3, last: base + portsPerMachine - 1}
+	fleets.mu.Lock()
+	fleets.all = append(fleets.all, f)
+	fleets.mu.Unlock()
 	return f, nil
 }
 
@@ -203,9 +225,15 @@
 	c := exec.Command("target/jacinthplankd", "gateway")
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "JACINTHPLANK_SETTINGS=" + m.settings}
 	c.Stdout, c.Stderr = f.logs, f.logs
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped {
+		return fmt.Errorf("the fleet was stopped")
+	}
 	if err := c.Start(); err != nil {
 		return err
 	}
+	f.started = append(f.started, m)
 	f.record.printf("%s: process %d started (bootstrap %t, disk %t)", m.name, c.Process.Pid, m.bootstrap, m.hasDisk)
 	ended := make(chan struct{})
 	m.mu.Lock()
@@ -236,7 +264,13 @@
 
 // stop ends all processes.
 func (f *fleet) stop() {
-	for _, m := range f.machines {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped {
+		return
+	}
+	f.stopped = true
+	for _, m := range f.started {
 		m.mu.Lock()
 		c, ended := m.command, m.ended
 		m.mu.Unlock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -57,6 +57,15 @@
 	}
 	signal.Ignore(syscall.SIGPIPE)
 	e := &environment{record: r, folder: folder, trouble: os.Getenv("TROUBLE") != "0"}
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		s := <-stopped
+		r.printf("stopped by a signal: %s", s)
+		stopFleets()
+		_ = os.RemoveAll(folder)
+		os.Exit(exitFailed)
+	}()
 	r.printf("trouble: %t", e.trouble)
 	broken, err := play(e)
 	switch {
