quorum, mesh: the leader's view of each member, as status, metrics and log line

Cause: nothing showed that a voter was lost and not replaced, or why; the leader measured each member's silence but kept it to itself. Change: Status.Progress (silence and whether the log is caught up), three gauges, and one log line when a member has become silent or replies again, which says whether the membership table has a record of its entry.

--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -27,7 +27,8 @@
 	peers            map[DiskIdentity]Member
 	pendingReads     map[uint64]*readRequest
 	lastReadID       uint64
-	ticksSinceHello  int // ticks since the last Hello
+	ticksSinceHello  int                             // ticks since the last Hello
+	progress         map[DiskIdentity]MemberProgress // as of the last tick as leader; replaced, never modified
 
 	messages     chan Message
 	proposals    chan *proposal
--- a/coord/quorum/node_core.go
+++ b/coord/quorum/node_core.go
@@ -38,6 +38,7 @@
 		case <-ticker.C:
 			n.core.Tick()
 			n.tick()
+			n.progress = n.memberProgress()
 		case m := <-n.messages:
 			n.stepAll(m)
 		case p := <-proposals:
@@ -278,11 +279,30 @@
 	}
 }
 
+// memberProgress returns the leader's view of the other members, nil if this member
+// doesn't lead.
+func (n *Node) memberProgress() map[DiskIdentity]MemberProgress {
+	if n.core.Role() != Leader {
+		return nil
+	}
+	out := map[DiskIdentity]MemberProgress{}
+	for _, disk := range n.core.peerDisks() {
+		out[disk] = MemberProgress{
+			Silence:  time.Duration(n.core.silentTicks(disk)) * n.options.Tick,
+			CaughtUp: n.core.isCaughtUp(disk),
+		}
+	}
+	return out
+}
+
 // updateStatus publishes the Core's state to other goroutines.
 func (n *Node) updateStatus() {
 	configuration := n.core.Configuration()
 	leader, _ := n.memberByDisk(n.core.Leader())
 	isLeader := n.core.Role() == Leader
+	if !isLeader {
+		n.progress = nil
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	previous := n.status
@@ -294,7 +314,7 @@
 		Leader: leader.Name, LeaderAddress: leader.Address,
 		IsLeader: isLeader, HasQuorum: n.core.HasQuorum(),
 		Term: n.core.Term(), Commit: n.core.Commit(),
-		Voters: configuration.Voters, Learners: configuration.Learners,
+		Voters: configuration.Voters, Learners: configuration.Learners, Progress: n.progress,
 	}
 	if previous.Leader != leader.Name {
 		leaderChanges.Inc()
--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -107,7 +107,14 @@
 	Applied       uint64 // index up to which entries were applied locally
 	Voters        []Member
 	Learners      []Member
-	Err           error // why the node stopped, such as a disk failure
+	Progress      map[DiskIdentity]MemberProgress // of the other members, on the leader only
+	Err           error                           // why the node stopped, such as a disk failure
+}
+
+// MemberProgress is the leader's view of another member.
+type MemberProgress struct {
+	Silence  time.Duration // since the member last replied to this leader, or since this leader's election
+	CaughtUp bool          // the member has synced the committed entries, except for a few
 }
 
 func (o Options) check() error {
--- a/coord/quorum/repair.go
+++ b/coord/quorum/repair.go
@@ -87,6 +87,15 @@
 // isUnresponsive reports whether a member has not replied to this leader for
 // twice the election timeout.
 func (c *Core) isUnresponsive(disk DiskIdentity) bool {
+	return disk != c.config.Self && c.silentTicks(disk) > uint64(2*c.config.ElectionTicks)
+}
+
+// silentTicks returns the ticks since a member's last reply to this leader, 0 for a disk
+// that is not a member.
+func (c *Core) silentTicks(disk DiskIdentity) uint64 {
 	p := c.leaderState.progress[disk]
-	return disk != c.config.Self && p != nil && c.now-p.lastResponse > uint64(2*c.config.ElectionTicks)
+	if p == nil {
+		return 0
+	}
+	return c.now - p.lastResponse
 }
--- a/mesh/member_reconciler.go
+++ b/mesh/member_reconciler.go
@@ -29,10 +29,11 @@
 	nextRun     time.Time
 	changing    chan struct{} // holds a value while a change is in progress
 	learnerSeen map[quorum.DiskIdentity]time.Time
+	observer    memberObserver
 }
 
 func newMemberReconciler(c *quorumManager) *memberReconciler {
-	return &memberReconciler{manager: c, changing: make(chan struct{}, 1), learnerSeen: map[quorum.DiskIdentity]time.Time{}}
+	return &memberReconciler{manager: c, changing: make(chan struct{}, 1), learnerSeen: map[quorum.DiskIdentity]time.Time{}, observer: memberObserver{manager: c}}
 }
 
 // reconcile starts the next change, if any is due.
@@ -45,6 +46,7 @@
 	s := node.Status()
 	if !s.IsLeader || !s.HasQuorum {
 		clear(k.learnerSeen)
+		k.observer.reset()
 		return
 	}
 	changes := k.plan(now, s)
@@ -85,6 +87,7 @@
 // plan returns the next change, or changes that must be made together.
 func (k *memberReconciler) plan(now time.Time, s quorum.Status) []quorum.Change {
 	view := k.diskEntries(now)
+	k.observer.observe(s, view)
 	return planChanges(now, s, view, k.learnerSeen)
 }
 
