mesh: replace a voter by its silence towards the leader, not by a membership record

Cause: the member reconciler took a voter for gone only if the membership table of this process had a record of its entry. After a restart of all nobody has one of the entry that stays away, so its disk stayed a voter and its successor a learner. Change: a member is gone if it left, or has not replied to this leader for 2 s. The same cause kept a learner that nobody remembers in the quorum for good, and the first learner was promoted whether it ran or not: a learner has to reply and be caught up, before the voter that it replaces is removed. A voter whose entry is back with a new disk is left to the repair that is under way. The time is 2 s instead of 6 s: another disk may be lost four seconds after a successor has arrived, and it has to vote by then. Test: TestVoterLostAtRestartOfAllIsReplaced failed before (timed out after 30 s), passes now. TestPlanChanges gives a voter's silence as the leader's measurement instead of a flag of the entry; all its cases are kept, seven are new.

--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -59,6 +59,7 @@
 	entries []*testEntry
 	seeds   []string
 	folders map[int]string // of the entries with a disk, which keep them over a restart
+	founded bool           // entries that start now don't start the fleet for the first time
 }
 
 // testMembers is the number of entries with a disk, which come first.
@@ -92,15 +93,13 @@
 
 func (f *testFleet) start(i int, l net.Listener) *testEntry {
 	o := Options{
-		Name: fmt.Sprintf("entry-%03d", i), Address: l.Addr().String(), Seeds: f.seeds, FirstStart: true,
+		Name: fmt.Sprintf("entry-%03d", i), Address: l.Addr().String(), Seeds: f.seeds, FirstStart: !f.founded,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
-	if i < testMembers {
-		if f.folders[i] == "" {
-			f.folders[i] = f.t.TempDir()
-		}
-		o.DataFolder = f.folders[i]
+	if i < testMembers && f.folders[i] == "" {
+		f.folders[i] = f.t.TempDir()
 	}
+	o.DataFolder = f.folders[i]
 	e := &testEntry{Mesh: New(o)}
 	e.server = NewHTTPServer(e)
 	go func() { _ = e.server.Serve(l) }() // ends with the entry
--- a/mesh/member_reconciler.go
+++ b/mesh/member_reconciler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/jacinthplank/jacinthplank/coord/membership"
@@ -13,9 +14,12 @@
 const (
 	reconcileInterval = 500 * time.Millisecond
 	changeTimeout     = time.Second
-	// goneTimeout is the silence after which a member is replaced, if another disk
-	// is available. Restarts and short freezes take less.
-	goneTimeout = 6 * time.Second
+	// goneTimeout is the silence after which a member is replaced, if another disk is
+	// available. With an election and a learner's settling before it, the successor votes
+	// within the four seconds after which another disk may be lost.
+	goneTimeout = 2 * time.Second
+	// replyTimeout is the silence up to which a learner is taken for running.
+	replyTimeout = time.Second
 	// learnerSettleTime is how long a new member receives the log before it may
 	// replace a member that is gone.
 	learnerSettleTime = time.Second
@@ -91,13 +95,15 @@
 	return planChanges(now, s, view, k.learnerSeen)
 }
 
-// diskEntry is an entry with a disk.
+// diskEntry is an entry with a disk that this process knows.
 type diskEntry struct {
 	member quorum.Member
-	gone   bool // left, or silent for goneTimeout
+	left   bool // it has announced that it leaves
+	silent bool // no call with it has succeeded for goneTimeout
 }
 
-// diskEntries returns the entries with a disk, by name.
+// diskEntries returns the known entries with a disk, by name. Entries that were lost
+// before this process started are missing.
 func (k *memberReconciler) diskEntries(now time.Time) map[string]diskEntry {
 	m := k.manager.mesh
 	records := m.gossip.Members()
@@ -112,26 +118,28 @@
 		entry := diskEntry{member: quorum.Member{Name: r.Name, Address: r.Address}}
 		if p != nil {
 			entry.member.Disk = p.facts.Disk
-			entry.gone = r.State == membership.Left || now.Sub(p.lastResponse) > goneTimeout
+			entry.left = r.State == membership.Left
+			entry.silent = now.Sub(p.lastResponse) > goneTimeout
 		}
 		out[r.Name] = entry
 	}
 	return out
 }
 
-// planChanges returns the next changes. learnerSeen records when each learner was
-// first seen and is kept between calls.
+// planChanges returns the next changes. Whether a member is gone follows from its replies
+// to this leader; view tells which other disks there are. learnerSeen records when each
+// learner was first seen and is kept between calls.
 func planChanges(now time.Time, s quorum.Status, view map[string]diskEntry, learnerSeen map[quorum.DiskIdentity]time.Time) []quorum.Change {
 	members := quorum.Configuration{Voters: s.Voters, Learners: s.Learners}
 	for _, l := range s.Learners {
 		if _, known := learnerSeen[l.Disk]; !known {
 			learnerSeen[l.Disk] = now
 		}
-		if view[l.Name].gone {
+		if isGone(l, s, view) {
 			return []quorum.Change{{Kind: quorum.Remove, Member: l}}
 		}
 	}
-	if learner, ok := settledLearner(now, s.Learners, learnerSeen); ok {
+	if learner, ok := settledLearner(now, s, learnerSeen); ok {
 		promote := quorum.Change{Kind: quorum.Promote, Member: learner}
 		if len(s.Voters) < minVoters || len(s.Voters)%2 == 0 {
 			return []quorum.Change{promote}
@@ -143,19 +151,31 @@
 	return newLearner(s, members, view)
 }
 
-func settledLearner(now time.Time, learners []quorum.Member, learnerSeen map[quorum.DiskIdentity]time.Time) (quorum.Member, bool) {
-	for _, l := range learners {
+// isGone reports whether a member has left, or has not replied to this leader for
+// goneTimeout.
+func isGone(m quorum.Member, s quorum.Status, view map[string]diskEntry) bool {
+	return view[m.Name].left || s.Progress[m.Disk].Silence > goneTimeout
+}
+
+// settledLearner returns a learner that may vote: it replies, is caught up and has
+// received the log for learnerSettleTime.
+func settledLearner(now time.Time, s quorum.Status, learnerSeen map[quorum.DiskIdentity]time.Time) (quorum.Member, bool) {
+	for _, l := range s.Learners {
+		p := s.Progress[l.Disk]
 		// A learner that replaces a lost disk is promoted by the quorum itself.
-		if l.Replaces == "" && now.Sub(learnerSeen[l.Disk]) >= learnerSettleTime {
+		if l.Replaces == "" && p.CaughtUp && p.Silence <= replyTimeout && now.Sub(learnerSeen[l.Disk]) >= learnerSettleTime {
 			return l, true
 		}
 	}
 	return quorum.Member{}, false
 }
 
+// goneVoter returns a voter to be replaced. A voter whose own entry is back with a new disk
+// is left to the quorum's repair.
 func goneVoter(s quorum.Status, view map[string]diskEntry) (quorum.Member, bool) {
 	for _, v := range s.Voters {
-		if one, known := view[v.Name]; v.Disk != s.DiskIdentity && known && one.gone {
+		isBeingRepaired := slices.ContainsFunc(s.Learners, func(l quorum.Member) bool { return l.Replaces == v.Disk })
+		if v.Disk != s.DiskIdentity && !isBeingRepaired && isGone(v, s, view) {
 			return v, true
 		}
 	}
@@ -170,7 +190,7 @@
 		taken[m.Name] = true
 	}
 	for name, one := range view {
-		if !taken[name] && !one.gone && one.member.Disk != "" {
+		if !taken[name] && !one.left && !one.silent && one.member.Disk != "" {
 			return []quorum.Change{{Kind: quorum.AddLearner, Member: one.member}}
 		}
 	}
--- a/mesh/member_reconciler_test.go
+++ b/mesh/member_reconciler_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -21,42 +22,83 @@
 	return out
 }
 
-// diskEntries returns entries with a disk; those named in gone are marked as gone.
-func diskEntries(names, gone []string) map[string]diskEntry {
+// diskEntries returns known entries with a disk.
+func diskEntries(names ...string) map[string]diskEntry {
 	out := map[string]diskEntry{}
 	for _, n := range names {
 		out[n] = diskEntry{member: member(n)}
 	}
-	for _, n := range gone {
-		out[n] = diskEntry{member: member(n), gone: true}
-	}
 	return out
 }
 
+// leaderStatus returns the status of leader a, to which the members in silent have not
+// replied for longer than goneTimeout. All others reply and are caught up.
+func leaderStatus(voters, learners []quorum.Member, silent ...string) quorum.Status {
+	s := quorum.Status{
+		Name: "a", DiskIdentity: "disk-a", IsLeader: true, HasQuorum: true, Voters: voters, Learners: learners,
+		Progress: map[quorum.DiskIdentity]quorum.MemberProgress{},
+	}
+	for _, m := range slices.Concat(voters, learners) {
+		p := quorum.MemberProgress{CaughtUp: true}
+		if slices.Contains(silent, m.Name) {
+			p.Silence = goneTimeout + time.Millisecond
+		}
+		s.Progress[m.Disk] = p
+	}
+	return s
+}
+
+// hasLeft returns the entries with those named marked as having left.
+func hasLeft(view map[string]diskEntry, names ...string) map[string]diskEntry {
+	for _, n := range names {
+		view[n] = diskEntry{member: member(n), left: true}
+	}
+	return view
+}
+
+// replacing returns a learner with a new disk in place of the disk of a voter of that name.
+func replacing(name string) quorum.Member {
+	m := member(name)
+	m.Disk, m.Replaces = "new-"+m.Disk, m.Disk
+	return m
+}
+
 func TestPlanChanges(t *testing.T) {
 	now := time.Unix(1000, 0)
-	settled := map[quorum.DiskIdentity]time.Time{"disk-d": now.Add(-2 * learnerSettleTime)}
+	settled := map[quorum.DiskIdentity]time.Time{"disk-d": now.Add(-2 * learnerSettleTime), "disk-e": now.Add(-2 * learnerSettleTime)}
 	fresh := map[quorum.DiskIdentity]time.Time{"disk-d": now}
+	abc, d, de := members("a", "b", "c"), members("d"), members("d", "e")
+	behind := leaderStatus(abc, d, "c")
+	behind.Progress["disk-d"] = quorum.MemberProgress{}
+	repaired := leaderStatus(abc, append(members("d"), replacing("c")), "c")
+	repaired.Progress[replacing("c").Disk] = quorum.MemberProgress{}
 	type change struct {
 		kind quorum.ChangeKind
 		name string
 	}
 	tests := []struct {
 		name        string
-		voters      []quorum.Member
-		learners    []quorum.Member
+		status      quorum.Status
 		view        map[string]diskEntry
 		learnerSeen map[quorum.DiskIdentity]time.Time
 		want        []change
 	}{
-		{"no change", members("a", "b", "c"), nil, diskEntries([]string{"b", "c"}, nil), nil, nil},
-		{"a new disk is added as a learner", members("a", "b", "c"), nil, diskEntries([]string{"b", "c", "d"}, nil), nil, []change{{quorum.AddLearner, "d"}}},
-		{"a learner waits while all voters are present", members("a", "b", "c"), members("d"), diskEntries([]string{"b", "c", "d"}, nil), settled, nil},
-		{"a settled learner replaces a gone voter", members("a", "b", "c"), members("d"), diskEntries([]string{"b", "d"}, []string{"c"}), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}},
-		{"an unsettled learner does not replace a gone voter", members("a", "b", "c"), members("d"), diskEntries([]string{"b", "d"}, []string{"c"}), fresh, nil},
-		{"a gone voter stays without a replacement disk", members("a", "b", "c"), nil, diskEntries([]string{"b"}, []string{"c"}), nil, nil},
-		{"a gone learner is removed", members("a", "b", "c"), members("d"), diskEntries([]string{"b", "c"}, []string{"d"}), settled, []change{{quorum.Remove, "d"}}},
-		{"a settled learner becomes the third voter", members("a", "b"), members("d"), diskEntries([]string{"b", "d"}, nil), settled, []change{{quorum.Promote, "d"}}},
+		{"no change", leaderStatus(abc, nil), diskEntries("b", "c"), nil, nil},
+		{"a new disk is added as a learner", leaderStatus(abc, nil), diskEntries("b", "c", "d"), nil, []change{{quorum.AddLearner, "d"}}},
+		{"a learner waits while all voters are present", leaderStatus(abc, d), diskEntries("b", "c", "d"), settled, nil},
+		{"a settled learner replaces a silent voter", leaderStatus(abc, d, "c"), diskEntries("b", "c", "d"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}},
+		{"a settled learner replaces a silent voter whose entry is unknown", leaderStatus(abc, d, "c"), diskEntries("b", "d"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}},
+		{"a settled learner replaces a voter that has left", leaderStatus(abc, d), hasLeft(diskEntries("b", "d"), "c"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}},
+		{"a voter that replies stays though its entry is unknown", leaderStatus(abc, d), diskEntries("b", "d"), settled, nil},
+		{"an unsettled learner does not replace a gone voter", leaderStatus(abc, d, "c"), diskEntries("b", "d"), fresh, nil},
+		{"a learner that is not caught up does not replace a gone voter", behind, diskEntries("b", "d"), settled, nil},
+		{"a gone voter stays without a replacement disk", leaderStatus(abc, nil, "c"), diskEntries("b", "c"), nil, nil},
+		{"a silent learner is removed", leaderStatus(abc, d, "d"), diskEntries("b", "c", "d"), settled, []change{{quorum.Remove, "d"}}},
+		{"a silent learner whose entry is unknown is removed", leaderStatus(abc, de, "c", "d"), diskEntries("b", "e"), settled, []change{{quorum.Remove, "d"}}},
+		{"a learner that has left is removed", leaderStatus(abc, d), hasLeft(diskEntries("b", "c"), "d"), settled, []change{{quorum.Remove, "d"}}},
+		{"a settled learner becomes the third voter", leaderStatus(members("a", "b"), d), diskEntries("b", "d"), settled, []change{{quorum.Promote, "d"}}},
+		{"a silent learner does not become the third voter", leaderStatus(members("a", "b"), d, "d"), diskEntries("b"), settled, []change{{quorum.Remove, "d"}}},
+		{"a voter whose entry is back with a new disk is left to the repair", repaired, diskEntries("b", "c", "d"), settled, nil},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -65,9 +107,8 @@
 			if learnerSeen == nil {
 				learnerSeen = map[quorum.DiskIdentity]time.Time{}
 			}
-			s := quorum.Status{Name: "a", DiskIdentity: "disk-a", IsLeader: true, HasQuorum: true, Voters: test.voters, Learners: test.learners}
 			var got []change
-			for _, c := range planChanges(now, s, test.view, learnerSeen) {
+			for _, c := range planChanges(now, test.status, test.view, learnerSeen) {
 				got = append(got, change{c.Kind, c.Member.Name})
 			}
 			g.Expect(got).To(Equal(test.want))
@@ -77,8 +118,8 @@
 
 func TestReplacedDiskOfMemberIsLeftToQuorumRepair(t *testing.T) {
 	g := NewWithT(t)
-	view := diskEntries([]string{"b", "c"}, nil)
+	view := diskEntries("b", "c")
 	view["c"] = diskEntry{member: quorum.Member{Name: "c", Address: "c:1", Disk: "another"}}
-	s := quorum.Status{Name: "a", DiskIdentity: "disk-a", Voters: members("a", "b", "c")}
+	s := leaderStatus(members("a", "b", "c"), nil)
 	g.Expect(planChanges(time.Unix(1, 0), s, view, map[quorum.DiskIdentity]time.Time{})).To(BeEmpty())
 }
--- /dev/null
+++ b/mesh/quorum_recovery_test.go
@@ -0,0 +1,100 @@
+package mesh
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/coord/quorum"
+)
+
+// recoveryTimeout bounds the wait for a change of members in a fleet that shares its
+// processors with other tests.
+const recoveryTimeout = 30 * time.Second
+
+// replace starts a new entry with an empty disk, a new name and a new address in place
+// of an entry that has ended, and returns its index.
+func (f *testFleet) replace(g *WithT, i int) int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	successor := len(f.entries)
+	f.folders[successor] = f.t.TempDir()
+	f.entries = append(f.entries, f.start(successor, l))
+	f.folders[i] = ""
+	return successor
+}
+
+// voters returns the voters that the leader reports, by name; nil without a leader.
+func (f *testFleet) voters() map[string]quorum.DiskIdentity {
+	for _, e := range f.entries {
+		node := e.quorum.currentNode()
+		if node == nil {
+			continue
+		}
+		s := node.Status()
+		if !s.IsLeader || !s.HasQuorum {
+			continue
+		}
+		out := map[string]quorum.DiskIdentity{}
+		for _, v := range s.Voters {
+			out[v.Name] = v.Disk
+		}
+		return out
+	}
+	return nil
+}
+
+// expectVoters expects that the entries become the quorum's voters with the disks that they
+// have now.
+func (f *testFleet) expectVoters(g *WithT, entries ...int) {
+	g.Eventually(func() bool {
+		voters := f.voters()
+		for _, i := range entries {
+			node := f.entries[i].quorum.currentNode()
+			if node == nil || voters[f.entries[i].options.Name] != node.Status().DiskIdentity {
+				return false
+			}
+		}
+		return len(voters) == len(entries)
+	}).WithTimeout(recoveryTimeout).WithPolling(50*time.Millisecond).Should(BeTrue(), "voters: %v", f.voters)
+}
+
+// endAll ends all entries at the same moment.
+func (f *testFleet) endAll() {
+	var wg sync.WaitGroup
+	for _, e := range f.entries {
+		wg.Go(e.end)
+	}
+	wg.Wait()
+	f.founded = true
+}
+
+// startAgain starts an entry that has ended, at its old address.
+func (f *testFleet) startAgain(g *WithT, i int) {
+	l, err := net.Listen("tcp", f.entries[i].options.Address)
+	g.Expect(err).NotTo(HaveOccurred())
+	f.entries[i] = f.start(i, l)
+}
+
+// TestVoterLostAtRestartOfAllIsReplaced guards against a voter that stays in the quorum
+// for good because no process remembers it: all entries restart, and one never returns.
+func TestVoterLostAtRestartOfAllIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(t, testMembers+1)
+	f.put(g, f.awaitLeader(g), routesDocument(1, 10))
+	f.endAll()
+	f.startAgain(g, 0)
+	f.startAgain(g, 1)
+	f.startAgain(g, 3)
+	successor := f.replace(g, 2)
+	f.expectVoters(g, 0, 1, successor)
+
+	// The next loss leaves a majority that holds the document.
+	f.entries[0].end()
+	second := f.replace(g, 0)
+	f.expectVoters(g, 1, successor, second)
+	g.Eventually(func() uint64 { return f.entries[second].Document().Number }).WithTimeout(recoveryTimeout).Should(Equal(uint64(1)))
+}
