quorum, mesh: a member learns after its start whom to announce its disk to

Cause, one for both: a member got its contacts once, at its start, and only if its disk had never been used did it wait for some. One whose disk had an identity file, but was not in a quorum yet, started with none and announced itself to nobody, nor would it answer the founder. Evidence: on the code before, the restarted member logs "quorum member started" members=1, the placeholder alone, and the leader sees its old disk silent with entry_known=true. Change: Node.SetMembers; mesh gives a member without a leader the voters that any entry reports, or the founders while the quorum forms. Voters come from all entries, as the one that was heard of last may know old ones. A disk that has promised to follow a founder can't found a quorum itself, since its initial members may differ after a restart. Tests: TestWipedMemberKilledAgainRejoins and TestFounderKilledWhileQuorumForms failed before (timed out after 30 s) and pass now; TestMemberLearnsVotersAfterItsStart and TestPromisedDiskFoundsNoQuorum are for package quorum alone.

--- a/coord/quorum/bootstrap.go
+++ b/coord/quorum/bootstrap.go
@@ -23,17 +23,25 @@
 }
 
 func newBootstrap(self Member, members []Member, promise DiskIdentity) *bootstrap {
-	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
-	f := &bootstrap{self: self, members: sorted, promise: promise, promises: map[string]Member{}}
+	f := &bootstrap{self: self, promise: promise, promises: map[string]Member{}}
+	f.setMembers(members)
+	return f
+}
+
+// setMembers replaces the initial members. Promises stay valid, as they are to this disk.
+func (f *bootstrap) setMembers(members []Member) {
+	f.members = slices.Clone(members)
+	slices.SortFunc(f.members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	if f.isFounder() {
-		f.promises[self.Name] = self
+		f.promises[f.self.Name] = f.self
 	}
-	return f
 }
 
+// isFounder reports whether this disk may found the quorum. One that has promised to follow
+// another disk may not: with other initial members it would found a second quorum.
 func (f *bootstrap) isFounder() bool {
-	return len(f.members) > 0 && f.members[0].Name == f.self.Name
+	isFirst := len(f.members) > 0 && f.members[0].Name == f.self.Name
+	return isFirst && (f.promise == "" || f.promise == f.self.Disk)
 }
 
 // helloMessages returns the messages that a blank disk repeatedly sends to the
--- a/coord/quorum/core_test.go
+++ b/coord/quorum/core_test.go
@@ -402,6 +402,22 @@
 	g.Expect(configuration.Voters).To(HaveLen(3))
 }
 
+// TestPromisedDiskFoundsNoQuorum guards against a second quorum: a disk that has promised to
+// follow a founder restarts with initial members of which it is the first.
+func TestPromisedDiskFoundsNoQuorum(t *testing.T) {
+	g := NewWithT(t)
+	b := newBootstrap(Member{Name: "b", Disk: "b1"}, []Member{{Name: "b"}}, "a1")
+	_, ok := b.initialConfiguration()
+	g.Expect(ok).To(BeFalse())
+
+	alone := newBootstrap(Member{Name: "b", Disk: "b1"}, nil, "")
+	_, ok = alone.initialConfiguration()
+	g.Expect(ok).To(BeFalse())
+	alone.setMembers([]Member{{Name: "b"}})
+	_, ok = alone.initialConfiguration()
+	g.Expect(ok).To(BeTrue())
+}
+
 func TestOpenStorageRejectsMissingFiles(t *testing.T) {
 	for _, missing := range []string{identityFile, "log-0000000000000001", snapshotPrefix} {
 		g := NewWithT(t)
--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -22,6 +22,7 @@
 	storage          *storage
 	core             *Core // used by the core goroutine only
 	bootstrapState   *bootstrap
+	newMembers       atomic.Pointer[[]Member] // set by SetMembers until the core goroutine takes them
 	applier          *applier
 	pendingProposals map[uint64]*proposal // by index; used by the core goroutine only
 	peers            map[DiskIdentity]Member
@@ -214,6 +215,12 @@
 	}
 }
 
+// SetMembers replaces Options.Members. A member whose disk is blank or unknown to the
+// quorum may learn only after its start who founds the quorum or whom to ask to be added.
+func (n *Node) SetMembers(members []Member) {
+	n.newMembers.Store(&members)
+}
+
 // Status returns the current status.
 func (n *Node) Status() Status {
 	n.mu.Lock()
--- a/coord/quorum/node_core.go
+++ b/coord/quorum/node_core.go
@@ -24,9 +24,7 @@
 	ticker := time.NewTicker(n.options.Tick)
 	defer ticker.Stop()
 	defer n.failQueuedProposals()
-	if initial, ok := n.bootstrapState.initialConfiguration(); ok && n.core.IsBlank() {
-		n.bootstrap(initial)
-	}
+	n.bootstrapAlone()
 	for {
 		proposals := n.proposals
 		if n.core.UnsyncedWrites() >= maxUnsynced {
@@ -93,6 +91,13 @@
 	}
 }
 
+// bootstrapAlone founds the quorum if this member is the only one of it.
+func (n *Node) bootstrapAlone() {
+	if initial, ok := n.bootstrapState.initialConfiguration(); ok && n.core.IsBlank() {
+		n.bootstrap(initial)
+	}
+}
+
 func (n *Node) bootstrap(initial Configuration) {
 	n.options.Logger.Info("quorum bootstrapped", "voters", len(initial.Voters), "disk", n.self.Disk)
 	n.core.Bootstrap(initial)
@@ -261,9 +266,14 @@
 }
 
 // tick announces a disk that is not a member, and advances repairs, every
-// helloInterval.
+// helloInterval. New members are told at once.
 func (n *Node) tick() {
 	n.ticksSinceHello++
+	if members := n.newMembers.Swap(nil); members != nil {
+		n.bootstrapState.setMembers(*members)
+		n.bootstrapAlone()
+		n.ticksSinceHello = n.options.ticks(helloInterval)
+	}
 	if n.ticksSinceHello < n.options.ticks(helloInterval) {
 		return
 	}
--- a/coord/quorum/node_fault_test.go
+++ b/coord/quorum/node_fault_test.go
@@ -149,6 +149,29 @@
 	})
 }
 
+// TestMemberLearnsVotersAfterItsStart guards against a new disk that never joins because it
+// knew no voter when it started.
+func TestMemberLearnsVotersAfterItsStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(g, 3, quorum.Options{Seed: 8, Repair: true})
+		defer c.stop()
+		c.leader(memberNames(c)...)
+		c.kill("m1")
+		c.disks["m1"] = wal.NewMemoryFolder()
+		all := c.members
+		c.members = []quorum.Member{{Name: ""}}
+		c.start("m1")
+		c.members = all
+		time.Sleep(5 * time.Second)
+		g.Expect(c.node("m1").Status().Voters).To(BeEmpty())
+
+		c.node("m1").SetMembers(append([]quorum.Member{{Name: ""}}, all...))
+		c.eventually(func() []quorum.Member { return c.node("m1").Status().Voters }).
+			Should(ContainElement(HaveField("Disk", c.node("m1").Status().DiskIdentity)))
+	})
+}
+
 func TestSnapshotAndRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -66,7 +66,7 @@
 	// Members are the names and addresses of the initial members, including this
 	// one; each of them must come up once before the quorum is bootstrapped. Later,
 	// a member with a blank disk announces itself to them. Empty for a member that
-	// waits to be added.
+	// waits to be added. SetMembers replaces them.
 	//
 	// A quorum bootstrapped by a single member cannot detect that this member's
 	// disk was replaced: list all members as soon as there are more.
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -1,11 +1,13 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -42,6 +44,7 @@
 
 	mu         sync.Mutex
 	node       *quorum.Node
+	contacts   []quorum.Member // members that the node was last given
 	founders   []quorum.Member
 	leaderHint string // last known address of the leader
 	stopped    bool
@@ -68,6 +71,7 @@
 		if c.mesh.options.DataFolder != "" && now.After(retryAt) && !c.ensureNode() {
 			retryAt = now.Add(restartBackoff)
 		}
+		c.updateContacts()
 		c.applyCommitted()
 		c.updateLeader()
 		reconciler.reconcile(ctx, now)
@@ -225,73 +229,85 @@
 		c.node = nil
 		c.mu.Unlock()
 	}
-	members, ready := c.initialMembers()
-	if !ready {
+	contacts := c.contactsNow()
+	if len(contacts) == 1 && contacts[0].Name == placeholderFounder && !c.hasUsedDisk() {
 		return true
 	}
-	return c.startNode(members)
+	return c.startNode(contacts)
 }
 
-// initialMembers returns the members to start a node with. A blank disk that was
-// not present at the bootstrap must not found a quorum: it waits until the voters
-// add it.
-func (c *quorumManager) initialMembers() (members []quorum.Member, ready bool) {
-	o := c.mesh.options
-	if _, err := os.Stat(filepath.Join(o.DataFolder, identityFile)); err == nil {
-		return c.joinMembers(), true
-	}
+// contactsNow returns the members that a disk outside of the quorum announces itself to:
+// the voters, or the founders while the quorum forms. Without either, and for a disk that
+// was not present at the bootstrap, the first one is placeholderFounder, so that this disk
+// can't found a quorum.
+func (c *quorumManager) contactsNow() []quorum.Member {
+	own := c.mesh.options.Name
+	isOwn := func(m quorum.Member) bool { return m.Name == own }
+	voters := slices.DeleteFunc(c.knownVoters(), isOwn)
 	c.mu.Lock()
 	founders := c.founders
 	c.mu.Unlock()
-	isFounder := slices.ContainsFunc(founders, func(m quorum.Member) bool { return m.Name == o.Name })
-	if o.FirstStart && isFounder {
-		return founders, true
+	if len(voters) == 0 && c.mesh.options.FirstStart && slices.ContainsFunc(founders, isOwn) {
+		return founders
 	}
-	voters := c.joinMembers()
-	return voters, len(voters) > 1
+	return append([]quorum.Member{{Name: placeholderFounder}}, voters...)
 }
 
-// joinMembers returns the known voters, preceded by a name that no member has: the
+// placeholderFounder is a name that no member has and that sorts before every name: the
 // member with the first name is the one that may found a quorum.
-func (c *quorumManager) joinMembers() []quorum.Member {
-	list := []quorum.Member{{Name: placeholderFounder}}
-	for _, v := range c.knownVoters() {
-		if v.Name != c.mesh.options.Name {
-			list = append(list, quorum.Member{Name: v.Name, Address: v.Address})
-		}
-	}
-	return list
+const placeholderFounder = ""
+
+// hasUsedDisk reports whether a quorum member ran on this entry's disk before. It may be a
+// voter, which starts at once.
+func (c *quorumManager) hasUsedDisk() bool {
+	_, err := os.Stat(filepath.Join(c.mesh.options.DataFolder, identityFile))
+	return err == nil
 }
 
-// placeholderFounder sorts before every name.
-const placeholderFounder = ""
+// updateContacts gives a node without a leader the members known now. They change after
+// its start, when it may have known none.
+func (c *quorumManager) updateContacts() {
+	node := c.currentNode()
+	if node == nil || node.Status().HasQuorum {
+		return
+	}
+	contacts := c.contactsNow()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.node != node || slices.Equal(contacts, c.contacts) {
+		return
+	}
+	c.contacts = contacts
+	node.SetMembers(contacts)
+	c.log.Info("quorum member without a leader announces itself", "step", "mesh.core", "members", len(contacts))
+}
 
-// knownVoters returns the voters as seen by the local node, or else as last
-// reported by another entry.
+// knownVoters returns the voters that any other entry reports, sorted, without their disks,
+// or those on the local disk if none does. Entries may report different voters: one that
+// was cut off knows those of that time.
 func (c *quorumManager) knownVoters() []quorum.Member {
-	if node := c.currentNode(); node != nil {
-		if voters := node.Status().Voters; len(voters) > 0 {
-			return voters
-		}
-	}
+	var voters []quorum.Member
 	c.mesh.mu.Lock()
-	defer c.mesh.mu.Unlock()
-	var latest *peer
 	for _, p := range c.mesh.peers {
-		if len(p.facts.Voters) > 0 && (latest == nil || p.lastResponse.After(latest.lastResponse)) {
-			latest = p
-		}
+		voters = append(voters, p.facts.Voters...)
 	}
-	if latest == nil {
-		return nil
+	c.mesh.mu.Unlock()
+	if node := c.currentNode(); node != nil && len(voters) == 0 {
+		voters = slices.Clone(node.Status().Voters)
 	}
-	return latest.facts.Voters
+	for i, v := range voters {
+		voters[i] = quorum.Member{Name: v.Name, Address: v.Address}
+	}
+	slices.SortFunc(voters, func(a, b quorum.Member) int {
+		return cmp.Or(strings.Compare(a.Name, b.Name), strings.Compare(a.Address, b.Address))
+	})
+	return slices.Compact(voters)
 }
 
-func (c *quorumManager) startNode(members []quorum.Member) bool {
+func (c *quorumManager) startNode(contacts []quorum.Member) bool {
 	o := c.mesh.options
 	node, err := quorum.Start(quorum.Options{
-		Name: o.Name, Address: o.Address, Members: members, Folder: o.DataFolder,
+		Name: o.Name, Address: o.Address, Members: contacts, Folder: o.DataFolder,
 		StateMachine: c.state, Transport: c.mesh.transport, Logger: c.log, Repair: true,
 		PreferAsLeader: func(m quorum.Member) bool { return c.mesh.acceptsRequests(m.Name) },
 		LogBytes:       logBytes,
@@ -303,8 +319,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.node = node
-	c.log.Info("quorum member started", "step", "mesh.core", "disk", node.Status().DiskIdentity, "members", len(members))
+	c.node, c.contacts = node, contacts
+	c.log.Info("quorum member started", "step", "mesh.core", "disk", node.Status().DiskIdentity, "members", len(contacts))
 	return true
 }
 
--- a/mesh/quorum_recovery_test.go
+++ b/mesh/quorum_recovery_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -72,6 +74,14 @@
 	f.founded = true
 }
 
+// killWhenFormatted ends an entry, without a word to the others, as soon as its quorum
+// member has used its disk.
+func (f *testFleet) killWhenFormatted(g *WithT, i int) {
+	g.Eventually(filepath.Join(f.folders[i], "identity")).WithTimeout(recoveryTimeout).
+		WithPolling(time.Millisecond).Should(BeAnExistingFile())
+	f.entries[i].end()
+}
+
 // startAgain starts an entry that has ended, at its old address.
 func (f *testFleet) startAgain(g *WithT, i int) {
 	l, err := net.Listen("tcp", f.entries[i].options.Address)
@@ -98,3 +108,30 @@
 	f.expectVoters(g, 1, successor, second)
 	g.Eventually(func() uint64 { return f.entries[second].Document().Number }).WithTimeout(recoveryTimeout).Should(Equal(uint64(1)))
 }
+
+// TestWipedMemberKilledAgainRejoins guards against a member with a new disk that never
+// announces itself to the quorum because it was killed before it was added.
+func TestWipedMemberKilledAgainRejoins(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(t, testMembers+1)
+	f.put(g, f.awaitLeader(g), routesDocument(1, 10))
+	f.founded = true
+	f.entries[1].end()
+	g.Expect(os.RemoveAll(f.folders[1])).To(Succeed())
+	f.startAgain(g, 1)
+	f.killWhenFormatted(g, 1)
+	f.startAgain(g, 1)
+	f.expectVoters(g, 0, 1, 2)
+}
+
+// TestFounderKilledWhileQuorumForms guards against a first start that never ends because
+// a founding member restarts between the first use of its disk and its promise.
+func TestFounderKilledWhileQuorumForms(t *testing.T) {
+	for _, i := range []int{0, 1} {
+		g := NewWithT(t)
+		f := newTestFleet(t, testMembers+1)
+		f.killWhenFormatted(g, i)
+		f.startAgain(g, i)
+		f.expectVoters(g, 0, 1, 2)
+	}
+}
