quorum: a disk announces itself while no leader sends to it

Cause: whether a disk is a member was read from the configuration on that disk, which may be out of date. A removed learner found itself in it and announced itself to nobody; its name was still a voter's, so the member reconciler left it to the repair, which waits for the announcement. Change: a disk announces itself while it hears no leader. Test: TestLearnerRemovedWhileDownRejoins failed before (no voter with that disk after 30 s), passes now.

--- a/coord/quorum/node_core.go
+++ b/coord/quorum/node_core.go
@@ -265,7 +265,7 @@
 	}
 }
 
-// tick announces a disk that is not a member, and advances repairs, every
+// tick announces a disk that no leader sends to, and advances repairs, every
 // helloInterval. New members are told at once.
 func (n *Node) tick() {
 	n.ticksSinceHello++
@@ -278,7 +278,9 @@
 		return
 	}
 	n.ticksSinceHello = 0
-	if _, isMember := n.core.Configuration().Member(n.self.Disk); !isMember {
+	// The configuration on this disk may be out of date: only a leader's messages show that
+	// this disk is still a member.
+	if !n.core.HasQuorum() {
 		for _, hello := range n.bootstrapState.helloMessages() {
 			n.send(n.encode(hello.to, hello.message))
 		}
--- a/coord/quorum/node_fault_test.go
+++ b/coord/quorum/node_fault_test.go
@@ -172,6 +172,33 @@
 	})
 }
 
+// TestLearnerRemovedWhileDownRejoins guards against a new disk that believes it is still a
+// member: it was removed as a learner while its process was down, so it has to announce
+// itself again.
+func TestLearnerRemovedWhileDownRejoins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(g, 3, quorum.Options{Seed: 9, Repair: true})
+		defer c.stop()
+		c.leader(memberNames(c)...)
+		c.kill("m1")
+		c.disks["m1"] = wal.NewMemoryFolder()
+		c.start("m1")
+		disk := c.node("m1").Status().DiskIdentity
+		hasDisk := ContainElement(HaveField("Disk", disk))
+		c.eventually(func() []quorum.Member { return c.node("m1").Status().Learners }).
+			WithPolling(time.Millisecond).Should(hasDisk)
+		c.kill("m1")
+
+		leader := c.node(c.leader(c.others("m1")...))
+		remove := quorum.Change{Kind: quorum.Remove, Member: quorum.Member{Disk: disk}}
+		c.eventually(func() error { return leader.ChangeMember(t.Context(), remove) }).WithPolling(time.Millisecond).Should(Succeed())
+		g.Expect(leader.Status().Learners).NotTo(hasDisk)
+		c.start("m1")
+		c.eventually(func() []quorum.Member { return c.node(c.leader(memberNames(c)...)).Status().Voters }).Should(hasDisk)
+	})
+}
+
 func TestSnapshotAndRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
