forward: an earlier refusal written once more answers no other request

Cause: only a success had to carry an id. A refusal without one, or with an empty one, was taken for that of the request in progress; of two ids only the first was looked at; and a request that was refused could be sent again on the same connection under the same id, where a copy of the refusal can't be told from the answer. Change: on a connection that has carried a response, each one needs an id; a response with several different ids belongs to no request; a connection remembers the ids that were refused on it, 64 at most, and doesn't carry them again. Calls that may run only once open a connection each and did not show it.

--- a/forward/client.go
+++ b/forward/client.go
@@ -4,8 +4,10 @@
 //
 // A pooled connection is closed whenever responses could be mixed up: on
 // unsolicited bytes, on a response before the request was sent completely, and on
-// a response that is truncated, carries another request's id or is a success without
-// an id.
+// a response that is truncated or carries another request's id. A response without an id
+// is used only for a failure of the first request on its connection. A request that an
+// endpoint refused is not sent again on the same connection: another copy of the refusal
+// would have the same id.
 package forward
 
 import (
@@ -49,9 +51,9 @@
 
 // Dialect interprets the headers of an endpoint's response.
 type Dialect interface {
-	// RequestID returns the id of the request that a response belongs to, or ""
-	// if the response has none.
-	RequestID(h http.Header) string
+	// RequestIDs returns the ids of requests that a response carries. A sound one has the id
+	// of its request and no other.
+	RequestIDs(h http.Header) []string
 	// PromisesNotRun reports whether the endpoint guarantees that it did not run
 	// the request and never will.
 	PromisesNotRun(status int, h http.Header) bool
@@ -171,7 +173,7 @@
 func (c *Client) connect(ctx context.Context, t Target, call *Call) (*connection, error) {
 	p := c.pool(t.Address)
 	if !call.NewConnection {
-		if conn := p.get(t.ID, call.NoID, time.Now()); conn != nil {
+		if conn := p.get(t.ID, call, time.Now()); conn != nil {
 			connectionsReused.Inc()
 			return conn, nil
 		}
@@ -202,8 +204,8 @@
 	errMismatchedResponse = errors.New("response belongs to another request")
 	// errPermitExpired is returned for a call whose SendBefore has passed.
 	errPermitExpired = errors.New("the time in which the call may be sent has passed")
-	// errMissingID is returned for a success without the request's id.
-	errMissingID = errors.New("successful response carries no request id")
+	// errMissingID is returned for a response without the request's id where it needs one.
+	errMissingID = errors.New("response carries no request id")
 )
 
 // writeHead writes the request line and headers. The caller has sanitized the
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -107,23 +107,36 @@
 	return nil
 }
 
-// lacksID reports whether r is a success that can't be matched to a request. It is
-// never used as an answer. No other response is awaited either: a late response to an
-// earlier request would carry that request's id, so this is most likely the only one.
+// lacksID reports whether r has no id and therefore can't be told from a late response to an
+// earlier request, or is a success, which is never used without an id. No other response is
+// awaited, as this is most likely the only one.
 func (x *exchange) lacksID(r *http.Response) bool {
-	return !x.call.NoID && r.StatusCode < http.StatusMultipleChoices && x.dialect.RequestID(r.Header) == ""
+	needsID := r.StatusCode < http.StatusMultipleChoices || x.conn.used
+	return !x.call.NoID && needsID && x.responseID(r.Header) == ""
 }
 
 // isMismatched reports whether r is a late response to an earlier request on a
 // reused connection. An endpoint that rejects a request early may not know its id.
 func (x *exchange) isMismatched(r *http.Response) bool {
-	id := x.dialect.RequestID(r.Header)
+	id := x.responseID(r.Header)
 	if x.call.NoID {
 		return id != ""
 	}
 	return id != "" && id != x.call.RequestID
 }
 
+// responseID returns the id that a response carries, or "" if it has none. Of several ids
+// it returns one that is not the call's.
+func (x *exchange) responseID(h http.Header) string {
+	id := ""
+	for _, one := range x.dialect.RequestIDs(h) {
+		if id == "" || one != x.call.RequestID {
+			id = one
+		}
+	}
+	return id
+}
+
 // skip discards a mismatched response, so that the next one can be read. It fails
 // on a new connection, where the response can't belong to an earlier request, and
 // if the body has no known length.
@@ -140,7 +153,7 @@
 
 func (x *exchange) newReply(r *http.Response) *Reply {
 	x.conn.idleTimeout = idleTimeout(r.Header)
-	if x.dialect.RequestID(r.Header) == "" && (!x.call.NoID || x.call.NewConnection) {
+	if x.responseID(r.Header) == "" && (!x.call.NoID || x.call.NewConnection) {
 		x.conn.idleTimeout = 0 // a second copy would pass for the response to the next call
 	}
 	return &Reply{
@@ -228,6 +241,10 @@
 		x.conn.abort()
 		return
 	}
+	if r.NotRun && !x.conn.noteRefused(x.call.RequestID) {
+		x.conn.abort()
+		return
+	}
 	x.conn.pool.put(x.conn)
 }
 
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -22,7 +22,7 @@
 
 type testDialect struct{}
 
-func (testDialect) RequestID(h http.Header) string { return h.Get("X-Id") }
+func (testDialect) RequestIDs(h http.Header) []string { return h.Values("X-Id") }
 
 func (testDialect) PromisesNotRun(_ int, h http.Header) bool { return h.Get("X-Refused") != "" }
 
@@ -278,7 +278,7 @@
 	_, err = reply.ReadAll(maxTestBody)
 	g.Expect(err).ToNot(HaveOccurred())
 	reply.Close()
-	g.Expect(c.pool(target.Address).pop(false)).To(BeNil())
+	g.Expect(c.pool(target.Address).pop(&Call{})).To(BeNil())
 }
 
 func TestCanceledContextClosesConnection(t *testing.T) {
--- a/forward/idle_test.go
+++ b/forward/idle_test.go
@@ -96,7 +96,7 @@
 	g.Expect(err).ToNot(HaveOccurred())
 	p.put(&connection{Conn: conn, pool: p, endpoint: target.ID})
 	g.Expect(p.openCount()).To(BeZero())
-	g.Expect(p.pop(false)).To(BeNil())
+	g.Expect(p.pop(&Call{})).To(BeNil())
 }
 
 // TestExpiredIdleConnectionsAreClosed checks that connections which a burst opened and
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -19,6 +19,7 @@
 	used        bool   // has carried a response
 	idleSince   time.Time
 	idleTimeout time.Duration // time it may stay idle; 0 if the endpoint closes it
+	refused     []string      // ids of the requests that were refused on it
 
 	closeOnce sync.Once
 }
@@ -46,6 +47,27 @@
 	return c.endpoint == endpoint && now.Sub(c.idleSince) < c.idleTimeout
 }
 
+// maxRefusedIDs bounds the ids that a connection remembers. One that reaches it is closed.
+const maxRefusedIDs = 64
+
+// noteRefused remembers that a request was refused on this connection. It returns false if
+// the connection may not be used again.
+func (c *connection) noteRefused(id string) bool {
+	if len(c.refused) == maxRefusedIDs {
+		return false
+	}
+	if id != "" {
+		c.refused = append(c.refused, id)
+	}
+	return true
+}
+
+// mayCarry reports whether a response to the call can be told from the earlier ones on this
+// connection.
+func (c *connection) mayCarry(call *Call) bool {
+	return c.noID == call.NoID && !slices.Contains(c.refused, call.RequestID)
+}
+
 // pool holds the idle connections to an address and counts the open ones.
 type pool struct {
 	mu      sync.Mutex
@@ -80,12 +102,12 @@
 	p.mu.Unlock()
 }
 
-// get returns a reusable idle connection, or nil if there is none. Calls without an id have
-// connections of their own: a second response to one can't be told from the response to
-// the next call.
-func (p *pool) get(endpoint string, noID bool, now time.Time) *connection {
+// get returns an idle connection that the call may reuse, or nil if there is none. Calls
+// without an id have connections of their own: a second response to one can't be told from
+// the response to the next call.
+func (p *pool) get(endpoint string, call *Call, now time.Time) *connection {
 	for {
-		c := p.pop(noID)
+		c := p.pop(call)
 		if c == nil {
 			return nil
 		}
@@ -96,11 +118,11 @@
 	}
 }
 
-func (p *pool) pop(noID bool) *connection {
+func (p *pool) pop(call *Call) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if c := p.idle[i]; c.noID == noID {
+		if c := p.idle[i]; c.mayCarry(call) {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return c
 		}
--- a/gateway/relay_bench_test.go
+++ b/gateway/relay_bench_test.go
@@ -21,7 +21,7 @@
 // plainDialect is a dialect whose responses belong to the request "r".
 type plainDialect struct{ Dialect }
 
-func (plainDialect) RequestID(http.Header) string                 { return "r" }
+func (plainDialect) RequestIDs(http.Header) []string              { return []string{"r"} }
 func (plainDialect) PromisesNotRun(int, http.Header) bool         { return false }
 func (plainDialect) ResponseHeaders(from http.Header) http.Header { return from.Clone() }
 
