gateway, forward: an error of a replica stays out of a caller's stream

Cause: the events of a resumed stream were compared with the last id only if both were numbers, so that an event without an id, or with another one, was passed on. Lines were not looked at: a paragraph of anything was an event, also where a replica writes the head of an error into its own stream. Change: what continues a stream within one response must be the next numbered event; a stream whose last event has no number isn't continued; a line that is no field of an event or comment ends the attempt as broken off. Statuses of an error, at the first byte or mid-stream, did not show it.

--- a/forward/events.go
+++ b/forward/events.go
@@ -5,12 +5,16 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 )
 
 // maxEventBytes limits the size of an event.
 const maxEventBytes = 128 << 10
 
-var errEventTooLong = errors.New("stream event exceeds the maximum size")
+var (
+	errEventTooLong = errors.New("stream event exceeds the maximum size")
+	errNoEvent      = errors.New("stream holds a line that is no field of an event")
+)
 
 // Event is a complete event of a stream, including the terminating blank line.
 type Event struct {
@@ -57,12 +61,30 @@
 			out.Data = e.event
 			return out, nil
 		}
+		if !isField(text) {
+			return Event{}, errNoEvent
+		}
 		if id, found := bytes.CutPrefix(text, []byte("id:")); found {
 			out.ID = string(bytes.TrimSpace(id))
 		}
 	}
 }
 
+// isField reports whether a line is a comment or a field of an event. An endpoint that breaks
+// off may write something else, such as the head of an error.
+func isField(line []byte) bool {
+	name, _, hasValue := bytes.Cut(line, []byte(":"))
+	for _, c := range name {
+		if !(c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-' || c == '_') {
+			return false
+		}
+	}
+	return hasValue || slices.Contains(namesWithoutValue, string(name))
+}
+
+// namesWithoutValue are the names of fields that may have no value and no colon.
+var namesWithoutValue = []string{"data", "event", "id", "retry"}
+
 // Detach leaves the data of the last event to whoever has it. It then stays valid.
 func (e *EventReader) Detach() { e.event = nil }
 
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -353,6 +353,9 @@
 		{"truncated before the blank line", "id: 1\ndata: a\n", nil, io.ErrUnexpectedEOF},
 		{"extra blank lines", "\n\nid: 1\ndata: a\n\n\n", []string{"1"}, io.EOF},
 		{"empty stream", "", nil, io.EOF},
+		{"comment, extension and field without a value", ": c\nweight-versions: 3\nid: 1\ndata\n\n", []string{"1"}, io.EOF},
+		{"head of an error", "id: 1\ndata: a\n\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno", []string{"1"}, errNoEvent},
+		{"text of an error", "id: 1\ndata: a\n\nid: 2\nconnection failure\n\n", []string{"1"}, errNoEvent},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -119,8 +119,8 @@
 	if f.ctx.Err() != nil || f.callerLeft {
 		return false
 	}
-	if f.headSent && !f.isStreaming {
-		return false // only a stream can go on elsewhere
+	if f.headSent && !(f.isStreaming && isNumericID(f.lastEventID)) {
+		return false // only a stream whose last event is known can go on elsewhere
 	}
 	if e.State != outcome.NotRun && !f.route.MayRepeat() {
 		return false
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -150,6 +150,10 @@
 	a := f.newAnswer()
 	defer a.close()
 	events.Hold = a.hold
+	follows := isNextEvent
+	if f.isStreaming {
+		follows = continuesStream
+	}
 	a.read(source{next: events.Next, detach: events.Detach, abort: reply.Abort, onRead: f.endJobEarly})
 	for {
 		waitingSince := time.Now()
@@ -164,8 +168,8 @@
 			return f.streamError(err)
 		}
 		meter.record(waitingSince, time.Now())
-		if !isNextEvent(event.ID, f.lastEventID) {
-			return f.streamError(errors.New("event " + event.ID + " does not follow event " + f.lastEventID))
+		if !follows(event.ID, f.lastEventID) {
+			return f.streamError(fmt.Errorf("event %q does not follow event %q", event.ID, f.lastEventID))
 		}
 		if !f.headSent {
 			f.startStream(reply)
@@ -230,12 +234,21 @@
 // isNextEvent reports whether an event id directly follows the last id sent to the
 // caller. It reports true for empty and non-numeric ids.
 func isNextEvent(id, last string) bool {
-	if id == "" || last == "" {
-		return true
-	}
+	return !isNumericID(id) || !isNumericID(last) || continuesStream(id, last)
+}
+
+// continuesStream reports whether an event of another endpoint is the one after the last
+// that was sent to the caller. Only a numeric id tells it from an error that the endpoint
+// writes as an event.
+func continuesStream(id, last string) bool {
 	n, err := strconv.ParseInt(id, 10, 64)
 	m, errLast := strconv.ParseInt(last, 10, 64)
-	return err != nil || errLast != nil || n == m+1
+	return err == nil && errLast == nil && n == m+1
+}
+
+func isNumericID(id string) bool {
+	_, err := strconv.ParseInt(id, 10, 64)
+	return err == nil
 }
 
 func (f *inflightRequest) recordFirstByte() {
