--- a/forward/refusal_test.go
+++ b/forward/refusal_test.go
@@ -40,7 +40,9 @@
 	for _, status := range []string{"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request", "400 Bad Request", "408 Request Timeout"} {
 		for _, framing := range refusalFramings {
 			for _, ids := range []struct{ name, lines string }{
-				{"its own id", "X-Id: first\n"}, {"no id", ""}, {"an empty id", "X-Id:\n"},
+				{"its own id", "X-Id: first\n"},
+				{"no id", ""},
+				{"an empty id", "X-Id:\n"},
 				{"its own id and that of the call", "X-Id: first\nX-Id: second\n"},
 				{"the id of the call and its own", "X-Id: second\nX-Id: first\n"},
 			} {
