mesh: one odd announcement costs no entry and no other announcement

Cause: the name of a state was looked up without a check; lists were decoded as a whole. Change: elements that can't be decoded, or that no sound endpoint announces, are left out, counted and logged, in syncs, fetches and the file; an unknown state has a name.

--- a/announce/announce.go
+++ b/announce/announce.go
@@ -23,7 +23,12 @@
 )
 
 // String returns the name used in logs.
-func (s State) String() string { return [...]string{"ready", "draining", "left"}[s] }
+func (s State) String() string {
+	if s > Left {
+		return "unknown"
+	}
+	return [...]string{"ready", "draining", "left"}[s]
+}
 
 // Endpoint is an announcement of an endpoint.
 type Endpoint struct {
--- a/mesh/endpoint_store.go
+++ b/mesh/endpoint_store.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -109,7 +110,8 @@
 	return trace.NewAggregate(err, f.Close())
 }
 
-// readEndpoints returns the stored endpoints, or nil if there is no file.
+// readEndpoints returns the stored endpoints, or nil if there is no file. Those that no sound
+// endpoint announces are left out.
 func readEndpoints(folder string) ([]announce.Endpoint, error) {
 	data, err := os.ReadFile(filepath.Join(folder, endpointsFile))
 	if errors.Is(err, fs.ErrNotExist) {
@@ -118,10 +120,13 @@
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	var endpoints []announce.Endpoint
-	if err := json.Unmarshal(data, &endpoints); err != nil {
+	endpoints, refused, err := decodeList[announce.Endpoint](data)
+	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	known := len(endpoints) + refused
+	endpoints = slices.DeleteFunc(endpoints, func(e announce.Endpoint) bool { return e.Validate() != nil })
+	announcementsRefused.Add(known - len(endpoints))
 	return endpoints, nil
 }
 
--- a/mesh/endpoints_pull.go
+++ b/mesh/endpoints_pull.go
@@ -76,7 +76,7 @@
 	changed := 0
 	if err == nil {
 		m.nextPull = time.Now().Add(max(minPullInterval, time.Duration(len(resp.Announcements))*pullTimePerEndpoint))
-		changed = m.applyAnnouncements(recordsOf(resp.Announcements), name)
+		changed = m.applyAnnouncements(m.recordsOf(resp.Announcements, name), name)
 	}
 	m.mu.Unlock()
 	if err == nil {
@@ -104,16 +104,6 @@
 	return announcement{h.Endpoint, now.Sub(h.At).Milliseconds()}
 }
 
-// recordsOf decodes announcements received now.
-func recordsOf(all []announcement) []announce.Record {
-	now := time.Now()
-	records := make([]announce.Record, 0, len(all))
-	for _, a := range all {
-		records = append(records, announce.Record{Endpoint: a.Endpoint, At: now.Add(-time.Duration(a.AgeMs) * time.Millisecond)})
-	}
-	return records
-}
-
 // endpointsChanged reports a change of endpoints. The caller doesn't hold the lock.
 func (m *Mesh) endpointsChanged(changed int) {
 	if changed > 0 && m.options.OnEndpointsChanged != nil {
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -41,8 +41,8 @@
 }
 
 type syncRequest struct {
-	From          facts          `json:"from"`
-	Announcements []announcement `json:"announcements,omitempty"`
+	From          facts            `json:"from"`
+	Announcements announcementList `json:"announcements,omitempty"`
 }
 
 type syncResponse struct {
@@ -52,7 +52,7 @@
 type endpointsRequest struct{}
 
 type endpointsResponse struct {
-	Announcements []announcement `json:"announcements"`
+	Announcements announcementList `json:"announcements"`
 }
 
 // documentRequest asks for a document newer than the one that the sender has.
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -214,7 +214,7 @@
 func (m *Mesh) serveSync(_ context.Context, req *syncRequest) (*syncResponse, error) {
 	now := time.Now()
 	m.mu.Lock()
-	changed := m.applyAnnouncements(recordsOf(req.Announcements), req.From.Name)
+	changed := m.applyAnnouncements(m.recordsOf(req.Announcements, req.From.Name), req.From.Name)
 	if p := m.peers[req.From.Name]; p != nil && req.From.Incarnation >= p.facts.Incarnation {
 		p.facts = req.From
 		p.lastResponse = now
