wal: a mark lost with the power is no damage of synced data

Cause: the mark of a batch is written after its sync and synced with the next batch. Of these two unsynced writes the batch may survive without the mark; the log then holds an invalid frame with a valid one behind it, which was taken for damage of synced data. Change: an invalid mark followed by one last batch is accepted; mark and batch are written again before the log opens. A valid frame behind that batch proves that the mark was synced, so it is refused as before. The in-memory disk can lose any write without a sync, wholly or in part, and keep later ones. Tests: TestPowerLossDuringAppend failed before in the four of 25 cases with a lost or torn mark and a whole batch, TestBatchesSurvivePowerLosses is random; both pass now. TestOpenRejectsCorruptAcknowledgedData, unchanged, passes.

--- a/coord/wal/doc.go
+++ b/coord/wal/doc.go
@@ -17,9 +17,11 @@
 // # Corruption
 //
 // An invalid frame with no valid frame after it is a torn write that was never
-// acknowledged: Open truncates it. An invalid frame with a valid frame after it
-// was acknowledged: Open returns a *CorruptError with the file and the offset in
-// bytes, and modifies nothing.
+// acknowledged: Open truncates it. The commit frame and the next batch are synced
+// together, so a power loss may keep that batch and lose the commit frame: Open
+// writes both again. Any other invalid frame with a valid frame after it was
+// acknowledged: Open returns a *CorruptError with the file and the offset in bytes,
+// and modifies nothing.
 //
 // After a failed write or sync the content of the disk is unknown, so every
 // later call returns the same error.
--- a/coord/wal/log.go
+++ b/coord/wal/log.go
@@ -26,6 +26,7 @@
 	bytesTotal  = metrics.NewCounter("jacinthplank_wal_written_bytes_total")
 	rotations   = metrics.NewCounter("jacinthplank_wal_rotations_total")
 	tornTails   = metrics.NewCounter("jacinthplank_wal_torn_tails_total")
+	lostMarks   = metrics.NewCounter("jacinthplank_wal_lost_marks_total")
 	failures    = metrics.NewCounter("jacinthplank_wal_failures_total")
 )
 
@@ -67,11 +68,11 @@
 		return nil, nil, trace.NotFound("wal: no log")
 	}
 	l := &Log{folder: folder, salt: salt, number: numbers[len(numbers)-1]}
-	batches, validSize, err := l.read()
+	content, err := l.read()
 	if err != nil {
 		return nil, nil, err
 	}
-	if err := l.openForAppend(validSize); err != nil {
+	if err := l.openForAppend(content); err != nil {
 		l.closeFile()
 		return nil, nil, err
 	}
@@ -79,7 +80,7 @@
 		l.closeFile()
 		return nil, nil, err
 	}
-	return l, batches, nil
+	return l, content.batches, nil
 }
 
 // Append writes one batch and syncs it.
@@ -189,13 +190,23 @@
 	return l.firstErr
 }
 
-// read returns the batches of the file and the length in bytes of its valid
-// prefix.
-func (l *Log) read() (batches [][]byte, validSize int64, err error) {
+// logContent is what a log file holds.
+type logContent struct {
+	batches [][]byte
+	size    int64 // of the valid prefix, in bytes
+	// rewrite is set if the last batch lies behind the prefix, because the mark before it
+	// is lost. It has to be written again.
+	rewrite bool
+}
+
+// read returns the content of the file.
+func (l *Log) read() (logContent, error) {
 	data, err := l.folder.ReadFile(l.fileName())
 	if err != nil {
-		return nil, 0, trace.Wrap(err)
+		return logContent{}, trace.Wrap(err)
 	}
+	var batches [][]byte
+	var last frameKind
 	offset := 0
 	for offset < len(data) {
 		kind, payload, size, ok := parseFrame(data[offset:], l.position(int64(offset)))
@@ -203,35 +214,63 @@
 			break
 		}
 		if offset == 0 && (kind != kindHeader || len(payload) != 1 || payload[0] != formatVersion) {
-			return nil, 0, &CorruptError{File: l.fileName(), Reason: "unknown format"}
+			return logContent{}, &CorruptError{File: l.fileName(), Reason: "unknown format"}
 		}
 		if kind == kindBatch {
 			batches = append(batches, payload)
 		}
+		last = kind
 		offset += size
 	}
-	switch {
-	case len(batches) == 0:
-		return nil, 0, &CorruptError{File: l.fileName(), Offset: int64(offset), Reason: "the first batch, which was synced, is damaged"}
-	case offset < len(data) && validFrameAfter(data, offset, l.position(0)):
-		return nil, 0, &CorruptError{File: l.fileName(), Offset: int64(offset), Reason: "invalid frame, although a valid frame follows: this one was synced"}
-	case offset < len(data):
-		tornTails.Inc()
+	if len(batches) == 0 {
+		return logContent{}, &CorruptError{File: l.fileName(), Offset: int64(offset), Reason: "the first batch, which was synced, is damaged"}
+	}
+	content := logContent{batches: batches, size: int64(offset)}
+	if offset == len(data) {
+		return content, nil
+	}
+	if batch, ok := l.batchAfterLostMark(data, offset); ok && last == kindBatch {
+		lostMarks.Inc()
+		content.batches, content.rewrite = append(batches, batch), true
+		return content, nil
+	}
+	if validFrameAfter(data, offset, l.position(0)) {
+		return logContent{}, &CorruptError{File: l.fileName(), Offset: int64(offset), Reason: "invalid frame, although a valid frame follows: this one was synced"}
+	}
+	tornTails.Inc()
+	return content, nil
+}
+
+// batchAfterLostMark returns the batch that follows an invalid mark at offset, if it is the
+// last frame of the file. A mark is synced together with the next batch. When power is lost
+// meanwhile, that batch may be on the disk without the mark.
+func (l *Log) batchAfterLostMark(data []byte, offset int) ([]byte, bool) {
+	start := offset + frameHeaderSize
+	if start > len(data) {
+		return nil, false
 	}
-	return batches, int64(offset), nil
+	kind, batch, size, ok := parseFrame(data[start:], l.position(int64(start)))
+	isLast := ok && !validFrameAfter(data, start+size-1, l.position(0))
+	return batch, isLast && kind == kindBatch
 }
 
-// openForAppend opens the file for appending and truncates it to size bytes.
-func (l *Log) openForAppend(size int64) error {
+// openForAppend opens the file for appending after its valid prefix.
+func (l *Log) openForAppend(content logContent) error {
 	file, err := l.folder.Append(l.fileName())
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	l.file, l.size = file, size
-	if err := file.Truncate(size); err != nil {
+	l.file, l.size = file, content.size
+	if err := file.Truncate(content.size); err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(file.Sync())
+	if !content.rewrite {
+		return trace.Wrap(file.Sync())
+	}
+	if err := l.write(kindCommit, nil); err != nil {
+		return err
+	}
+	return l.Append(content.batches[len(content.batches)-1])
 }
 
 // removeOldFiles removes older logs and temporary files.
--- a/coord/wal/memory.go
+++ b/coord/wal/memory.go
@@ -20,7 +20,8 @@
 
 type memoryFile struct {
 	data   []byte
-	synced int // bytes that survive a crash
+	synced int   // bytes that survive a crash
+	ends   []int // of the writes since the last sync, as offsets in data
 }
 
 // NewMemoryFolder returns an empty folder.
@@ -43,6 +44,30 @@
 	m.durableFiles = maps.Clone(m.files)
 }
 
+// CrashWrites simulates a loss of power in which each write since the last sync of its file
+// is present, missing or torn, independently of the others. keep gets the size of a write
+// and returns the part of it that survives. What is missing before a part that survives
+// reads as zeros. Files opened before the crash must not be used afterwards.
+func (m *MemoryFolder) CrashWrites(keep func(size int) (from, to int)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.files = map[string]*memoryFile{}
+	for _, name := range slices.Sorted(maps.Keys(m.durableFiles)) {
+		old := m.durableFiles[name]
+		data := slices.Clone(old.data[:old.synced])
+		start := old.synced
+		for _, end := range old.ends {
+			if from, to := keep(end - start); from < to {
+				data = append(data, make([]byte, start+from-len(data))...)
+				data = append(data, old.data[start+from:start+to]...)
+			}
+			start = end
+		}
+		m.files[name] = &memoryFile{data: data, synced: len(data)}
+	}
+	m.durableFiles = maps.Clone(m.files)
+}
+
 // Corrupt inverts one byte of a file.
 func (m *MemoryFolder) Corrupt(name string, offset int) {
 	m.mu.Lock()
@@ -169,6 +194,7 @@
 	h.folder.mu.Lock()
 	defer h.folder.mu.Unlock()
 	h.file.data = append(h.file.data, p...)
+	h.file.ends = append(h.file.ends, len(h.file.data))
 	return len(p), err
 }
 
@@ -179,7 +205,7 @@
 	}
 	h.folder.mu.Lock()
 	defer h.folder.mu.Unlock()
-	h.file.synced = len(h.file.data)
+	h.file.synced, h.file.ends = len(h.file.data), nil
 	return nil
 }
 
@@ -189,6 +215,7 @@
 	defer h.folder.mu.Unlock()
 	h.file.data = h.file.data[:size]
 	h.file.synced = min(h.file.synced, len(h.file.data))
+	h.file.ends = slices.DeleteFunc(h.file.ends, func(end int) bool { return end > len(h.file.data) })
 	return nil
 }
 
