quorum, mesh: found the quorum without an initial member that was lost

Cause: as with a voter that stays for good, membership decided from what gossip remembered: the entry that was lost still counted as alive when the founders were listed, and the founder waited for its promise for ever. An entry that had come in its place could be listed too, though it never promises. Change: a founder that has waited for four rounds of announcements leaves out those that have not promised, if the others are a majority. Every disk promises once, durably, and any two majorities of the list share one; an emptied disk has no promise but never starts as a founder, since it is told so (Options.FoundByMajority, off for others than mesh). Only entries that started with the whole fleet are listed, and none once voters are known. Still open: the founder itself lost after others have promised to follow it.

--- a/coord/quorum/bootstrap.go
+++ b/coord/quorum/bootstrap.go
@@ -83,14 +83,25 @@
 // initialConfiguration returns the initial configuration, or false while promises
 // are missing.
 func (f *bootstrap) initialConfiguration() (Configuration, bool) {
-	var initial Configuration
+	initial := f.promised()
+	return initial, len(initial.Voters) > 0 && len(initial.Voters) == len(f.members)
+}
+
+// majorityConfiguration returns the configuration of the members that have promised, or
+// false while they are no majority.
+func (f *bootstrap) majorityConfiguration() (Configuration, bool) {
+	initial := f.promised()
+	return initial, f.isFounder() && 2*len(initial.Voters) > len(f.members)
+}
+
+// promised returns the members that have promised.
+func (f *bootstrap) promised() Configuration {
+	var c Configuration
 	for _, m := range f.members {
-		member, ok := f.promises[m.Name]
-		if !ok {
-			return Configuration{}, false
+		if member, ok := f.promises[m.Name]; ok {
+			member.Address = m.Address
+			c.Voters = append(c.Voters, member)
 		}
-		member.Address = m.Address
-		initial.Voters = append(initial.Voters, member)
 	}
-	return initial, len(initial.Voters) > 0
+	return c
 }
--- a/coord/quorum/core_test.go
+++ b/coord/quorum/core_test.go
@@ -402,6 +402,29 @@
 	g.Expect(configuration.Voters).To(HaveLen(3))
 }
 
+// TestMajorityMayFound guards against a founder that leaves out members without a majority of
+// the promises, or counts those of others.
+func TestMajorityMayFound(t *testing.T) {
+	g := NewWithT(t)
+	first := []Member{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+	a := newBootstrap(Member{Name: "a", Disk: "a1"}, first, "")
+	_, ok := a.majorityConfiguration()
+	g.Expect(ok).To(BeFalse())
+	a.stepPromise(Message{Kind: Promise, From: "d1", To: "a1", Promise: "a1", Sender: Member{Name: "d", Disk: "d1"}})
+	a.stepPromise(Message{Kind: Promise, From: "b1", To: "a2", Promise: "a2", Sender: Member{Name: "b", Disk: "b1"}})
+	_, ok = a.majorityConfiguration()
+	g.Expect(ok).To(BeFalse(), "d is no initial member, and b has promised to another disk")
+	a.stepPromise(Message{Kind: Promise, From: "b1", To: "a1", Promise: "a1", Sender: Member{Name: "b", Disk: "b1"}})
+	configuration, ok := a.majorityConfiguration()
+	g.Expect(ok).To(BeTrue())
+	g.Expect(configuration.Voters).To(HaveLen(2))
+
+	b := newBootstrap(Member{Name: "b", Disk: "b1"}, first, "")
+	b.promises = a.promises
+	_, ok = b.majorityConfiguration()
+	g.Expect(ok).To(BeFalse(), "b is not the founder")
+}
+
 // TestPromisedDiskFoundsNoQuorum guards against a second quorum: a disk that has promised to
 // follow a founder restarts with initial members of which it is the first.
 func TestPromisedDiskFoundsNoQuorum(t *testing.T) {
--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -29,6 +29,7 @@
 	pendingReads     map[uint64]*readRequest
 	lastReadID       uint64
 	ticksSinceHello  int                             // ticks since the last Hello
+	foundingTicks    int                             // ticks as a founder that waits for promises
 	progress         map[DiskIdentity]MemberProgress // as of the last tick as leader; replaced, never modified
 
 	messages     chan Message
--- a/coord/quorum/node_core.go
+++ b/coord/quorum/node_core.go
@@ -98,6 +98,20 @@
 	}
 }
 
+// foundByMajority founds the quorum without the members that have not promised in time.
+func (n *Node) foundByMajority() {
+	if !n.options.FoundByMajority || !n.core.IsBlank() || !n.bootstrapState.isFounder() {
+		return
+	}
+	n.foundingTicks++
+	if n.foundingTicks < n.options.ticks(FoundingTimeout) {
+		return
+	}
+	if initial, ok := n.bootstrapState.majorityConfiguration(); ok {
+		n.bootstrap(initial)
+	}
+}
+
 func (n *Node) bootstrap(initial Configuration) {
 	n.options.Logger.Info("quorum bootstrapped", "voters", len(initial.Voters), "disk", n.self.Disk)
 	n.core.Bootstrap(initial)
@@ -272,8 +286,9 @@
 	if members := n.newMembers.Swap(nil); members != nil {
 		n.bootstrapState.setMembers(*members)
 		n.bootstrapAlone()
-		n.ticksSinceHello = n.options.ticks(helloInterval)
+		n.ticksSinceHello, n.foundingTicks = n.options.ticks(helloInterval), 0
 	}
+	n.foundByMajority()
 	if n.ticksSinceHello < n.options.ticks(helloInterval) {
 		return
 	}
--- a/coord/quorum/node_fault_test.go
+++ b/coord/quorum/node_fault_test.go
@@ -149,6 +149,30 @@
 	})
 }
 
+// TestQuorumIsFoundedWithoutLostMember guards against a quorum that never forms because an
+// initial member was lost before its promise, and against one that leaves out a member
+// although it may not.
+func TestQuorumIsFoundedWithoutLostMember(t *testing.T) {
+	for _, byMajority := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCluster(g, 3, quorum.Options{Seed: 10, Repair: true, FoundByMajority: byMajority})
+			defer c.stop()
+			c.kill("m2")
+			time.Sleep(quorum.FoundingTimeout - time.Second)
+			g.Expect(c.node("m0").Status().Voters).To(BeEmpty())
+			time.Sleep(10 * time.Second)
+			if !byMajority {
+				g.Expect(c.node("m0").Status().Voters).To(BeEmpty())
+				return
+			}
+			leader := c.leader("m0", "m1")
+			g.Expect(c.propose(leader, "a")).To(Succeed())
+			g.Expect(c.node(leader).Status().Voters).To(HaveLen(2))
+		})
+	}
+}
+
 // TestMemberLearnsVotersAfterItsStart guards against a new disk that never joins because it
 // knew no voter when it started.
 func TestMemberLearnsVotersAfterItsStart(t *testing.T) {
--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -21,6 +21,9 @@
 	HeartbeatInterval = 100 * time.Millisecond
 	ElectionTimeout   = 500 * time.Millisecond
 	ElectionJitter    = 400 * time.Millisecond
+	// FoundingTimeout is how long a founder waits for the promises of all initial members
+	// with Options.FoundByMajority: four rounds of announcements.
+	FoundingTimeout = 4 * helloInterval
 )
 
 // Limits.
@@ -86,6 +89,11 @@
 	// Repair makes a leader replace an unresponsive voter whose name has
 	// reappeared with another disk, once that disk has caught up.
 	Repair bool
+	// FoundByMajority lets the founder leave out initial members that have not promised
+	// within FoundingTimeout, if the others are a majority. They join later as new ones.
+	// It is safe only if a disk that was emptied never starts with the initial members
+	// again: it could promise once more, to another founder.
+	FoundByMajority bool
 	// PreferAsLeader reports whether a member should become the leader when this one
 	// transfers leadership; nil for no preference. It must not call the Node.
 	PreferAsLeader func(Member) bool
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -157,7 +157,7 @@
 func (m *Mesh) Name() string { return "mesh" }
 
 func (m *Mesh) memberFacts() *pb.MemberFacts {
-	f := &pb.MemberFacts{Duties: []string{"entry"}}
+	f := &pb.MemberFacts{Duties: []string{"entry"}, FirstStart: m.options.FirstStart}
 	if m.options.DataFolder != "" {
 		f.Duties = append(f.Duties, dutyControl)
 	}
--- a/mesh/quorum_client.go
+++ b/mesh/quorum_client.go
@@ -177,8 +177,10 @@
 	if len(out) > 0 {
 		return out
 	}
-	for _, d := range c.entriesWithDisk() {
-		out = append(out, d.Address)
+	for _, r := range c.mesh.gossip.Members() {
+		if !r.State.Gone() && hasDisk(r) {
+			out = append(out, r.Address)
+		}
 	}
 	slices.SortFunc(out, strings.Compare)
 	if len(out) == 0 {
--- a/mesh/quorum_losses_test.go
+++ b/mesh/quorum_losses_test.go
@@ -150,8 +150,13 @@
 			early := s.random.IntN(testMembers)
 			s.log("entry %d killed at the first start", early)
 			s.kill(early)
-			s.pause(time.Second)
-			s.startAgain(g, early)
+			if early != 0 && s.chance(2) { // the first one selects and founds
+				s.founded = true
+				s.succeed(early)
+			} else {
+				s.pause(time.Second)
+				s.startAgain(g, early)
+			}
 			s.expectVoters(g, s.disks...)
 			for number := uint64(1); number <= uint64(*lossCount); number++ {
 				s.putAnywhere(routesDocument(number, 10))
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -17,6 +17,7 @@
 	"github.com/jacinthplank/jacinthplank/coord/quorum"
 	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
 	"github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1/jacinthplankv1connect"
+	"github.com/jacinthplank/jacinthplank/gossip"
 )
 
 // Intervals of quorum maintenance.
@@ -162,10 +163,10 @@
 	c.mu.Lock()
 	known := len(c.founders) > 0
 	c.mu.Unlock()
-	if known {
+	if known || len(c.knownVoters()) > 0 {
 		return
 	}
-	founders := c.entriesWithDisk()
+	founders := c.eligibleFounders()
 	if len(founders) == 0 {
 		return
 	}
@@ -196,11 +197,12 @@
 	return names, slices.Index(names, c.mesh.options.Name)
 }
 
-// entriesWithDisk returns the live entries with a disk.
-func (c *quorumManager) entriesWithDisk() []quorum.Member {
+// eligibleFounders returns the live entries with a disk that started with the whole fleet. One
+// that came later in the place of a lost one makes no promise: it joins the quorum.
+func (c *quorumManager) eligibleFounders() []quorum.Member {
 	var out []quorum.Member
 	for _, r := range c.mesh.gossip.Members() {
-		if !r.State.Gone() && hasDisk(r) {
+		if !r.State.Gone() && hasDisk(r) && gossip.Facts(r).GetFirstStart() {
 			out = append(out, quorum.Member{Name: r.Name, Address: r.Address})
 		}
 	}
@@ -243,7 +245,7 @@
 func (c *quorumManager) contactsNow() []quorum.Member {
 	own := c.mesh.options.Name
 	isOwn := func(m quorum.Member) bool { return m.Name == own }
-	voters := slices.DeleteFunc(c.knownVoters(), isOwn)
+	voters := slices.DeleteFunc(c.allReportedVoters(), isOwn)
 	c.mu.Lock()
 	founders := c.founders
 	c.mu.Unlock()
@@ -282,18 +284,40 @@
 	c.log.Info("quorum member without a leader announces itself", "step", "mesh.core", "members", len(contacts))
 }
 
-// knownVoters returns the voters that any other entry reports, sorted, without their disks,
-// or those on the local disk if none does. Entries may report different voters: one that
-// was cut off knows those of that time.
+// knownVoters returns the voters as seen by the local node, or else as last
+// reported by another entry.
 func (c *quorumManager) knownVoters() []quorum.Member {
+	if node := c.currentNode(); node != nil {
+		if voters := node.Status().Voters; len(voters) > 0 {
+			return voters
+		}
+	}
+	c.mesh.mu.Lock()
+	defer c.mesh.mu.Unlock()
+	var latest *peer
+	for _, p := range c.mesh.peers {
+		if len(p.facts.Voters) > 0 && (latest == nil || p.lastResponse.After(latest.lastResponse)) {
+			latest = p
+		}
+	}
+	if latest == nil {
+		return nil
+	}
+	return latest.facts.Voters
+}
+
+// allReportedVoters returns the voters that any other entry has reported, sorted, without
+// their disks, or else those on the local disk. Reports may differ: an entry that was cut off
+// knows the voters of that time, and so may the local disk.
+func (c *quorumManager) allReportedVoters() []quorum.Member {
 	var voters []quorum.Member
 	c.mesh.mu.Lock()
 	for _, p := range c.mesh.peers {
 		voters = append(voters, p.facts.Voters...)
 	}
 	c.mesh.mu.Unlock()
-	if node := c.currentNode(); node != nil && len(voters) == 0 {
-		voters = slices.Clone(node.Status().Voters)
+	if len(voters) == 0 {
+		voters = slices.Clone(c.knownVoters())
 	}
 	for i, v := range voters {
 		voters[i] = quorum.Member{Name: v.Name, Address: v.Address}
@@ -308,7 +332,7 @@
 	o := c.mesh.options
 	node, err := quorum.Start(quorum.Options{
 		Name: o.Name, Address: o.Address, Members: contacts, Folder: o.DataFolder,
-		StateMachine: c.state, Transport: c.mesh.transport, Logger: c.log, Repair: true,
+		StateMachine: c.state, Transport: c.mesh.transport, Logger: c.log, Repair: true, FoundByMajority: true,
 		PreferAsLeader: func(m quorum.Member) bool { return c.mesh.acceptsRequests(m.Name) },
 		LogBytes:       logBytes,
 		OnRecovered:    c.mesh.noteRecovered,
--- a/mesh/quorum_recovery_test.go
+++ b/mesh/quorum_recovery_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
@@ -61,7 +62,7 @@
 			}
 		}
 		return len(voters) == len(entries)
-	}).WithTimeout(recoveryTimeout).WithPolling(50*time.Millisecond).Should(BeTrue(), "voters: %v", f.voters)
+	}).WithTimeout(recoveryTimeout).WithPolling(50*time.Millisecond).Should(BeTrue(), func() string { return fmt.Sprintf("voters: %v", f.voters()) })
 }
 
 // endAll ends all entries at the same moment.
@@ -135,3 +136,15 @@
 		f.expectVoters(g, 0, 1, 2)
 	}
 }
+
+// TestFounderLostAtFirstStartIsReplaced guards against a first start that never ends because
+// an entry with a disk is lost before the quorum forms.
+func TestFounderLostAtFirstStartIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(t, testMembers+1)
+	time.Sleep(1500 * time.Millisecond)
+	f.entries[2].end()
+	f.founded = true
+	successor := f.replace(g, 2)
+	f.expectVoters(g, 0, 1, successor)
+}
