--- a/mesh/member_reconciler.go
+++ b/mesh/member_reconciler.go
@@ -103,15 +103,13 @@
 }
 
 // diskEntries returns the known entries with a disk, by name. Entries that were lost
-// before this process started are missing. Those not heard of lately are synced before
-// their turn, which comes late in a large fleet.
+// before this process started are missing.
 func (k *memberReconciler) diskEntries(now time.Time) map[string]diskEntry {
 	m := k.manager.mesh
 	records := m.gossip.Members()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := map[string]diskEntry{}
-	var due []*peer
 	for _, r := range records {
 		if !hasDisk(r) {
 			continue
@@ -122,15 +120,9 @@
 			entry.member.Disk = p.facts.Disk
 			entry.left = r.State == membership.Left
 			entry.silent = now.Sub(p.lastResponse) > goneTimeout
-			if !r.State.Gone() && now.Sub(p.lastResponse) > reconcileInterval {
-				due = append(due, p)
-			}
 		}
 		out[r.Name] = entry
 	}
-	if len(due) > 0 {
-		m.notify(due, len(due))
-	}
 	return out
 }
 
