--- a/coord/wal/memory.go
+++ b/coord/wal/memory.go
@@ -15,6 +15,7 @@
 	mu           sync.Mutex
 	files        map[string]*memoryFile
 	durableFiles map[string]*memoryFile
+	nameChanges  []nameChange // since the last sync of the folder
 	faultHook    func(operation, name string) error
 }
 
@@ -22,6 +23,15 @@
 	data   []byte
 	synced int   // bytes that survive a crash
 	ends   []int // of the writes since the last sync, as offsets in data
+	// truncated is the synced content before a truncation that has not been synced, nil
+	// without one.
+	truncated []byte
+}
+
+// nameChange is a file that was created, renamed or removed.
+type nameChange struct {
+	from, to string // empty if there is none
+	file     *memoryFile
 }
 
 // NewMemoryFolder returns an empty folder.
@@ -41,7 +51,7 @@
 		size := old.synced + keep(len(old.data)-old.synced)
 		m.files[name] = &memoryFile{data: slices.Clone(old.data[:size]), synced: size}
 	}
-	m.durableFiles = maps.Clone(m.files)
+	m.durableFiles, m.nameChanges = maps.Clone(m.files), nil
 }
 
 // CrashWrites simulates a loss of power in which each write since the last sync of its file
@@ -49,23 +59,48 @@
 // and returns the part of it that survives. What is missing before a part that survives
 // reads as zeros. Files opened before the crash must not be used afterwards.
 func (m *MemoryFolder) CrashWrites(keep func(size int) (from, to int)) {
+	m.PowerLoss(keep, func() bool { return false }, func() bool { return true })
+}
+
+// PowerLoss is CrashWrites in which each file that was created, renamed or removed since the
+// last sync of the folder, and each truncation since the last sync of its file, is kept or
+// lost independently of the others, too.
+func (m *MemoryFolder) PowerLoss(keep func(size int) (from, to int), keepName, keepTruncation func() bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.files = map[string]*memoryFile{}
-	for _, name := range slices.Sorted(maps.Keys(m.durableFiles)) {
-		old := m.durableFiles[name]
-		data := slices.Clone(old.data[:old.synced])
-		start := old.synced
-		for _, end := range old.ends {
-			if from, to := keep(end - start); from < to {
-				data = append(data, make([]byte, start+from-len(data))...)
-				data = append(data, old.data[start+from:start+to]...)
-			}
-			start = end
+	names := maps.Clone(m.durableFiles)
+	for _, c := range m.nameChanges {
+		if !keepName() {
+			continue
+		}
+		delete(names, c.from)
+		if c.to != "" {
+			names[c.to] = c.file
 		}
+	}
+	m.files = map[string]*memoryFile{}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		data := names[name].survivingData(keep, keepTruncation)
 		m.files[name] = &memoryFile{data: data, synced: len(data)}
 	}
-	m.durableFiles = maps.Clone(m.files)
+	m.durableFiles, m.nameChanges = maps.Clone(m.files), nil
+}
+
+// survivingData returns the content after a loss of power.
+func (f *memoryFile) survivingData(keep func(size int) (from, to int), keepTruncation func() bool) []byte {
+	data := slices.Clone(f.data[:f.synced])
+	if f.truncated != nil && !keepTruncation() {
+		data = slices.Clone(f.truncated)
+	}
+	start := f.synced
+	for _, end := range f.ends {
+		if from, to := keep(end - start); from < to {
+			data = append(data, make([]byte, max(0, start+to-len(data)))...)
+			copy(data[start+from:], f.data[start+from:start+to])
+		}
+		start = end
+	}
+	return data
 }
 
 // Corrupt inverts one byte of a file.
@@ -102,6 +137,7 @@
 	defer m.mu.Unlock()
 	f := &memoryFile{}
 	m.files[name] = f
+	m.nameChanges = append(m.nameChanges, nameChange{to: name, file: f})
 	return &memoryHandle{folder: m, file: f, name: name}, nil
 }
 
@@ -129,14 +165,22 @@
 	}
 	delete(m.files, from)
 	m.files[to] = f
+	m.nameChanges = append(m.nameChanges, nameChange{from: from, to: to, file: f})
 	return nil
 }
 
 // Remove implements Folder.
 func (m *MemoryFolder) Remove(name string) error {
+	if err := m.fault("remove", name); err != nil {
+		return err
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if _, ok := m.files[name]; !ok {
+		return fs.ErrNotExist
+	}
 	delete(m.files, name)
+	m.nameChanges = append(m.nameChanges, nameChange{from: name})
 	return nil
 }
 
@@ -147,7 +191,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.durableFiles = maps.Clone(m.files)
+	m.durableFiles, m.nameChanges = maps.Clone(m.files), nil
 	return nil
 }
 
@@ -165,8 +209,8 @@
 }
 
 // SetFault sets a hook that is called before each modification and may return an
-// error or block. The operation is one of create, write, sync, rename and
-// sync_folder. SetFault(nil) removes the hook.
+// error or block. The operation is one of create, write, truncate, sync, rename,
+// remove and sync_folder. SetFault(nil) removes the hook.
 func (m *MemoryFolder) SetFault(fault func(operation, name string) error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -205,14 +249,20 @@
 	}
 	h.folder.mu.Lock()
 	defer h.folder.mu.Unlock()
-	h.file.synced, h.file.ends = len(h.file.data), nil
+	h.file.synced, h.file.ends, h.file.truncated = len(h.file.data), nil, nil
 	return nil
 }
 
 // Truncate implements File.
 func (h *memoryHandle) Truncate(size int64) error {
+	if err := h.folder.fault("truncate", h.name); err != nil {
+		return err
+	}
 	h.folder.mu.Lock()
 	defer h.folder.mu.Unlock()
+	if h.file.truncated == nil && int(size) < h.file.synced {
+		h.file.truncated = slices.Clone(h.file.data[:h.file.synced])
+	}
 	h.file.data = h.file.data[:size]
 	h.file.synced = min(h.file.synced, len(h.file.data))
 	h.file.ends = slices.DeleteFunc(h.file.ends, func(end int) bool { return end > len(h.file.data) })
