quorum, mesh: replace a disk that is refused for damage

What callers saw: nothing, until the next loss took the majority: a member that refuses its disk was started again for ever, and only a log line told. Cause: nothing outside coord handled *wal.CorruptError; the entry went on without a member, and no other disk took its place unless a spare one was there. Change: after two refusals in a row the entry asks the leader, which confirms by a read that it still leads and that a majority of the voters without this one has every committed entry on disk (Node.ConfirmExpendable). Then the entry empties the disk, the identity first, so that an interrupted emptying leaves a refused disk and never an older log. The member joins again as one that lost its disk. Without a majority elsewhere the disk is kept.

--- a/coord/quorum/replication.go
+++ b/coord/quorum/replication.go
@@ -240,14 +240,7 @@
 	voters := c.Configuration().Voters
 	matches := make([]uint64, 0, len(voters))
 	for _, voter := range voters {
-		switch p := c.leaderState.progress[voter.Disk]; {
-		case voter.Disk == c.config.Self:
-			matches = append(matches, c.synced)
-		case p != nil:
-			matches = append(matches, p.match)
-		default:
-			matches = append(matches, 0)
-		}
+		matches = append(matches, c.syncedIndex(voter.Disk))
 	}
 	slices.Sort(matches)
 	index := matches[len(matches)-c.Configuration().Quorum()]
--- a/coord/wal/log.go
+++ b/coord/wal/log.go
@@ -46,6 +46,9 @@
 	return len(numbers) > 0, err
 }
 
+// IsLog reports whether name is that of a file of a log, complete or not.
+func IsLog(name string) bool { return strings.HasPrefix(name, logPrefix) }
+
 // Create creates a log whose first batch is first. The salt is part of every
 // checksum; Open needs the same salt.
 func Create(folder Folder, salt string, first []byte) (*Log, error) {
@@ -280,7 +283,7 @@
 		return trace.Wrap(err)
 	}
 	for _, name := range names {
-		isOld := strings.HasPrefix(name, logPrefix) && name != l.fileName()
+		isOld := IsLog(name) && name != l.fileName()
 		if !isOld {
 			continue
 		}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -176,6 +176,7 @@
 	handle(m.mux, procedurePut, m.quorum.servePut)
 	handle(m.mux, procedureRead, m.quorum.serveRead)
 	handle(m.mux, procedureEvacuate, m.quorum.serveEvacuate)
+	handle(m.mux, procedureExpendable, m.quorum.serveExpendable)
 }
 
 // peerService serves membership heartbeats and operators' queries.
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -14,6 +14,8 @@
 	procedurePut      = "/jacinthplank.mesh.v1.MeshService/Put"
 	procedureRead     = "/jacinthplank.mesh.v1.MeshService/Read"
 	procedureEvacuate = "/jacinthplank.mesh.v1.MeshService/Evacuate"
+	// procedureExpendable asks the leader whether a member's disk may be emptied.
+	procedureExpendable = "/jacinthplank.mesh.v1.MeshService/Expendable"
 	// procedureEndpoints returns all endpoints that an entry knows.
 	procedureEndpoints = "/jacinthplank.mesh.v1.MeshService/Endpoints"
 )
@@ -104,3 +106,15 @@
 	Leader      string         `json:"leader,omitempty"`
 	Failure     string         `json:"failure,omitempty"`
 }
+
+// expendableRequest asks whether the committed entries are held without the disk of a
+// member, which has stopped.
+type expendableRequest struct {
+	Member string `json:"member"` // name
+}
+
+type expendableResponse struct {
+	Expendable bool   `json:"expendable"`
+	Leader     string `json:"leader,omitempty"`
+	Failure    string `json:"failure,omitempty"`
+}
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"context"
 	"log/slog"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -25,7 +23,6 @@
 	quorumTickInterval = 100 * time.Millisecond  // between two runs of the maintenance loop
 	bootstrapDelay     = 2500 * time.Millisecond // entries start within a third of a second of each other; then two rounds of membership
 	restartBackoff     = 500 * time.Millisecond  // after a disk failure
-	identityFile       = "identity"              // written by package quorum; exists once a disk was used
 )
 
 // logBytes are the bytes of log after which a member takes a snapshot. The platform's
@@ -50,10 +47,13 @@
 	leaderHint string // last known address of the leader
 	stopped    bool
 	lastLeader string
+	disk       DiskHealth
+	discarded  bool // this process has emptied the disk, which therefore can't found a quorum
+	refusals   int  // starts in a row that refused the disk
 }
 
 func newQuorumManager(m *Mesh) *quorumManager {
-	return &quorumManager{mesh: m, log: m.log, state: newQuorumState()}
+	return &quorumManager{mesh: m, log: m.log, state: newQuorumState(), disk: DiskHealth{State: DiskNone}}
 }
 
 // Name implements supervise.Duty.
@@ -70,6 +70,7 @@
 		now := time.Now()
 		c.bootstrap(now)
 		if c.mesh.options.DataFolder != "" && now.After(retryAt) && !c.ensureNode() {
+			c.replaceRefusedDisk(ctx)
 			retryAt = now.Add(restartBackoff)
 		}
 		c.updateContacts()
@@ -225,7 +226,7 @@
 		if err == nil {
 			return true
 		}
-		c.log.Error("quorum member failed", "step", "mesh.core", "error", err.Error())
+		c.setDiskHealth(DiskHealth{State: DiskFailing, Err: err})
 		node.Stop()
 		c.mu.Lock()
 		c.node = nil
@@ -233,6 +234,7 @@
 	}
 	contacts := c.contactsNow()
 	if len(contacts) == 1 && contacts[0].Name == placeholderFounder && !c.hasUsedDisk() {
+		c.setDiskHealth(DiskHealth{State: DiskBlank})
 		return true
 	}
 	return c.startNode(contacts)
@@ -247,9 +249,9 @@
 	isOwn := func(m quorum.Member) bool { return m.Name == own }
 	voters := slices.DeleteFunc(c.allReportedVoters(), isOwn)
 	c.mu.Lock()
-	founders := c.founders
+	founders, discarded := c.founders, c.discarded
 	c.mu.Unlock()
-	if len(voters) == 0 && c.mesh.options.FirstStart && slices.ContainsFunc(founders, isOwn) {
+	if len(voters) == 0 && c.mesh.options.FirstStart && !discarded && slices.ContainsFunc(founders, isOwn) {
 		return founders
 	}
 	return append([]quorum.Member{{Name: placeholderFounder}}, voters...)
@@ -259,13 +261,6 @@
 // member with the first name is the one that may found a quorum.
 const placeholderFounder = ""
 
-// hasUsedDisk reports whether a quorum member ran on this entry's disk before. It may be a
-// voter, which starts at once.
-func (c *quorumManager) hasUsedDisk() bool {
-	_, err := os.Stat(filepath.Join(c.mesh.options.DataFolder, identityFile))
-	return err == nil
-}
-
 // updateContacts gives a node without a leader the members known now. They change after
 // its start, when it may have known none.
 func (c *quorumManager) updateContacts() {
@@ -328,26 +323,6 @@
 	return slices.Compact(voters)
 }
 
-func (c *quorumManager) startNode(contacts []quorum.Member) bool {
-	o := c.mesh.options
-	node, err := quorum.Start(quorum.Options{
-		Name: o.Name, Address: o.Address, Members: contacts, Folder: o.DataFolder,
-		StateMachine: c.state, Transport: c.mesh.transport, Logger: c.log, Repair: true, FoundByMajority: true,
-		PreferAsLeader: func(m quorum.Member) bool { return c.mesh.acceptsRequests(m.Name) },
-		LogBytes:       logBytes,
-		OnRecovered:    c.mesh.noteRecovered,
-	})
-	if err != nil {
-		c.log.Error("starting the quorum member failed", "step", "mesh.core", "error", err.Error())
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.node, c.contacts = node, contacts
-	c.log.Info("quorum member started", "step", "mesh.core", "disk", node.Status().DiskIdentity, "members", len(contacts))
-	return true
-}
-
 // facts returns the quorum state that this entry reports to others.
 func (c *quorumManager) facts() facts {
 	c.mu.Lock()
--- a/mesh/status.go
+++ b/mesh/status.go
@@ -40,6 +40,9 @@
 	if node := m.quorum.currentNode(); node != nil {
 		status.Quorum = control.QuorumToProto(node.Status())
 	}
+	if d := m.Disk(); d.State != DiskNone {
+		status.Disk = &pb.DiskStatus{State: string(d.State), Error: errorText(d.Err), Kept: errorText(d.Kept)}
+	}
 	return connect.NewResponse(status), nil
 }
 
--- a/operator/status.go
+++ b/operator/status.go
@@ -37,6 +37,7 @@
 	Daemons        []daemonRow `json:"daemons"`
 	Models         []modelRow  `json:"models,omitempty"` // empty without a quorum
 	Endpoints      []endpoint  `json:"endpoints"`
+	Disks          []diskRow   `json:"disks,omitempty"` // of the quorum, whose members do not run
 }
 
 type quorumRow struct {
@@ -101,6 +102,7 @@
 	sort.Slice(o.FailureDomains, func(i, j int) bool { return o.FailureDomains[i].Name < o.FailureDomains[j].Name })
 	o.Endpoints = latestEndpoints(reports)
 	o.Quorum = newQuorumRow(reports)
+	o.Disks = newDiskRows(reports)
 	return o
 }
 
--- a/operator/statustext.go
+++ b/operator/statustext.go
@@ -14,6 +14,9 @@
 // write writes the overview as sentences and tables.
 func (o overview) write(w io.Writer) error {
 	fmt.Fprintln(w, o.Quorum.summary())
+	for _, d := range o.Disks {
+		fmt.Fprintln(w, d.summary())
+	}
 	fmt.Fprintln(w, o.revisionSummary())
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "\nFAILURE DOMAIN\tDAEMONS\tANSWERING")
