mesh, soak: disks that fail in turn, and damaged disks under load

Reported by other operators: disks were full for some seconds each, one after another; long after the last had room, changes were refused or unanswered, while all processes ran. The soak's wiped disks are damaged instead in half of the cases. A disk that was emptied starts without waiting for the next attempt.

--- a/coord/quorum/discard_test.go
+++ b/coord/quorum/discard_test.go
@@ -18,12 +18,12 @@
 		for c := (&choices{}); ; {
 			folder := diskWithOlderLog(g)
 			failAfter(folder, n, errPowerLoss)
-			done = discard(folder) == nil
+			done = Discard(folder) == nil
 			losePower(folder, c.choose)
 			s, _, err := openStorage(folder, "d2", simulatedTail)
 			var corrupt *wal.CorruptError
 			if errors.As(err, &corrupt) {
-				g.Expect(discard(folder)).To(Succeed())
+				g.Expect(Discard(folder)).To(Succeed())
 				s, _, err = openStorage(folder, "d2", simulatedTail)
 			}
 			g.Expect(err).NotTo(HaveOccurred())
--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -60,13 +60,17 @@
 	seeds   []string
 	folders map[int]string // of the entries with a disk, which keep them over a restart
 	founded bool           // entries that start now don't start the fleet for the first time
+	disks   []*faultyDisk  // of the first entries; empty for sound ones
 }
 
 // testMembers is the number of entries with a disk, which come first.
 const testMembers = 3
 
-func newTestFleet(t *testing.T, size int) *testFleet {
-	f := &testFleet{t: t, folders: map[int]string{}}
+func newTestFleet(t *testing.T, size int) *testFleet { return newTestFleetWithDisks(t, size, nil) }
+
+// newTestFleetWithDisks also makes the logs small, so that they are replaced often.
+func newTestFleetWithDisks(t *testing.T, size int, disks []*faultyDisk) *testFleet {
+	f := &testFleet{t: t, folders: map[int]string{}, disks: disks}
 	var listeners []net.Listener
 	for range size {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -101,6 +105,9 @@
 	}
 	o.DataFolder = f.folders[i]
 	e := &testEntry{Mesh: New(o)}
+	if i < len(f.disks) {
+		e.quorum.openFolder, e.quorum.logBytes = f.disks[i].open, 1<<17
+	}
 	e.server = NewHTTPServer(e)
 	go func() { _ = e.server.Serve(l) }() // ends with the entry
 	ctx, cancel := context.WithCancel(context.Background())
--- a/mesh/quorum_disk.go
+++ b/mesh/quorum_disk.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
 
 	"github.com/jacinthplank/jacinthplank/coord/quorum"
 	"github.com/jacinthplank/jacinthplank/coord/wal"
@@ -96,12 +97,17 @@
 }
 
 func (c *quorumManager) startNode(contacts []quorum.Member) bool {
+	folder, err := c.openFolder(c.mesh.options.DataFolder)
+	if err != nil {
+		c.setDiskHealth(DiskHealth{State: DiskFailing, Err: err})
+		return false
+	}
 	o := c.mesh.options
 	node, err := quorum.Start(quorum.Options{
-		Name: o.Name, Address: o.Address, Members: contacts, Folder: o.DataFolder,
+		Name: o.Name, Address: o.Address, Members: contacts, Disk: folder,
 		StateMachine: c.state, Transport: c.mesh.transport, Logger: c.log, Repair: true, FoundByMajority: true,
 		PreferAsLeader: func(m quorum.Member) bool { return c.mesh.acceptsRequests(m.Name) },
-		LogBytes:       logBytes,
+		LogBytes:       c.logBytes,
 		OnRecovered:    c.mesh.noteRecovered,
 	})
 	var corrupt *wal.CorruptError
@@ -124,12 +130,12 @@
 	return true
 }
 
-// replaceRefusedDisk empties a disk whose synced data is damaged, once the leader confirms
-// that a majority holds all committed entries without it. The member then starts on a new
-// disk and is replaced like one that lost its disk.
-func (c *quorumManager) replaceRefusedDisk(ctx context.Context) {
+// emptyRefusedDisk empties a disk whose synced data is damaged, once the leader confirms that
+// a majority holds all committed entries without it, and reports whether it did. The member
+// then starts on a new disk and is replaced like one that lost its disk.
+func (c *quorumManager) emptyRefusedDisk(ctx context.Context) bool {
 	if c.refusals < refusalsBeforeDiscard {
-		return
+		return false
 	}
 	health := c.mesh.Disk()
 	if health.Kept = c.confirmExpendable(ctx); health.Kept == nil {
@@ -137,11 +143,12 @@
 	}
 	if health.Kept != nil {
 		c.setDiskHealth(health)
-		return
+		return false
 	}
 	c.refusals = 0
 	disksDiscarded.Inc()
 	c.log.Warn("damaged disk emptied", "step", "mesh.core", "error", errorText(health.Err))
+	return true
 }
 
 func (c *quorumManager) discardDisk() error {
@@ -150,7 +157,11 @@
 	c.mu.Lock()
 	c.discarded = true
 	c.mu.Unlock()
-	return quorum.Discard(c.mesh.options.DataFolder)
+	folder, err := c.openFolder(c.mesh.options.DataFolder)
+	if err != nil {
+		return err
+	}
+	return trace.NewAggregate(quorum.Discard(folder), folder.Close())
 }
 
 // confirmExpendable asks the leader whether this entry's disk may be emptied.
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthplank/jacinthplank/coord/membership"
 	"github.com/jacinthplank/jacinthplank/coord/quorum"
+	"github.com/jacinthplank/jacinthplank/coord/wal"
 	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
 	"github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1/jacinthplankv1connect"
 	"github.com/jacinthplank/jacinthplank/gossip"
@@ -36,6 +37,9 @@
 	log   *slog.Logger
 	state *quorumState
 
+	openFolder func(path string) (wal.Folder, error)
+	logBytes   int // bytes of log after which the member takes a snapshot
+
 	// starting is held while the member is started or stopped, which may take as long
 	// as the disk does. It is locked before mu.
 	starting sync.Mutex
@@ -53,7 +57,10 @@
 }
 
 func newQuorumManager(m *Mesh) *quorumManager {
-	return &quorumManager{mesh: m, log: m.log, state: newQuorumState(), disk: DiskHealth{State: DiskNone}}
+	return &quorumManager{
+		mesh: m, log: m.log, state: newQuorumState(), openFolder: wal.OpenFolder, logBytes: logBytes,
+		disk: DiskHealth{State: DiskNone},
+	}
 }
 
 // Name implements supervise.Duty.
@@ -69,8 +76,7 @@
 	for {
 		now := time.Now()
 		c.bootstrap(now)
-		if c.mesh.options.DataFolder != "" && now.After(retryAt) && !c.ensureNode() {
-			c.replaceRefusedDisk(ctx)
+		if c.mesh.options.DataFolder != "" && now.After(retryAt) && !c.ensureNode() && !c.emptyRefusedDisk(ctx) {
 			retryAt = now.Add(restartBackoff)
 		}
 		c.updateContacts()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -15,7 +15,7 @@
 // killed together, at most one entry with a disk is faulted at a time, which is what
 // deployments tolerate; the other entries and the replicas are faulted concurrently.
 func (s *soak) injectFaults() {
-	random := s.newRandom("faults")
+	random, damages := s.newRandom("faults"), s.newRandom("damages")
 	end := time.Now().Add(*faultPhase)
 	var wait sync.WaitGroup
 	var diskFault sync.Mutex // held while an entry with a disk is faulted
@@ -35,8 +35,14 @@
 			if p.dataDir == "" && (kind == "wipe" || kind == "torn") {
 				kind = "kill"
 			}
+			if kind == "wipe" && damages.IntN(2) == 0 {
+				kind = "rot"
+			}
 			wait.Go(func() {
 				s.disturb(p, kind, down)
+				if kind == "rot" {
+					time.Sleep(2 * time.Second) // time to refuse the disk and to ask for its replacement
+				}
 				if p.dataDir != "" {
 					time.Sleep(4 * time.Second) // time for the entry to catch up
 					diskFault.Unlock()
@@ -106,20 +112,40 @@
 	switch kind {
 	case "torn":
 		return appendTornWrite(p.dataDir, s.newRandom("torn "+p.name))
+	case "rot":
+		return invertByte(p.dataDir)
 	case "wipe":
 		return os.RemoveAll(p.dataDir)
 	}
 	return nil
 }
 
-// appendTornWrite appends the beginning of an interrupted write to the log on a
-// disk. All other files there are written under a temporary name and renamed, so
-// they are either complete or absent.
-func appendTornWrite(folder string, random *rand.Rand) error {
+// invertByte damages synced data in the logs on a disk.
+func invertByte(folder string) error {
+	return forEachLog(folder, func(path string) error {
+		data, err := os.ReadFile(path)
+		if err != nil || len(data) == 0 {
+			return err
+		}
+		data[len(data)/3] ^= 0xff
+		return os.WriteFile(path, data, 0o600)
+	})
+}
+
+func forEachLog(folder string, do func(path string) error) error {
 	return filepath.WalkDir(folder, func(path string, d os.DirEntry, err error) error {
 		if err != nil || !d.Type().IsRegular() || !strings.HasPrefix(d.Name(), "log-") {
 			return err
 		}
+		return do(path)
+	})
+}
+
+// appendTornWrite appends the beginning of an interrupted write to the log on a
+// disk. All other files there are written under a temporary name and renamed, so
+// they are either complete or absent.
+func appendTornWrite(folder string, random *rand.Rand) error {
+	return forEachLog(folder, func(path string) error {
 		f, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
 			return err
