recovery: a package for changes of members after losses, and a model that plays it

The decisions on members (planChanges of mesh) and on a damaged disk are package coord/recovery, without clock, disk or network; mesh carries them out. Founding stays in coord/quorum/bootstrap.go and mesh, the replacement of a disk under its own name in coord/quorum/repair.go. The cases of TestPlanChanges are unchanged. The first start with a loss is not played.

--- /dev/null
+++ b/coord/recovery/model_faults_test.go
@@ -0,0 +1,305 @@
+package recovery_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jacinthplank/jacinthplank/coord/quorum"
+	"github.com/jacinthplank/jacinthplank/coord/wal"
+)
+
+var (
+	modelSeeds     = flag.Uint64("recovery.seeds", 25, "number of seeds of TestModel")
+	modelFirstSeed = flag.Uint64("recovery.first", 1, "first seed of TestModel")
+	modelFaults    = flag.Int("recovery.faults", 6, "faults in one run of TestModel")
+)
+
+const (
+	// completeAgain is how long after a loss all entries have to be voters with the disks that
+	// they have then: another one may be lost after that.
+	completeAgain = 4 * time.Second
+	// refusalTime is what a damaged disk takes longer: two refused starts.
+	refusalTime = 2 * restartBackoff
+)
+
+var errDead = errors.New("the process has ended")
+
+// kill ends a process at once. With power, each change of its disk that was not synced may be
+// lost.
+func (e *entry) kill(power bool) {
+	m := e.model
+	m.mu.Lock()
+	if m.entries[e.address] == e {
+		delete(m.entries, e.address)
+	}
+	m.mu.Unlock()
+	e.folder.SetFault(func(string, string) error { return errDead })
+	e.cancel()
+	<-e.done
+	e.folder.SetFault(nil)
+	if power {
+		e.folder.PowerLoss(func(size int) (int, int) {
+			from := m.intN(size + 1)
+			switch m.intN(3) {
+			case 0:
+				return 0, size
+			case 1:
+				return 0, 0
+			}
+			return from, from + m.intN(size+1-from)
+		}, m.isChosen, m.isChosen)
+	}
+}
+
+func (m *model) isChosen() bool { return m.intN(2) == 0 }
+
+// killAtOperation kills a process in the middle of its use of the disk, some operations from
+// now, and loses power.
+func (e *entry) killAtOperation(operations int) {
+	reached := make(chan struct{})
+	var used atomic.Int64
+	e.folder.SetFault(func(string, string) error {
+		n := int(used.Add(1))
+		if n <= operations {
+			return nil
+		}
+		if n == operations+1 {
+			e.model.mu.Lock()
+			delete(e.model.entries, e.address)
+			e.model.mu.Unlock()
+			close(reached)
+		}
+		return errDead
+	})
+	select {
+	case <-reached:
+	case <-time.After(3 * time.Second):
+	}
+	e.kill(true)
+}
+
+// rot damages synced data of the newest log.
+func (e *entry) rot() {
+	names, err := e.folder.List()
+	if err != nil {
+		panic(err)
+	}
+	for _, name := range slices.Backward(names) {
+		if wal.IsLog(name) && !strings.HasSuffix(name, ".tmp") {
+			data, err := e.folder.ReadFile(name)
+			if err != nil {
+				panic(err)
+			}
+			e.folder.Corrupt(name, len(data)/3)
+			return
+		}
+	}
+}
+
+// disturbDisk makes a disk full, slow or silent for some time.
+func (e *entry) disturbDisk(how string, d time.Duration) {
+	end := time.Now().Add(d)
+	e.folder.SetFault(func(operation, _ string) error {
+		switch {
+		case time.Now().After(end):
+		case how == "full" && operation == "create":
+			return syscall.ENOSPC
+		case how == "full" && operation == "write":
+			return wal.ErrPartialWrite
+		case how == "slow":
+			time.Sleep(100 * time.Millisecond)
+		case how == "silent":
+			time.Sleep(time.Until(end))
+		}
+		return nil
+	})
+	time.Sleep(d)
+	e.folder.SetFault(nil)
+}
+
+// bringBack starts a process again, and kills it up to twice more at random moments of its
+// return, with or without the loss of its disk.
+func (m *model) bringBack(place int, mayWipe bool) {
+	for m.intN(3) == 0 {
+		e := m.restart(place)
+		time.Sleep(m.duration(2 * time.Second))
+		how := []string{"killed", "without power", "wiped", "killed at an operation"}[m.intN(4)]
+		switch {
+		case how == "killed at an operation":
+			e.killAtOperation(m.intN(30))
+		case how == "wiped" && mayWipe:
+			e.kill(false)
+			e.folder = wal.NewMemoryFolder()
+		default:
+			e.kill(how == "without power")
+		}
+		m.logf("%s %s again;", e.name, how)
+		time.Sleep(m.duration(2 * time.Second))
+	}
+	m.restart(place)
+}
+
+func (m *model) restart(place int) *entry {
+	e := m.places[place].again()
+	m.mu.Lock()
+	m.places[place] = e
+	m.mu.Unlock()
+	e.start()
+	return e
+}
+
+// disturb plays one fault of one entry, or a restart of all, up to the moment at which all
+// run again.
+func (m *model) disturb() (allowed time.Duration) {
+	place := m.intN(len(m.places))
+	e := m.places[place]
+	fault := modelKinds[m.intN(len(modelKinds))]
+	m.logf("%s of %s;", fault, e.name)
+	down := m.duration(3 * time.Second)
+	switch fault {
+	case "kill", "power loss":
+		e.kill(fault == "power loss")
+		time.Sleep(down)
+		m.bringBack(place, false)
+	case "power loss at an operation":
+		e.killAtOperation(m.intN(60))
+		time.Sleep(down)
+		m.bringBack(place, false)
+	case "wipe":
+		e.kill(false)
+		e.folder = wal.NewMemoryFolder()
+		time.Sleep(down)
+		m.bringBack(place, true)
+	case "rot":
+		e.kill(false)
+		e.rot()
+		time.Sleep(down)
+		m.bringBack(place, true)
+		return completeAgain + refusalTime
+	case "replacement":
+		e.kill(false)
+		time.Sleep(down)
+		m.mu.Lock()
+		m.places[place] = m.newEntry()
+		m.mu.Unlock()
+		m.places[place].start()
+		if m.intN(3) == 0 {
+			time.Sleep(m.duration(2 * time.Second))
+			m.places[place].kill(true)
+			m.logf("%s killed;", m.places[place].name)
+			m.bringBack(place, true)
+		}
+	case "cut":
+		m.setCut(e, true)
+		time.Sleep(2 * down)
+		m.setCut(e, false)
+	case "full disk", "slow disk", "silent disk":
+		e.disturbDisk(strings.TrimSuffix(fault, " disk"), 2*down)
+	case "power loss of all":
+		for _, e := range m.places {
+			e.kill(true)
+		}
+		time.Sleep(down)
+		for i := range m.places {
+			m.restart(i)
+		}
+	}
+	return completeAgain
+}
+
+var modelKinds = []string{
+	"kill", "power loss", "power loss at an operation", "wipe", "rot", "replacement", "cut", "full disk", "slow disk",
+	"silent disk", "power loss of all",
+}
+
+func (m *model) setCut(e *entry, cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e.isCut = cut
+}
+
+// missing returns what keeps the quorum from being complete, empty if it is.
+func (m *model) missing() string {
+	leader, s := m.leader()
+	if leader == nil {
+		return "no leader"
+	}
+	if len(s.Voters) != len(m.places) {
+		return fmt.Sprintf("voters %v, learners %v", s.Voters, s.Learners)
+	}
+	for _, e := range m.places {
+		node := e.currentNode()
+		if node == nil {
+			return e.name + " has no member"
+		}
+		if !slices.ContainsFunc(s.Voters, func(v quorum.Member) bool { return v.Disk == node.Status().DiskIdentity }) {
+			return fmt.Sprintf("%s is no voter with its disk %s: voters %v, learners %v", e.name, node.Status().DiskIdentity, s.Voters, s.Learners)
+		}
+	}
+	return ""
+}
+
+// awaitComplete waits until all entries are voters, by a committed configuration: a change that
+// was sent later is accepted.
+func (m *model) awaitComplete(allowed time.Duration) time.Duration {
+	begun := time.Now()
+	var sent uint64 // last change that may have been sent before the configuration was there
+	for {
+		missing := m.missing()
+		acked := m.ackedNumber()
+		switch {
+		case missing != "":
+			sent = 0
+		case sent == 0:
+			sent = acked + 1
+		case acked > sent:
+			return time.Since(begun)
+		}
+		if time.Since(begun) > allowed {
+			m.fail("not complete after %v: %s, last change %d", allowed, missing, acked)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestModel plays series of losses and disturbances of a quorum in virtual time, each as soon
+// as the last one is overcome: kills, losses of power at any operation on a disk, emptied and
+// damaged disks, successors, cuts, disks that are full, slow or silent, and restarts of all. It
+// guards against an acknowledged number that is lost or read in an older state, two leaders in
+// one term, and a quorum that isn't complete in time.
+func TestModel(t *testing.T) {
+	started, longest := time.Now(), time.Duration(0)
+	for seed := *modelFirstSeed; seed < *modelFirstSeed+*modelSeeds; seed++ {
+		for _, size := range []int{3, 5} {
+			t.Run(fmt.Sprintf("%d entries, seed %d", size, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					m := newModel(t, seed, size)
+					ctx, cancel := context.WithCancel(t.Context())
+					go m.propose(ctx)
+					defer func() {
+						cancel()
+						for _, e := range m.running() {
+							e.kill(false)
+						}
+						time.Sleep(5 * time.Second) // for messages and changes on their way
+					}()
+					m.awaitComplete(10 * time.Second)
+					for range *modelFaults {
+						allowed := m.disturb()
+						longest = max(longest, m.awaitComplete(allowed))
+					}
+				})
+			})
+		}
+	}
+	t.Logf("%d runs in %v, complete again after %v at most", 2**modelSeeds, time.Since(started).Round(time.Millisecond), longest)
+}
--- /dev/null
+++ b/coord/recovery/model_test.go
@@ -0,0 +1,462 @@
+package recovery_test
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jacinthplank/jacinthplank/coord/quorum"
+	"github.com/jacinthplank/jacinthplank/coord/recovery"
+	"github.com/jacinthplank/jacinthplank/coord/wal"
+)
+
+// Timing of the entries of a model, which is that of package mesh.
+const (
+	tickInterval      = 100 * time.Millisecond
+	restartBackoff    = 500 * time.Millisecond
+	reconcileInterval = 500 * time.Millisecond
+	changeTimeout     = time.Second
+)
+
+// model is a fleet of entries with a disk in virtual time: members of package quorum on
+// in-memory disks, a network and the decisions of package recovery.
+type model struct {
+	t        *testing.T
+	founders []quorum.Member
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	entries map[string]*entry // that run, by address
+	places  []*entry          // that belong to the fleet
+	names   int               // given so far
+	acked   uint64            // highest number acknowledged
+	leaders map[uint64]quorum.DiskIdentity
+	log     []string
+}
+
+// entry is one process with a disk. A restart makes a new one.
+type entry struct {
+	model         *model
+	name, address string
+	folder        *wal.MemoryFolder
+	isFirstStart  bool
+	machine       *machine
+	cancel        context.CancelFunc
+	done          chan struct{} // closed when the process has ended
+	isCut         bool          // guarded by model.mu
+
+	mu       sync.Mutex
+	node     *quorum.Node
+	contacts []quorum.Member
+	refusals recovery.Refusals
+	planner  recovery.Planner
+	changing chan struct{}
+	nextPlan time.Time
+	retryAt  time.Time
+	meetsAt  time.Time // when it has found the other entries
+}
+
+// machine is a state machine that keeps the highest number.
+type machine struct {
+	mu     sync.Mutex
+	number uint64
+}
+
+func (m *machine) value() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.number
+}
+
+// Apply implements quorum.StateMachine.
+func (m *machine) Apply(_ uint64, command []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.number = max(m.number, binary.BigEndian.Uint64(command))
+	return nil
+}
+
+// Snapshot implements quorum.StateMachine.
+func (m *machine) Snapshot() ([]byte, error) {
+	return binary.BigEndian.AppendUint64(nil, m.value()), nil
+}
+
+// Restore implements quorum.StateMachine.
+func (m *machine) Restore(data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.number = binary.BigEndian.Uint64(data)
+	return nil
+}
+
+func newModel(t *testing.T, seed uint64, size int) *model {
+	m := &model{t: t, random: rand.New(rand.NewPCG(seed, 1)), entries: map[string]*entry{}, leaders: map[uint64]quorum.DiskIdentity{}}
+	for range size {
+		m.places = append(m.places, m.newEntry())
+	}
+	for _, e := range m.places {
+		m.founders = append(m.founders, quorum.Member{Name: e.name, Address: e.address})
+	}
+	for _, e := range m.places {
+		e.isFirstStart = true
+		e.start()
+	}
+	return m
+}
+
+// newEntry returns an entry with a blank disk under a new name.
+func (m *model) newEntry() *entry {
+	m.names++
+	name := fmt.Sprintf("e%d", m.names)
+	return &entry{model: m, name: name, address: "addr-" + name, folder: wal.NewMemoryFolder()}
+}
+
+// intN returns a random number below n.
+func (m *model) intN(n int) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.random.IntN(n)
+}
+
+func (m *model) duration(limit time.Duration) time.Duration {
+	return time.Duration(m.intN(int(limit)))
+}
+
+func (m *model) logf(format string, args ...any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.log = append(m.log, fmt.Sprintf(format, args...))
+}
+
+// fail ends the run with what happened before.
+func (m *model) fail(format string, args ...any) {
+	m.t.Helper()
+	m.mu.Lock()
+	log := slices.Clone(m.log)
+	m.mu.Unlock()
+	m.t.Fatalf("%s\n%s", fmt.Sprintf(format, args...), fmt.Sprint(log))
+}
+
+// Send implements quorum.Transport: messages are late, out of order, sometimes lost or
+// delivered twice.
+func (e *entry) Send(to quorum.Member, messages [][]byte) {
+	m := e.model
+	for _, message := range messages {
+		copies := 1
+		switch m.intN(100) {
+		case 0:
+			copies = 0
+		case 1:
+			copies = 2
+		}
+		for range copies {
+			time.AfterFunc(time.Millisecond+m.duration(3*time.Millisecond), func() {
+				if target := m.reachable(e, to.Address); target != nil {
+					if node := target.currentNode(); node != nil {
+						node.Step(e.name, message)
+					}
+				}
+			})
+		}
+	}
+}
+
+// reachable returns the running entry at an address, nil if there is none or a link is cut.
+func (m *model) reachable(from *entry, address string) *entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	target := m.entries[address]
+	if target == nil || ((target.isCut || from.isCut) && target != from) || m.entries[from.address] != from {
+		return nil
+	}
+	return target
+}
+
+// peers returns the entries that an entry can call, itself included.
+func (m *model) peers(from *entry) []*entry {
+	m.mu.Lock()
+	addresses := make([]string, 0, len(m.entries))
+	for a := range m.entries {
+		addresses = append(addresses, a)
+	}
+	m.mu.Unlock()
+	slices.Sort(addresses)
+	var out []*entry
+	for _, a := range addresses {
+		if p := m.reachable(from, a); p != nil {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func (e *entry) currentNode() *quorum.Node {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.node
+}
+
+// start starts the process.
+func (e *entry) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel, e.done, e.machine, e.changing = cancel, make(chan struct{}), &machine{}, make(chan struct{}, 1)
+	e.meetsAt = time.Now().Add(e.model.duration(time.Second))
+	e.model.mu.Lock()
+	e.model.entries[e.address] = e
+	e.model.mu.Unlock()
+	go e.run(ctx)
+}
+
+// again returns the entry as it starts after its end.
+func (e *entry) again() *entry {
+	return &entry{model: e.model, name: e.name, address: e.address, folder: e.folder}
+}
+
+func (e *entry) run(ctx context.Context) {
+	defer close(e.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		if now := time.Now(); now.After(e.retryAt) && !e.ensureNode() && !e.emptyRefusedDisk(ctx) {
+			e.retryAt = now.Add(restartBackoff)
+		}
+		e.updateContacts()
+		e.reconcile(ctx)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	if node := e.currentNode(); node != nil {
+		node.Stop()
+	}
+}
+
+// ensureNode starts the member if it does not run.
+func (e *entry) ensureNode() bool {
+	if node := e.currentNode(); node != nil {
+		if node.Status().Err == nil {
+			return true
+		}
+		node.Stop()
+		e.setNode(nil)
+	}
+	e.contacts = e.contactsNow()
+	if len(e.contacts) == 1 && e.isBlank() {
+		return true // it waits for a quorum to join
+	}
+	node, err := quorum.Start(quorum.Options{
+		Name: e.name, Address: e.address, Members: e.contacts, Disk: e.folder, StateMachine: e.machine,
+		Transport: e, Repair: true, LogBytes: 1 << 10, Seed: uint64(e.model.intN(1 << 30)),
+	})
+	e.refusals.Observe(err)
+	if err != nil {
+		return false
+	}
+	e.setNode(node)
+	return true
+}
+
+func (e *entry) isBlank() bool {
+	names, err := e.folder.List()
+	return err == nil && len(names) == 0
+}
+
+func (e *entry) setNode(n *quorum.Node) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.node = n
+}
+
+// contactsNow returns whom a disk announces itself to: all, when the fleet starts for the
+// first time, or the voters that others report, none of which founds a quorum then.
+func (e *entry) contactsNow() []quorum.Member {
+	if e.isFirstStart {
+		return e.model.founders
+	}
+	out := []quorum.Member{{}}
+	if time.Now().Before(e.meetsAt) {
+		return out
+	}
+	for _, p := range e.model.peers(e) {
+		if node := p.currentNode(); node != nil {
+			for _, v := range node.Status().Voters {
+				contact := quorum.Member{Name: v.Name, Address: v.Address}
+				if v.Name != e.name && !slices.Contains(out, contact) {
+					out = append(out, contact)
+				}
+			}
+		}
+	}
+	return out
+}
+
+func (e *entry) updateContacts() {
+	node := e.currentNode()
+	if node == nil || node.Status().HasQuorum {
+		return
+	}
+	if contacts := e.contactsNow(); !slices.Equal(contacts, e.contacts) {
+		e.contacts = contacts
+		node.SetMembers(contacts)
+	}
+}
+
+// emptyRefusedDisk empties a damaged disk once the leader confirms that it is expendable.
+func (e *entry) emptyRefusedDisk(ctx context.Context) bool {
+	if !e.refusals.MayDiscard() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	for _, p := range e.model.peers(e) {
+		node := p.currentNode()
+		if node == nil || node.ConfirmExpendable(ctx, e.name) != nil {
+			continue
+		}
+		if quorum.Discard(e.folder) != nil {
+			return false
+		}
+		e.isFirstStart, e.refusals = false, recovery.Refusals{}
+		return true
+	}
+	return false
+}
+
+// reconcile makes the next change of the quorum's members, on the leader.
+func (e *entry) reconcile(ctx context.Context) {
+	node, now := e.currentNode(), time.Now()
+	if node == nil || now.Before(e.nextPlan) {
+		return
+	}
+	e.nextPlan = now.Add(reconcileInterval)
+	s := node.Status()
+	if !s.IsLeader || !s.HasQuorum {
+		e.planner.Reset()
+		return
+	}
+	e.model.noteLeader(s)
+	disks := map[string]recovery.Disk{}
+	for _, p := range e.model.peers(e) {
+		d := recovery.Disk{Member: quorum.Member{Name: p.name, Address: p.address}}
+		if n := p.currentNode(); n != nil {
+			d.Member.Disk = n.Status().DiskIdentity
+		}
+		disks[p.name] = d
+	}
+	changes := e.planner.Plan(now, s, disks)
+	if len(changes) == 0 {
+		return
+	}
+	select {
+	case e.changing <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-e.changing }()
+		for _, change := range changes {
+			ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+			err := node.ChangeMember(ctx, change)
+			cancel()
+			if err != nil {
+				return
+			}
+		}
+	}()
+}
+
+// noteLeader checks that a term has one leader.
+func (m *model) noteLeader(s quorum.Status) {
+	m.mu.Lock()
+	before, known := m.leaders[s.Term]
+	m.leaders[s.Term] = s.DiskIdentity
+	m.mu.Unlock()
+	if known && before != s.DiskIdentity {
+		m.t.Errorf("term %d has two leaders, %s and %s", s.Term, before, s.DiskIdentity)
+	}
+}
+
+// leader returns the running leader with a quorum, nil if there is none.
+func (m *model) leader() (*entry, quorum.Status) {
+	for _, e := range m.running() {
+		if node := e.currentNode(); node != nil {
+			if s := node.Status(); s.IsLeader && s.HasQuorum {
+				return e, s
+			}
+		}
+	}
+	return nil, quorum.Status{}
+}
+
+func (m *model) running() []*entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*entry
+	for _, e := range m.places {
+		if m.entries[e.address] == e {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// propose sends one number after the other until ctx ends, each until it is acknowledged, and
+// reads what was acknowledged.
+func (m *model) propose(ctx context.Context) {
+	for number := uint64(1); ctx.Err() == nil; number++ {
+		for ctx.Err() == nil {
+			if m.put(ctx, number) == nil {
+				m.mu.Lock()
+				m.acked = number
+				m.mu.Unlock()
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		m.checkRead(ctx)
+		time.Sleep(m.duration(100 * time.Millisecond))
+	}
+}
+
+func (m *model) put(ctx context.Context, number uint64) error {
+	e, _ := m.leader()
+	if e == nil {
+		return errors.New("no leader")
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	_, err := e.currentNode().Propose(ctx, binary.BigEndian.AppendUint64(nil, number))
+	return err
+}
+
+// checkRead reads at a random entry and expects nothing older than what was acknowledged.
+func (m *model) checkRead(ctx context.Context) {
+	running := m.running()
+	if len(running) == 0 {
+		return
+	}
+	e := running[m.intN(len(running))]
+	node := e.currentNode()
+	if node == nil {
+		return
+	}
+	before := m.ackedNumber()
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if node.ReadIndex(ctx) == nil && e.machine.value() < before {
+		m.t.Errorf("%s read %d, %d was acknowledged before", e.name, e.machine.value(), before)
+	}
+}
+
+func (m *model) ackedNumber() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.acked
+}
--- /dev/null
+++ b/coord/recovery/plan.go
@@ -0,0 +1,111 @@
+// Package recovery decides, after a loss, which members of a quorum are added, promoted and
+// removed, and when a damaged disk may be emptied. It has no clock, disk or network of its own.
+package recovery
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jacinthplank/jacinthplank/coord/quorum"
+)
+
+const (
+	// GoneTimeout is the silence after which a member is replaced, if another disk is
+	// available. With an election and a learner's settling before it, the successor votes
+	// within the four seconds after which another disk may be lost.
+	GoneTimeout = 2 * time.Second
+	// LearnerSettleTime is how long a new member receives the log before it may replace a
+	// member that is gone.
+	LearnerSettleTime = time.Second
+	replyTimeout      = time.Second // silence up to which a learner is taken for running
+	minVoters         = 3           // with fewer, a settled learner is promoted at once
+)
+
+// Disk is the disk of an entry that the leader's process knows.
+type Disk struct {
+	Member quorum.Member // without Disk until the entry has reported it
+	Left   bool          // its entry has announced that it leaves
+	Silent bool          // no call with its entry has succeeded for GoneTimeout
+}
+
+// Planner plans the changes of a quorum's members. The zero value is ready for use.
+type Planner struct {
+	learnerSeen map[quorum.DiskIdentity]time.Time // when each learner was first seen
+}
+
+// Reset forgets what was seen. It is called while this member does not lead.
+func (p *Planner) Reset() { clear(p.learnerSeen) }
+
+// Plan returns the next change, or changes that have to be made together. It is called on the
+// leader. Whether a member is gone follows from its replies to this leader; disks tells, by the name of their entries, which
+// other disks there are.
+func (p *Planner) Plan(now time.Time, s quorum.Status, disks map[string]Disk) []quorum.Change {
+	if p.learnerSeen == nil {
+		p.learnerSeen = map[quorum.DiskIdentity]time.Time{}
+	}
+	members := quorum.Configuration{Voters: s.Voters, Learners: s.Learners}
+	for _, l := range s.Learners {
+		if _, known := p.learnerSeen[l.Disk]; !known {
+			p.learnerSeen[l.Disk] = now
+		}
+		if isGone(l, s, disks) {
+			return []quorum.Change{{Kind: quorum.Remove, Member: l}}
+		}
+	}
+	if learner, ok := p.settledLearner(now, s); ok {
+		promote := quorum.Change{Kind: quorum.Promote, Member: learner}
+		if len(s.Voters) < minVoters || len(s.Voters)%2 == 0 {
+			return []quorum.Change{promote}
+		}
+		if gone, ok := goneVoter(s, disks); ok {
+			return []quorum.Change{{Kind: quorum.Remove, Member: gone}, promote}
+		}
+	}
+	return newLearner(s, members, disks)
+}
+
+// isGone reports whether a member has left, or has not replied to this leader for
+// GoneTimeout.
+func isGone(m quorum.Member, s quorum.Status, disks map[string]Disk) bool {
+	return disks[m.Name].Left || s.Progress[m.Disk].Silence > GoneTimeout
+}
+
+// settledLearner returns a learner that may vote: it replies, is caught up and has
+// received the log for LearnerSettleTime.
+func (p *Planner) settledLearner(now time.Time, s quorum.Status) (quorum.Member, bool) {
+	for _, l := range s.Learners {
+		progress := s.Progress[l.Disk]
+		// A learner that replaces a lost disk is promoted by the quorum itself.
+		if l.Replaces == "" && progress.CaughtUp && progress.Silence <= replyTimeout && now.Sub(p.learnerSeen[l.Disk]) >= LearnerSettleTime {
+			return l, true
+		}
+	}
+	return quorum.Member{}, false
+}
+
+// goneVoter returns a voter to be replaced. A voter whose own entry is back with a new disk
+// is left to the quorum's repair.
+func goneVoter(s quorum.Status, disks map[string]Disk) (quorum.Member, bool) {
+	for _, v := range s.Voters {
+		isBeingRepaired := slices.ContainsFunc(s.Learners, func(l quorum.Member) bool { return l.Replaces == v.Disk })
+		if v.Disk != s.DiskIdentity && !isBeingRepaired && isGone(v, s, disks) {
+			return v, true
+		}
+	}
+	return quorum.Member{}, false
+}
+
+// newLearner adds an entry's disk that is not in the quorum yet. A new disk under
+// the name of a member is left to the quorum's own repair.
+func newLearner(s quorum.Status, members quorum.Configuration, disks map[string]Disk) []quorum.Change {
+	taken := map[string]bool{s.Name: true}
+	for _, m := range members.Members() {
+		taken[m.Name] = true
+	}
+	for name, one := range disks {
+		if !taken[name] && !one.Left && !one.Silent && one.Member.Disk != "" {
+			return []quorum.Change{{Kind: quorum.AddLearner, Member: one.Member}}
+		}
+	}
+	return nil
+}
--- a/mesh/member_reconciler_test.go
+++ b/coord/recovery/plan_test.go
@@ -1,4 +1,4 @@
-package mesh
+package recovery
 
 import (
 	"slices"
@@ -22,17 +22,17 @@
 	return out
 }
 
-// diskEntries returns known entries with a disk.
-func diskEntries(names ...string) map[string]diskEntry {
-	out := map[string]diskEntry{}
+// knownDisks returns the disks of known entries.
+func knownDisks(names ...string) map[string]Disk {
+	out := map[string]Disk{}
 	for _, n := range names {
-		out[n] = diskEntry{member: member(n)}
+		out[n] = Disk{Member: member(n)}
 	}
 	return out
 }
 
 // leaderStatus returns the status of leader a, to which the members in silent have not
-// replied for longer than goneTimeout. All others reply and are caught up.
+// replied for longer than GoneTimeout. All others reply and are caught up.
 func leaderStatus(voters, learners []quorum.Member, silent ...string) quorum.Status {
 	s := quorum.Status{
 		Name: "a", DiskIdentity: "disk-a", IsLeader: true, HasQuorum: true, Voters: voters, Learners: learners,
@@ -41,7 +41,7 @@
 	for _, m := range slices.Concat(voters, learners) {
 		p := quorum.MemberProgress{CaughtUp: true}
 		if slices.Contains(silent, m.Name) {
-			p.Silence = goneTimeout + time.Millisecond
+			p.Silence = GoneTimeout + time.Millisecond
 		}
 		s.Progress[m.Disk] = p
 	}
@@ -49,9 +49,9 @@
 }
 
 // hasLeft returns the entries with those named marked as having left.
-func hasLeft(view map[string]diskEntry, names ...string) map[string]diskEntry {
+func hasLeft(view map[string]Disk, names ...string) map[string]Disk {
 	for _, n := range names {
-		view[n] = diskEntry{member: member(n), left: true}
+		view[n] = Disk{Member: member(n), Left: true}
 	}
 	return view
 }
@@ -65,7 +65,7 @@
 
 func TestPlanChanges(t *testing.T) {
 	now := time.Unix(1000, 0)
-	settled := map[quorum.DiskIdentity]time.Time{"disk-d": now.Add(-2 * learnerSettleTime), "disk-e": now.Add(-2 * learnerSettleTime)}
+	settled := map[quorum.DiskIdentity]time.Time{"disk-d": now.Add(-2 * LearnerSettleTime), "disk-e": now.Add(-2 * LearnerSettleTime)}
 	fresh := map[quorum.DiskIdentity]time.Time{"disk-d": now}
 	abc, d, de := members("a", "b", "c"), members("d"), members("d", "e")
 	behind := leaderStatus(abc, d, "c")
@@ -79,36 +79,33 @@
 	tests := []struct {
 		name        string
 		status      quorum.Status
-		view        map[string]diskEntry
+		view        map[string]Disk
 		learnerSeen map[quorum.DiskIdentity]time.Time
 		want        []change
 	}{
-		{"no change", leaderStatus(abc, nil), diskEntries("b", "c"), nil, nil},
-		{"a new disk is added as a learner", leaderStatus(abc, nil), diskEntries("b", "c", "d"), nil, []change{{quorum.AddLearner, "d"}}},
-		{"a learner waits while all voters are present", leaderStatus(abc, d), diskEntries("b", "c", "d"), settled, nil},
-		{"a settled learner replaces a silent voter", leaderStatus(abc, d, "c"), diskEntries("b", "c", "d"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}},
-		{"a settled learner replaces a silent voter whose entry is unknown", leaderStatus(abc, d, "c"), diskEntries("b", "d"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}},
-		{"a settled learner replaces a voter that has left", leaderStatus(abc, d), hasLeft(diskEntries("b", "d"), "c"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}},
-		{"a voter that replies stays though its entry is unknown", leaderStatus(abc, d), diskEntries("b", "d"), settled, nil},
-		{"an unsettled learner does not replace a gone voter", leaderStatus(abc, d, "c"), diskEntries("b", "d"), fresh, nil},
-		{"a learner that is not caught up does not replace a gone voter", behind, diskEntries("b", "d"), settled, nil},
-		{"a gone voter stays without a replacement disk", leaderStatus(abc, nil, "c"), diskEntries("b", "c"), nil, nil},
-		{"a silent learner is removed", leaderStatus(abc, d, "d"), diskEntries("b", "c", "d"), settled, []change{{quorum.Remove, "d"}}},
-		{"a silent learner whose entry is unknown is removed", leaderStatus(abc, de, "c", "d"), diskEntries("b", "e"), settled, []change{{quorum.Remove, "d"}}},
-		{"a learner that has left is removed", leaderStatus(abc, d), hasLeft(diskEntries("b", "c"), "d"), settled, []change{{quorum.Remove, "d"}}},
-		{"a settled learner becomes the third voter", leaderStatus(members("a", "b"), d), diskEntries("b", "d"), settled, []change{{quorum.Promote, "d"}}},
-		{"a silent learner does not become the third voter", leaderStatus(members("a", "b"), d, "d"), diskEntries("b"), settled, []change{{quorum.Remove, "d"}}},
-		{"a voter whose entry is back with a new disk is left to the repair", repaired, diskEntries("b", "c", "d"), settled, nil},
+		{"no change", leaderStatus(abc, nil), knownDisks("b", "c"), nil, nil},
+		{"a new disk is added as a learner", leaderStatus(abc, nil), knownDisks("b", "c", "d"), nil, []change{{quorum.AddLearner, "d"}}},
+		{"a learner waits while all voters are present", leaderStatus(abc, d), knownDisks("b", "c", "d"), settled, nil},
+		{"a settled learner replaces a silent voter", leaderStatus(abc, d, "c"), knownDisks("b", "c", "d"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}},
+		{"a settled learner replaces a silent voter whose entry is unknown", leaderStatus(abc, d, "c"), knownDisks("b", "d"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}},
+		{"a settled learner replaces a voter that has left", leaderStatus(abc, d), hasLeft(knownDisks("b", "d"), "c"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}},
+		{"a voter that replies stays though its entry is unknown", leaderStatus(abc, d), knownDisks("b", "d"), settled, nil},
+		{"an unsettled learner does not replace a gone voter", leaderStatus(abc, d, "c"), knownDisks("b", "d"), fresh, nil},
+		{"a learner that is not caught up does not replace a gone voter", behind, knownDisks("b", "d"), settled, nil},
+		{"a gone voter stays without a replacement disk", leaderStatus(abc, nil, "c"), knownDisks("b", "c"), nil, nil},
+		{"a silent learner is removed", leaderStatus(abc, d, "d"), knownDisks("b", "c", "d"), settled, []change{{quorum.Remove, "d"}}},
+		{"a silent learner whose entry is unknown is removed", leaderStatus(abc, de, "c", "d"), knownDisks("b", "e"), settled, []change{{quorum.Remove, "d"}}},
+		{"a learner that has left is removed", leaderStatus(abc, d), hasLeft(knownDisks("b", "c"), "d"), settled, []change{{quorum.Remove, "d"}}},
+		{"a settled learner becomes the third voter", leaderStatus(members("a", "b"), d), knownDisks("b", "d"), settled, []change{{quorum.Promote, "d"}}},
+		{"a silent learner does not become the third voter", leaderStatus(members("a", "b"), d, "d"), knownDisks("b"), settled, []change{{quorum.Remove, "d"}}},
+		{"a voter whose entry is back with a new disk is left to the repair", repaired, knownDisks("b", "c", "d"), settled, nil},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			g := NewWithT(t)
-			learnerSeen := test.learnerSeen
-			if learnerSeen == nil {
-				learnerSeen = map[quorum.DiskIdentity]time.Time{}
-			}
+			p := Planner{learnerSeen: test.learnerSeen}
 			var got []change
-			for _, c := range planChanges(now, test.status, test.view, learnerSeen) {
+			for _, c := range p.Plan(now, test.status, test.view) {
 				got = append(got, change{c.Kind, c.Member.Name})
 			}
 			g.Expect(got).To(Equal(test.want))
@@ -118,8 +115,9 @@
 
 func TestReplacedDiskOfMemberIsLeftToQuorumRepair(t *testing.T) {
 	g := NewWithT(t)
-	view := diskEntries("b", "c")
-	view["c"] = diskEntry{member: quorum.Member{Name: "c", Address: "c:1", Disk: "another"}}
+	view := knownDisks("b", "c")
+	view["c"] = Disk{Member: quorum.Member{Name: "c", Address: "c:1", Disk: "another"}}
 	s := leaderStatus(members("a", "b", "c"), nil)
-	g.Expect(planChanges(time.Unix(1, 0), s, view, map[quorum.DiskIdentity]time.Time{})).To(BeEmpty())
+	var p Planner
+	g.Expect(p.Plan(time.Unix(1, 0), s, view)).To(BeEmpty())
 }
--- a/mesh/member_observer.go
+++ b/mesh/member_observer.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/jacinthplank/jacinthplank/coord/quorum"
+	"github.com/jacinthplank/jacinthplank/coord/recovery"
 )
 
 // Members of the quorum as the leader sees them; 0 on the other entries.
@@ -22,11 +23,11 @@
 }
 
 // observe updates the gauges and logs each member that has become silent or replies again.
-func (o *memberObserver) observe(s quorum.Status, view map[string]diskEntry) {
+func (o *memberObserver) observe(s quorum.Status, view map[string]recovery.Disk) {
 	silent := map[quorum.DiskIdentity]bool{}
 	for _, m := range (quorum.Configuration{Voters: s.Voters, Learners: s.Learners}).Members() {
 		silence := s.Progress[m.Disk].Silence
-		if silence > goneTimeout {
+		if silence > recovery.GoneTimeout {
 			silent[m.Disk] = true
 		}
 		if silent[m.Disk] == o.silent[m.Disk] {
--- a/mesh/quorum_disk.go
+++ b/mesh/quorum_disk.go
@@ -10,20 +10,15 @@
 	"github.com/gravitational/trace"
 
 	"github.com/jacinthplank/jacinthplank/coord/quorum"
-	"github.com/jacinthplank/jacinthplank/coord/wal"
+	"github.com/jacinthplank/jacinthplank/coord/recovery"
 )
 
 // identityFile is written by package quorum; it exists once a disk was used.
 const identityFile = "identity"
 
-const (
-	// refusalsBeforeDiscard is how many starts in a row must refuse a disk before it is
-	// emptied, so that one faulty read costs no disk.
-	refusalsBeforeDiscard = 2
-	// expendableTimeout bounds the question whether a disk may be emptied, during which no
-	// start is tried.
-	expendableTimeout = 2 * memberCallTimeout
-)
+// expendableTimeout bounds the question whether a disk may be emptied, during which no start
+// is tried.
+const expendableTimeout = 2 * memberCallTimeout
 
 // DiskState is the state of an entry's disk as a disk of the quorum.
 type DiskState string
@@ -110,18 +105,14 @@
 		LogBytes:       c.logBytes,
 		OnRecovered:    c.mesh.noteRecovered,
 	})
-	var corrupt *wal.CorruptError
-	switch {
-	case errors.As(err, &corrupt):
-		c.refusals++
+	switch isRefused := c.refusals.Observe(err); {
+	case isRefused:
 		c.setDiskHealth(DiskHealth{State: DiskRefused, Err: err, Kept: c.mesh.Disk().Kept})
 		return false
 	case err != nil:
-		c.refusals = 0
 		c.setDiskHealth(DiskHealth{State: DiskFailing, Err: err})
 		return false
 	}
-	c.refusals = 0
 	c.mu.Lock()
 	c.node, c.contacts = node, contacts
 	c.mu.Unlock()
@@ -134,7 +125,7 @@
 // a majority holds all committed entries without it, and reports whether it did. The member
 // then starts on a new disk and is replaced like one that lost its disk.
 func (c *quorumManager) emptyRefusedDisk(ctx context.Context) bool {
-	if c.refusals < refusalsBeforeDiscard {
+	if !c.refusals.MayDiscard() {
 		return false
 	}
 	health := c.mesh.Disk()
@@ -145,7 +136,7 @@
 		c.setDiskHealth(health)
 		return false
 	}
-	c.refusals = 0
+	c.refusals = recovery.Refusals{}
 	disksDiscarded.Inc()
 	c.log.Warn("damaged disk emptied", "step", "mesh.core", "error", errorText(health.Err))
 	return true
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthplank/jacinthplank/coord/membership"
 	"github.com/jacinthplank/jacinthplank/coord/quorum"
+	"github.com/jacinthplank/jacinthplank/coord/recovery"
 	"github.com/jacinthplank/jacinthplank/coord/wal"
 	pb "github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1"
 	"github.com/jacinthplank/jacinthplank/gen/jacinthplank/v1/jacinthplankv1connect"
@@ -53,7 +54,7 @@
 	lastLeader string
 	disk       DiskHealth
 	discarded  bool // this process has emptied the disk, which therefore can't found a quorum
-	refusals   int  // starts in a row that refused the disk
+	refusals   recovery.Refusals
 }
 
 func newQuorumManager(m *Mesh) *quorumManager {
