--- a/coord/recovery/plan.go
+++ b/coord/recovery/plan.go
@@ -37,8 +37,8 @@
 func (p *Planner) Reset() { clear(p.learnerSeen) }
 
 // Plan returns the next change, or changes that have to be made together. It is called on the
-// leader. Whether a member is gone follows from its replies to this leader; disks tells, by the name of their entries, which
-// other disks there are.
+// leader. Whether a member is gone follows from its replies to this leader; disks, by the names
+// of their entries, are those that may be added.
 func (p *Planner) Plan(now time.Time, s quorum.Status, disks map[string]Disk) []quorum.Change {
 	if p.learnerSeen == nil {
 		p.learnerSeen = map[quorum.DiskIdentity]time.Time{}
--- a/mesh/quorum_disk.go
+++ b/mesh/quorum_disk.go
@@ -70,18 +70,22 @@
 	if before.isSameAs(h) {
 		return
 	}
+	setDiskGauges(h.State)
+	log := c.log.Info
+	if h.Err != nil {
+		log = c.log.Error
+	}
+	log("quorum disk", "step", "mesh.core", "state", h.State, "before", before.State, "error", errorText(h.Err), "kept", errorText(h.Kept))
+}
+
+func setDiskGauges(current DiskState) {
 	for state, gauge := range diskGauges {
 		value := 0.0
-		if state == h.State {
+		if state == current {
 			value = 1
 		}
 		gauge.Set(value)
 	}
-	log := c.log.Info
-	if h.Err != nil {
-		log = c.log.Error
-	}
-	log("quorum disk", "step", "mesh.core", "state", h.State, "before", before.State, "error", errorText(h.Err), "kept", errorText(h.Kept))
 }
 
 // hasUsedDisk reports whether a quorum member ran on this entry's disk before. It may be a
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -58,6 +58,7 @@
 }
 
 func newQuorumManager(m *Mesh) *quorumManager {
+	setDiskGauges(DiskNone)
 	return &quorumManager{
 		mesh: m, log: m.log, state: newQuorumState(), openFolder: wal.OpenFolder, logBytes: logBytes,
 		disk: DiskHealth{State: DiskNone},
