recovery: the model loses entries at the first start and keeps them down for longer

Change: an entry that returns may be away for 4 s between two kills; half of the runs lose an entry other than the founder in the first seconds.

--- a/coord/recovery/model_faults_test.go
+++ b/coord/recovery/model_faults_test.go
@@ -27,6 +27,9 @@
 	// completeAgain is how long after a loss all entries have to be voters with the disks that
 	// they have then: another one may be lost after that.
 	completeAgain = 4 * time.Second
+	// formed is how long a quorum takes to form when all entries run: the founder's wait for
+	// promises, and then as after a loss.
+	formed = 2*time.Second + 2*completeAgain
 	// refusalTime is what a damaged disk takes longer: two refused starts.
 	refusalTime = 2 * restartBackoff
 )
@@ -143,11 +146,36 @@
 			e.kill(how == "without power")
 		}
 		m.logf("%s %s again;", e.name, how)
-		time.Sleep(m.duration(2 * time.Second))
+		time.Sleep(m.duration(4 * time.Second)) // long enough for a learner to be removed
 	}
 	m.restart(place)
 }
 
+// loseAtFirstStart loses an entry while the quorum forms, other than its founder: that one's
+// loss is not overcome.
+func (m *model) loseAtFirstStart() {
+	time.Sleep(m.duration(4 * time.Second))
+	place := 1 + m.intN(len(m.places)-1)
+	e := m.places[place]
+	how := []string{"kill", "power loss", "wipe", "replacement"}[m.intN(4)]
+	m.logf("%s of %s at the first start;", how, e.name)
+	e.kill(how == "power loss")
+	switch how {
+	case "wipe":
+		e.folder = wal.NewMemoryFolder()
+	case "replacement":
+		successor := m.newEntry()
+		m.mu.Lock()
+		m.places[place] = successor
+		m.mu.Unlock()
+		time.Sleep(m.duration(3 * time.Second))
+		successor.start()
+		return
+	}
+	time.Sleep(m.duration(3 * time.Second))
+	m.bringBack(place, how == "wipe")
+}
+
 func (m *model) restart(place int) *entry {
 	e := m.places[place].again()
 	m.mu.Lock()
@@ -292,7 +320,10 @@
 						}
 						time.Sleep(5 * time.Second) // for messages and changes on their way
 					}()
-					m.awaitComplete(10 * time.Second)
+					if m.intN(2) == 0 {
+						m.loseAtFirstStart()
+					}
+					m.awaitComplete(formed)
 					for range *modelFaults {
 						allowed := m.disturb()
 						longest = max(longest, m.awaitComplete(allowed))
--- a/coord/recovery/model_test.go
+++ b/coord/recovery/model_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -253,7 +252,7 @@
 	}
 	node, err := quorum.Start(quorum.Options{
 		Name: e.name, Address: e.address, Members: e.contacts, Disk: e.folder, StateMachine: e.machine,
-		Transport: e, Repair: true, LogBytes: 1 << 10, Seed: uint64(e.model.intN(1 << 30)),
+		Transport: e, Repair: true, FoundByMajority: true, LogBytes: 1 << 10, Seed: uint64(e.model.intN(1 << 30)),
 	})
 	e.refusals.Observe(err)
 	if err != nil {
@@ -371,92 +370,3 @@
 		}
 	}()
 }
-
-// noteLeader checks that a term has one leader.
-func (m *model) noteLeader(s quorum.Status) {
-	m.mu.Lock()
-	before, known := m.leaders[s.Term]
-	m.leaders[s.Term] = s.DiskIdentity
-	m.mu.Unlock()
-	if known && before != s.DiskIdentity {
-		m.t.Errorf("term %d has two leaders, %s and %s", s.Term, before, s.DiskIdentity)
-	}
-}
-
-// leader returns the running leader with a quorum, nil if there is none.
-func (m *model) leader() (*entry, quorum.Status) {
-	for _, e := range m.running() {
-		if node := e.currentNode(); node != nil {
-			if s := node.Status(); s.IsLeader && s.HasQuorum {
-				return e, s
-			}
-		}
-	}
-	return nil, quorum.Status{}
-}
-
-func (m *model) running() []*entry {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []*entry
-	for _, e := range m.places {
-		if m.entries[e.address] == e {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
-// propose sends one number after the other until ctx ends, each until it is acknowledged, and
-// reads what was acknowledged.
-func (m *model) propose(ctx context.Context) {
-	for number := uint64(1); ctx.Err() == nil; number++ {
-		for ctx.Err() == nil {
-			if m.put(ctx, number) == nil {
-				m.mu.Lock()
-				m.acked = number
-				m.mu.Unlock()
-				break
-			}
-			time.Sleep(20 * time.Millisecond)
-		}
-		m.checkRead(ctx)
-		time.Sleep(m.duration(100 * time.Millisecond))
-	}
-}
-
-func (m *model) put(ctx context.Context, number uint64) error {
-	e, _ := m.leader()
-	if e == nil {
-		return errors.New("no leader")
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	_, err := e.currentNode().Propose(ctx, binary.BigEndian.AppendUint64(nil, number))
-	return err
-}
-
-// checkRead reads at a random entry and expects nothing older than what was acknowledged.
-func (m *model) checkRead(ctx context.Context) {
-	running := m.running()
-	if len(running) == 0 {
-		return
-	}
-	e := running[m.intN(len(running))]
-	node := e.currentNode()
-	if node == nil {
-		return
-	}
-	before := m.ackedNumber()
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	if node.ReadIndex(ctx) == nil && e.machine.value() < before {
-		m.t.Errorf("%s read %d, %d was acknowledged before", e.name, e.machine.value(), before)
-	}
-}
-
-func (m *model) ackedNumber() uint64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.acked
-}
