--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -26,7 +26,6 @@
 	ip    string
 	disk  bool
 	seeds []string // control addresses; the fleet's if nil
-	extra string   // more lines of the settings
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -40,6 +39,7 @@
 	ports    ports
 	seeds    []string
 	machines []*machine
+	tolerate int // machines with a disk that may be lost at once; 1 if it is 0
 	rec      *record
 }
 
@@ -124,7 +124,6 @@
 heartbeat_ms = 1200
 contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","spans"]
 config_mode = "highest"
-%s
 [zones]
 dar-a = "dar"
 dar-b = "dar"
@@ -141,7 +140,7 @@
 link_mbps = 1000.0
 disk_mb = 64
 [tolerate]
-machines = 1
+machines = %d
 zones = 0
 regions = 0
 [bounds]
@@ -168,8 +167,8 @@
 hold_max_ms = 20000
 free_ms = 4000
 idle_max_ms = 9000
-`, m.name, m.ip, m.zone, p.peers, p.peers+9, strings.Join(seeds, `","`), bootstrap, m.disk, dataDir, m.extra,
-		m.front(), m.ready(), m.control())
+`, m.name, m.ip, m.zone, p.peers, p.peers+9, strings.Join(seeds, `","`), bootstrap, m.disk, dataDir,
+		m.front(), m.ready(), m.control(), max(m.fleet.tolerate, 1))
 }
 
 // start starts the process with the run command of the deploy file.
@@ -193,7 +192,6 @@
 	command := exec.Command("target/jacinthplankd", "gateway")
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "JACINTHPLANK_SETTINGS=" + file}
 	command.Stdout, command.Stderr = log, log
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		cannotRun("start of %s: %v", m.name, err)
 	}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -11,8 +11,9 @@
 
 // scenarios are the cases by name. Each returns whether the rule held.
 var scenarios = map[string]func(r *record, f *fleet, trouble bool) bool{
-	"firststart": playFirstStart,
-	"lonevote":   playLoneVote,
+	"firststart":  playFirstStart,
+	"lonevote":    playLoneVote,
+	"threevoters": playThreeVoters,
 }
 
 // limit is the longest time that a case may take.
