--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -46,7 +46,11 @@
 }
 
 func sendCheck(client *http.Client, address, attempt string) (int, string) {
-	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/check/"+attempt, nil)
+	return sendPath(client, address, "/check/"+attempt, attempt)
+}
+
+func sendPath(client *http.Client, address, path, attempt string) (int, string) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		cannotRun("request: %v", err)
 	}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -11,9 +11,11 @@
 
 // scenarios are the cases by name. Each returns whether the rule held.
 var scenarios = map[string]func(r *record, f *fleet, trouble bool) bool{
-	"firststart":  playFirstStart,
-	"lonevote":    playLoneVote,
-	"threevoters": playThreeVoters,
+	"firststart":    playFirstStart,
+	"lonevote":      playLoneVote,
+	"threevoters":   playThreeVoters,
+	"deadlyslow":    playDeadlySlow,
+	"deadlyrestart": playDeadlyRestart,
 }
 
 // limit is the longest time that a case may take.
--- a/review/stand2/replica.go
+++ b/review/stand2/replica.go
@@ -23,11 +23,23 @@
 	sequence atomic.Int64
 	seals    atomic.Int64
 	client   *http.Client
+	ended    chan struct{} // closed when it has ended; nil if it never does
 
 	mu   sync.Mutex
 	runs map[string]int // by attempt
 }
 
+// end ends the replica, without a word to anyone.
+func (s *replica) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-s.ended:
+	default:
+		close(s.ended)
+	}
+}
+
 // startReplica starts a replica of the service registry at a free port of an address.
 func startReplica(rec *record, id, zone, ip string, controls []string) *replica {
 	listener, err := net.Listen("tcp", ip+":0")
@@ -52,7 +64,11 @@
 				break
 			}
 		}
-		time.Sleep(1200 * time.Millisecond)
+		select {
+		case <-s.ended:
+			return
+		case <-time.After(1200 * time.Millisecond):
+		}
 	}
 }
 
