--- a/review/stand2/deadvoters.go
+++ b/review/stand2/deadvoters.go
@@ -60,9 +60,9 @@
 		version++
 		o.targets = operators()
 		sent := time.Now()
-		target, at := o.putUntil(version, configuration(version), sent.Add(20*time.Second))
+		target, at := o.putUntil(version, configuration(version), sent.Add(14*time.Second))
 		if target == "" {
-			r.event("configuration %d was not acknowledged in 20 s, while all machines ran", version)
+			r.event("configuration %d was not acknowledged in 14 s, while all machines ran", version)
 			return o.readBackEither(configuration(version-1), configuration(version), time.Now().Add(recovery))
 		}
 		r.event("configuration %d was acknowledged after %d ms", version, at.Sub(sent).Milliseconds())
