recovery: a lost voter is replaced whatever the number of voters

Cause: while the number of voters was even, a settled learner was added beside the voter that was gone instead of in its place, and nothing removed that one without a further learner. Six voters became seven with one gone, then eight with two gone; two more tolerated losses took the majority.

Change: a settled learner takes the place of a lost voter at any number. The wanted number of voters follows from the losses that the settings tolerate (entries, failure domains, regions): with fewer a learner is promoted first, with more a lost voter without successor is removed.

The model plays fleets of three to eight disks and pairs of losses, the second also during the repair of the first, and expects no voter that is gone 4 s after the last return.

--- a/coord/recovery/plan.go
+++ b/coord/recovery/plan.go
@@ -18,7 +18,6 @@
 	// member that is gone.
 	LearnerSettleTime = time.Second
 	replyTimeout      = time.Second // silence up to which a learner is taken for running
-	minVoters         = 3           // with fewer, a settled learner is promoted at once
 )
 
 // Disk is the disk of an entry that the leader's process knows.
@@ -30,9 +29,15 @@
 
 // Planner plans the changes of a quorum's members. The zero value is ready for use.
 type Planner struct {
+	// Tolerated is how many disks may be lost at once. The quorum has twice as many voters and
+	// one at least, so that each committed entry is on more disks than that. 0 stands for 1.
+	Tolerated int
+
 	learnerSeen map[quorum.DiskIdentity]time.Time // when each learner was first seen
 }
 
+func (p *Planner) wantedVoters() int { return 2*max(p.Tolerated, 1) + 1 }
+
 // Reset forgets what was seen. It is called while this member does not lead.
 func (p *Planner) Reset() { clear(p.learnerSeen) }
 
@@ -52,16 +57,25 @@
 			return []quorum.Change{{Kind: quorum.Remove, Member: l}}
 		}
 	}
-	if learner, ok := p.settledLearner(now, s); ok {
-		promote := quorum.Change{Kind: quorum.Promote, Member: learner}
-		if len(s.Voters) < minVoters || len(s.Voters)%2 == 0 {
-			return []quorum.Change{promote}
-		}
-		if gone, ok := goneVoter(s, disks); ok {
-			return []quorum.Change{{Kind: quorum.Remove, Member: gone}, promote}
-		}
+	learner, settled := p.settledLearner(now, s)
+	gone, lost := goneVoter(s, disks)
+	promote := quorum.Change{Kind: quorum.Promote, Member: learner}
+	remove := quorum.Change{Kind: quorum.Remove, Member: gone}
+	switch {
+	case settled && len(s.Voters) < p.wantedVoters():
+		// Promoted before a lost voter is removed: with still fewer voters, the disks that may be
+		// lost could be all that hold an entry.
+		return []quorum.Change{promote}
+	case settled && lost:
+		return []quorum.Change{remove, promote}
 	}
-	return newLearner(s, members, disks)
+	if add := newLearner(s, members, disks); add != nil {
+		return add
+	}
+	if lost && len(s.Learners) == 0 && len(s.Voters) > p.wantedVoters() {
+		return []quorum.Change{remove}
+	}
+	return nil
 }
 
 // isGone reports whether a member has left, or has not replied to this leader for
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,7 @@
 	Regions         map[string]string // region by failure domain; nil if unknown
 	DataFolder      string            // empty for no persistent storage
 	FirstStart      bool              // the fleet is bootstrapped for the first time
+	Tolerated       mesh.Tolerance    // losses at once
 	Seeds           []string
 	Listen          Listen
 	MemoryBytes     int64         // 0 if unknown
@@ -137,6 +138,7 @@
 	g.mesh = mesh.New(mesh.Options{
 		Name: s.Name, Address: s.Listen.Peers, FailureDomain: s.FailureDomain, Seeds: s.Seeds,
 		DataFolder: s.DataFolder, FirstStart: s.FirstStart, Log: g.log, Events: g.events,
+		Tolerated: s.Tolerated, Regions: s.Regions,
 		IsReady: g.isReady, OnDocument: g.apply, OnEndpointsChanged: g.refreshEndpoints, OnEndpointRunEnded: g.endpointRunEnded, OnEntryDown: g.placer.dropEntry,
 		OnEvacuationsChanged: g.evacuationsChanged,
 	})
--- a/mesh/member_reconciler.go
+++ b/mesh/member_reconciler.go
@@ -80,8 +80,10 @@
 
 // plan returns the next change, or changes that must be made together.
 func (k *memberReconciler) plan(now time.Time, s quorum.Status) []quorum.Change {
+	m := k.manager.mesh
 	view := k.diskEntries(now)
 	k.observer.observe(s, view)
+	k.planner.Tolerated = m.options.Tolerated.disks(m.gossip.Members(), m.options.Regions)
 	return k.planner.Plan(now, s, view)
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -30,6 +30,8 @@
 	Seeds         []string // addresses of some entries
 	DataFolder    string   // empty if the entry has no disk
 	FirstStart    bool     // set while the whole fleet starts for the first time
+	Tolerated     Tolerance
+	Regions       map[string]string // region by failure domain; nil if unknown
 	Log           *slog.Logger
 	Events        *timeline.Log // event log that operators query
 	// IsReady reports whether this entry accepts requests; nil if it always does. It
