--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,7 +29,7 @@
 // gracePeriod is the time from SIGTERM until the platform kills an entry.
 const gracePeriod = 8 * time.Second
 
-// diskCount is the number of entries with a disk.
+// diskCount is the number of entries with a disk, unless a test names another one.
 const diskCount = 3
 
 // process is one entry process.
@@ -52,28 +53,27 @@
 type fleet struct {
 	t         *testing.T
 	binary    string
+	folder    string
+	disks     int // entries with a disk, which come first
+	tolerated int // entries with a disk that may be lost at once
 	processes []*process
 	log       *os.File
+
+	mu sync.Mutex // held, beside that of the soak, while an entry is replaced in processes
 }
 
 // newFleet starts the entries. Fleets of different seeds or test processes have
 // different addresses.
-func newFleet(t *testing.T, binary string, seed uint64, entries int) *fleet {
+func newFleet(t *testing.T, binary string, seed uint64, entries, disks, tolerated int) *fleet {
 	t.Helper()
 	folder := t.TempDir()
 	log, err := os.Create(filepath.Join(folder, "log"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{t: t, binary: binary, log: log}
+	f := &fleet{t: t, binary: binary, folder: folder, disks: disks, tolerated: tolerated, log: log}
 	for i := range entries {
-		ip := net.IPv4(127, byte(1+os.Getpid()%254), byte(seed%200)+byte(i/250), byte(1+i%250))
-		p := &process{name: fmt.Sprintf("entry-%d", i), ip: ip.String()}
-		if i < diskCount {
-			p.dataDir = filepath.Join(folder, p.name)
-		}
-		p.settings = filepath.Join(folder, p.name+".toml")
-		f.processes = append(f.processes, p)
+		f.processes = append(f.processes, f.newProcess(seed, i, i < disks))
 	}
 	for _, p := range f.processes {
 		f.start(p, true)
@@ -82,10 +82,21 @@
 	return f
 }
 
+// newProcess returns the entry of a number, which sets its name and address.
+func (f *fleet) newProcess(seed uint64, number int, hasDisk bool) *process {
+	ip := net.IPv4(127, byte(1+os.Getpid()%254), byte(seed%200)+byte(number/250), byte(1+number%250))
+	p := &process{name: fmt.Sprintf("entry-%d", number), ip: ip.String()}
+	if hasDisk {
+		p.dataDir = filepath.Join(f.folder, p.name)
+	}
+	p.settings = filepath.Join(f.folder, p.name+".toml")
+	return p
+}
+
 func (f *fleet) writeSettings(p *process, first bool) {
 	f.t.Helper()
 	var seeds []string
-	for _, o := range f.processes[:diskCount] {
+	for _, o := range f.all()[:min(f.disks, 3)] {
 		seeds = append(seeds, fmt.Sprintf("%q", o.address(controlPort)))
 	}
 	data := ""
@@ -102,6 +113,8 @@
 front = "%s:%d"
 ready = "%s:%d"
 control = "%s:%d"
+[tolerate]
+machines = %d
 [limits]
 memory_mb = %d
 [bounds]
@@ -110,7 +123,7 @@
 budget_window_s = 10
 retry_slack = 100
 `, p.name, p.ip, peerPort, peerPort+9, strings.Join(seeds, ","), first, data,
-		p.ip, callerPort, p.ip, readyPort, p.ip, controlPort, *entryMemory, gracePeriod/time.Second)
+		p.ip, callerPort, p.ip, readyPort, p.ip, controlPort, f.tolerated, *entryMemory, gracePeriod/time.Second)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -223,9 +236,16 @@
 	})
 }
 
+// all returns the entries that are part of the fleet.
+func (f *fleet) all() []*process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.processes)
+}
+
 func (f *fleet) killAll() {
 	var wait sync.WaitGroup
-	for _, p := range f.processes {
+	for _, p := range f.all() {
 		p.setFaulted(true)
 		wait.Go(p.kill)
 	}
@@ -241,7 +261,7 @@
 
 // residentMB returns the memory of all entries without that of their program file.
 func (f *fleet) residentMB() (total int) {
-	for _, p := range f.processes {
+	for _, p := range f.all() {
 		p.mu.Lock()
 		c := p.command
 		p.mu.Unlock()
