blame: retries that follow one another are evidence each

Cause: ends within 100 ms counted as one occasion, as endpoints of a lost failure domain end together. The attempts of an entry and the repeat of its client follow within milliseconds.

Change: an end carries when its request was sent. A retry that was sent after the end counted before it counts again, unless endpoints ended around then without that request. Of requests with equally many ends none is blamed. Reports refresh the ages of what they carry when they are sent, so that the order of several entries' reports holds.

--- a/blame/bench_test.go
+++ b/blame/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/jacinthplank/jacinthplank/announce"
 )
@@ -17,6 +18,6 @@
 			keys = append(keys, Key(fmt.Sprint("part shared ", (n+i*7)%160)), Key(fmt.Sprint("part ", n, "-", i)))
 		}
 		now := at(float64(n) / 5)
-		s.RecordEnd(announce.Run{ID: fmt.Sprint(n)}, keys, now, now)
+		s.RecordEnd(announce.Run{ID: fmt.Sprint(n)}, keys, now.Add(-time.Second), now, now)
 	}
 }
--- a/blame/blame.go
+++ b/blame/blame.go
@@ -74,14 +74,15 @@
 )
 
 // occasionGap separates two occasions. Endpoints that end closer together may have
-// ended for a common reason of their own, such as the loss of a failure domain.
+// ended for a common reason of their own, such as the loss of a failure domain. Retries that
+// follow one another within the gap are told from that by their order, see countRetries.
 const occasionGap = 100 * time.Millisecond
 
 // end is the end of a run of an endpoint, with the keys of what it was answering.
 type end struct {
 	run      announce.Run
 	at       time.Time
-	suspects map[Key]bool
+	suspects map[Key]time.Time // when the first request with the key was sent to it; zero if unknown
 }
 
 // record is what is known of a key.
@@ -100,6 +101,8 @@
 	Ends    int       // occasions on which endpoints ended
 	LastEnd time.Time // latest of them
 	Until   time.Time // no request with the key is sent before; zero if the key is only watched
+
+	byRetries bool // found here by retries; an end that is reported later may show another cause
 }
 
 // blames reports whether requests with the key are not sent.
@@ -152,14 +155,16 @@
 	return Verdict{}, false
 }
 
-// RecordEnd records that a run of an endpoint ended while it was answering requests with
-// the keys, and returns what to tell the entry that judges. The same end may be recorded
-// several times, with different keys.
-func (s *Store) RecordEnd(run announce.Run, keys []Key, at, now time.Time) Report {
+// RecordEnd records that a run of an endpoint ended at a time while it was answering a request
+// with the keys that was sent to it at sentAt, and returns what to tell the entry that judges.
+// The same end may be recorded several times, with different keys.
+func (s *Store) RecordEnd(run announce.Run, keys []Key, sentAt, at, now time.Time) Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addEnd(run, keys, at, now)
-	report := Report{Ends: []EndReport{{Endpoint: run.ID, StartedAtMs: run.StartedAtMs, Age: now.Sub(at), Suspects: keys}}}
+	s.addEnd(run, keys, sentAt, at, now)
+	report := Report{agedAt: now, Ends: []EndReport{{
+		Endpoint: run.ID, StartedAtMs: run.StartedAtMs, Age: now.Sub(at), Lasted: at.Sub(sentAt), Suspects: keys,
+	}}}
 	for _, k := range keys {
 		if r := s.records[k]; r != nil && r.isProven() {
 			report.Survivals = append(report.Survivals, SurvivalReport{Key: k, Age: now.Sub(r.survivedAt)})
@@ -216,7 +221,7 @@
 }
 
 // addEnd adds an end, or the keys to one that is known. The caller holds the lock.
-func (s *Store) addEnd(run announce.Run, keys []Key, at, now time.Time) {
+func (s *Store) addEnd(run announce.Run, keys []Key, sentAt, at, now time.Time) {
 	if at.After(now) {
 		at = now
 	}
@@ -225,16 +230,20 @@
 	}
 	i := slices.IndexFunc(s.ends, func(e *end) bool { return e.run == run })
 	if i < 0 {
-		e := &end{run: run, at: at, suspects: map[Key]bool{}}
+		e := &end{run: run, at: at, suspects: map[Key]time.Time{}}
 		i, _ = slices.BinarySearchFunc(s.ends, e, byTime)
 		s.ends = slices.Insert(s.ends, i, e)
 	}
 	e := s.ends[i]
 	for _, k := range keys {
-		if e.suspects[k] || len(e.suspects) >= maxSuspects {
+		first, isKnown := e.suspects[k]
+		if isKnown && sentAt.Before(first) {
+			e.suspects[k] = sentAt
+		}
+		if isKnown || len(e.suspects) >= maxSuspects {
 			continue
 		}
-		e.suspects[k] = true
+		e.suspects[k] = sentAt
 		r := s.records[k]
 		if r == nil {
 			r = &record{survivedAt: s.answered.at(k)}
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -1,6 +1,7 @@
 package blame
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"testing"
@@ -22,9 +23,17 @@
 	at       float64 // seconds
 	endpoint string  // that ended; empty for an answer
 	keys     []Key
+	lasted   float64 // seconds from the sending of the request to the end; 1 if 0
 }
 
-func ends(at float64, endpoint string, keys ...Key) step { return step{at, endpoint, keys} }
+func ends(at float64, endpoint string, keys ...Key) step {
+	return step{at: at, endpoint: endpoint, keys: keys}
+}
+
+// endsUnder is the end of an endpoint under a request that was sent to it lasted seconds before.
+func endsUnder(at, lasted float64, endpoint string, keys ...Key) step {
+	return step{at: at, endpoint: endpoint, keys: keys, lasted: lasted}
+}
 
 func answers(at float64, keys ...Key) step { return step{at: at, keys: keys} }
 
@@ -35,10 +44,14 @@
 			s.RecordSurvival(x.keys, now)
 			continue
 		}
-		s.RecordEnd(announce.Run{ID: x.endpoint}, x.keys, now, now)
+		s.recordStep(x)
 	}
 }
 
+func (s *Store) recordStep(x step) Report {
+	return s.RecordEnd(announce.Run{ID: x.endpoint}, x.keys, at(x.at-cmp.Or(x.lasted, 1)), at(x.at), at(x.at))
+}
+
 func (s *Store) blamedAt(seconds float64) []Key {
 	out := []Key{}
 	for _, v := range s.sortedVerdicts(at(seconds)) {
@@ -194,7 +207,7 @@
 		for i := range 20 {
 			keys = append(keys, Key(fmt.Sprint("part ", n, "-", i)))
 		}
-		s.RecordEnd(announce.Run{ID: fmt.Sprint(n)}, keys, at(float64(n)), at(float64(n)))
+		s.RecordEnd(announce.Run{ID: fmt.Sprint(n)}, keys, at(float64(n)-1), at(float64(n)), at(float64(n)))
 	}
 	g.Expect(s.ends).To(HaveLen(maxEnds))
 	g.Expect(len(s.records)).To(BeNumerically("<=", maxEnds*maxSuspects))
--- a/blame/exchange.go
+++ b/blame/exchange.go
@@ -14,9 +14,18 @@
 	Endpoint    string        `json:"endpoint"`
 	StartedAtMs int64         `json:"born"` // as in announce.Run
 	Age         time.Duration `json:"age"`
+	Lasted      time.Duration `json:"lasted,omitempty"` // of the request; 0 if unknown
 	Suspects    []Key         `json:"suspects"`
 }
 
+// sentAt returns when the request was sent to the endpoint that ended at a time.
+func (r *EndReport) sentAt(at time.Time) time.Time {
+	if r.Lasted <= 0 {
+		return time.Time{}
+	}
+	return at.Add(-r.Lasted)
+}
+
 // SurvivalReport is the latest answer to a request with a key.
 type SurvivalReport struct {
 	Key Key           `json:"key"`
@@ -36,6 +45,39 @@
 	Ends      []EndReport      `json:"ends,omitempty"`
 	Survivals []SurvivalReport `json:"survivals,omitempty"`
 	Verdicts  []VerdictReport  `json:"verdicts,omitempty"` // that it was told by the one that judged before
+
+	agedAt time.Time // to which the ages are
+}
+
+// NewSurvivalReport returns a report of an answer to a request with the keys.
+func NewSurvivalReport(keys []Key, now time.Time) Report {
+	out := Report{agedAt: now}
+	for _, k := range keys {
+		out.Survivals = append(out.Survivals, SurvivalReport{Key: k})
+	}
+	return out
+}
+
+// Append adds another report, which was made at the same time or later.
+func (r *Report) Append(o Report) {
+	r.Refresh(o.agedAt)
+	r.Ends = append(r.Ends, o.Ends...)
+	r.Survivals = append(r.Survivals, o.Survivals...)
+}
+
+// Refresh brings the ages up to date, so that the time for which a report waited to be sent
+// doesn't change the order of what several entries report.
+func (r *Report) Refresh(now time.Time) {
+	waited := now.Sub(r.agedAt)
+	if !r.agedAt.IsZero() && waited > 0 {
+		for i := range r.Ends {
+			r.Ends[i].Age += waited
+		}
+		for i := range r.Survivals {
+			r.Survivals[i].Age += waited
+		}
+	}
+	r.agedAt = now
 }
 
 // IsEmpty reports whether there is nothing to tell.
@@ -52,13 +94,9 @@
 func (s *Store) Report(now time.Time) Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out Report
+	out := Report{agedAt: now}
 	for _, e := range s.ends {
-		report := EndReport{Endpoint: e.run.ID, StartedAtMs: e.run.StartedAtMs, Age: now.Sub(e.at)}
-		for k := range e.suspects {
-			report.Suspects = append(report.Suspects, k)
-		}
-		out.Ends = append(out.Ends, report)
+		out.Ends = append(out.Ends, e.reports(now)...)
 	}
 	for k, r := range s.records {
 		if !r.survivedAt.IsZero() {
@@ -73,6 +111,23 @@
 	return out
 }
 
+// reports returns the end as entries tell each other, with the keys of one time of sending each.
+func (e *end) reports(now time.Time) []EndReport {
+	keys := map[time.Time][]Key{}
+	for k, sentAt := range e.suspects {
+		keys[sentAt] = append(keys[sentAt], k)
+	}
+	var out []EndReport
+	for sentAt, suspects := range keys {
+		report := EndReport{Endpoint: e.run.ID, StartedAtMs: e.run.StartedAtMs, Age: now.Sub(e.at), Suspects: suspects}
+		if !sentAt.IsZero() {
+			report.Lasted = e.at.Sub(sentAt)
+		}
+		out = append(out, report)
+	}
+	return out
+}
+
 // Merge adds what another entry tells the one that judges.
 func (s *Store) Merge(r *Report, now time.Time) {
 	if r.IsEmpty() {
@@ -81,7 +136,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range r.Ends {
-		s.addEnd(announce.Run{ID: e.Endpoint, StartedAtMs: e.StartedAtMs}, e.Suspects, now.Add(-e.Age), now)
+		at := now.Add(-e.Age)
+		s.addEnd(announce.Run{ID: e.Endpoint, StartedAtMs: e.StartedAtMs}, e.Suspects, e.sentAt(at), at, now)
 	}
 	for _, report := range r.Verdicts {
 		v := report.verdict(now)
--- a/blame/judge.go
+++ b/blame/judge.go
@@ -17,6 +17,9 @@
 //
 // While many endpoints end, sound requests are cut on several of them by chance. The
 // occasions of a key must be more than that, see isBeyondChance.
+//
+// A request may be blamed for what its retries end on one occasion, see countRetries. That says
+// nothing of the parts that it shares with others: those are still suspected of these ends.
 func (s *Store) judge(now time.Time) {
 	if !s.toldAt.IsZero() && now.Sub(s.toldAt) < toldLifetime {
 		return
@@ -35,11 +38,9 @@
 			s.explain(key, explained)
 		}
 	}
+	s.blameRetried(explained, blamed, now)
 	for k, v := range s.verdicts {
-		if blamed[k] {
-			continue
-		}
-		if r := s.records[k]; v.Until.IsZero() || (r != nil && r.hasEvidence()) {
+		if !blamed[k] && (v.Until.IsZero() || v.byRetries || s.hasEvidence(k)) {
 			s.drop(v, now) // its ends have another cause
 		}
 	}
@@ -52,7 +53,7 @@
 func (s *Store) explainedElsewhere(now time.Time) map[*end]bool {
 	explained := map[*end]bool{}
 	for k, v := range s.verdicts {
-		if r := s.records[k]; v.blames(now) && r != nil && !r.hasEvidence() {
+		if s.records[k] != nil && v.blames(now) && !v.byRetries && !s.hasEvidence(k) {
 			s.explain(k, explained)
 		}
 	}
@@ -165,7 +166,10 @@
 }
 
 // hasEvidence reports whether enough ends are known to blame a key, explained or not.
-func (r *record) hasEvidence() bool { return r.count(nil).occasions >= judgeAfter }
+func (s *Store) hasEvidence(k Key) bool {
+	r := s.records[k]
+	return r != nil && (r.count(nil).occasions >= judgeAfter || s.countRetries(k, nil).occasions >= judgeAfter)
+}
 
 // watch adds the keys that may be blamed next, so that other entries tell when a request
 // with one of them is answered.
--- a/entry/ended.go
+++ b/entry/ended.go
@@ -48,7 +48,7 @@
 func (f *inflightRequest) recordEnd(a *attempt, err *outcome.Error, now time.Time) {
 	switch err.Code {
 	case outcome.CodeEngineFailed, outcome.CodeTransport, outcome.CodeTruncated:
-		f.router.blame.RecordEnd(engineRun(a.member.Name, now), f.keys, now, now)
+		f.router.blame.RecordEnd(engineRun(a.member.Name, now), f.keys, a.sent, now, now)
 	}
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -34,6 +34,7 @@
 		return reserveErr
 	}
 	defer reserved.stopAndRelease()
+	sentAt := time.Now()
 	reply, err := f.g.client.Send(f.ctx, f.target(h), f.call(h))
 	if err != nil {
 		e := f.classifySendError(outcome.From(err))
@@ -42,7 +43,7 @@
 			return f.permitExpired(e)
 		}
 		end = f.recordFailure(h, e)
-		f.checkEnd(h, run, e)
+		f.checkEnd(h, run, sentAt, e)
 		return e
 	}
 	defer reply.Close()
@@ -64,7 +65,7 @@
 	f.countTraffic()
 	if e != nil {
 		end = f.recordFailure(h, e)
-		f.checkEnd(h, run, e)
+		f.checkEnd(h, run, sentAt, e)
 		return e
 	}
 	f.callTook = time.Since(started)
--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -294,6 +294,7 @@
 // sendReport sends a report and takes over the verdicts of the coordinator.
 func (p *placer) sendReport(ctx context.Context, address string, r *reportRequest) error {
 	r.Verdicts = p.blame.Digest()
+	r.Blame.Refresh(time.Now())
 	r.linkReport, r.callReport = p.takeLinkReport(), p.takeCallReport()
 	response, err := p.client.report(ctx, address, r)
 	if err == nil {
--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -72,8 +72,8 @@
 }
 
 // checkEnd finds out whether the process of an endpoint ended under this request, after
-// an attempt that broke off.
-func (f *inflightRequest) checkEnd(h announce.Record, run announce.Run, e *outcome.Error) {
+// an attempt that was sent at sentAt and broke off.
+func (f *inflightRequest) checkEnd(h announce.Record, run announce.Run, sentAt time.Time, e *outcome.Error) {
 	now := time.Now()
 	if len(f.keys) == 0 || !isConnectionBroken(e) || f.g.mesh.IsLeaving(run.ID) {
 		return
@@ -88,7 +88,7 @@
 			return // it only broke off this response
 		}
 		endpointsEndedTotal.Inc()
-		f.g.placer.reportEnd(f.g.blame.RecordEnd(run, keys, now, time.Now()))
+		f.g.placer.reportEnd(f.g.blame.RecordEnd(run, keys, sentAt, now, time.Now()))
 		if f.g.logs.AllowRequestLine(time.Now()) {
 			f.g.log.Info("endpoint ended under a request", "step", "gateway.ended", "request", request, "endpoint", run.ID,
 				"born", run.StartedAtMs, "events", events, "keys", formatKeys(keys), "error", errorText(err))
@@ -145,17 +145,13 @@
 // reportEnd tells the coordinator of an end.
 func (p *placer) reportEnd(r blame.Report) {
 	p.queue(func(pending *reportRequest) {
-		pending.Blame.Ends = append(pending.Blame.Ends, r.Ends...)
-		pending.Blame.Survivals = append(pending.Blame.Survivals, r.Survivals...)
+		pending.Blame.Append(r)
 	})
 }
 
 // reportSurvival tells the coordinator of an answer to a request with keys under which
 // endpoints had ended.
 func (p *placer) reportSurvival(keys []blame.Key) {
-	p.queue(func(pending *reportRequest) {
-		for _, k := range keys {
-			pending.Blame.Survivals = append(pending.Blame.Survivals, blame.SurvivalReport{Key: k})
-		}
-	})
+	report := blame.NewSurvivalReport(keys, time.Now())
+	p.queue(func(pending *reportRequest) { pending.Blame.Append(report) })
 }
--- a/gateway/ended_test.go
+++ b/gateway/ended_test.go
@@ -25,7 +25,7 @@
 // endUnder records the end of an endpoint under requests with badKeys.
 func (p *placer) endUnder(endpoint string) {
 	run, now := announce.Run{ID: endpoint}, time.Now()
-	p.reportEnd(p.blame.RecordEnd(run, badKeys, now, now))
+	p.reportEnd(p.blame.RecordEnd(run, badKeys, now.Add(-time.Second), now, now))
 	time.Sleep(150 * time.Millisecond) // until the next end is another occasion
 }
 
