--- a/coord/recovery/model_test.go
+++ b/coord/recovery/model_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,6 +58,7 @@
 	refusals recovery.Refusals
 	planner  recovery.Planner
 	changing chan struct{}
+	changed  atomic.Bool
 	nextPlan time.Time
 	retryAt  time.Time
 	meetsAt  time.Time // when it has found the other entries
@@ -341,7 +343,7 @@
 // reconcile makes the next change of the quorum's members, on the leader.
 func (e *entry) reconcile(ctx context.Context) {
 	node, now := e.currentNode(), time.Now()
-	if node == nil || now.Before(e.nextPlan) {
+	if node == nil || (now.Before(e.nextPlan) && !e.changed.Swap(false)) {
 		return
 	}
 	e.nextPlan = now.Add(reconcileInterval)
@@ -378,5 +380,6 @@
 				return
 			}
 		}
+		e.changed.Store(true)
 	}()
 }
--- a/mesh/member_reconciler.go
+++ b/mesh/member_reconciler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/jacinthplank/jacinthplank/coord/membership"
@@ -21,6 +22,7 @@
 type memberReconciler struct {
 	manager  *quorumManager
 	nextRun  time.Time
+	changed  atomic.Bool   // a change was made after which the next one may be due at once
 	changing chan struct{} // holds a value while a change is in progress
 	planner  recovery.Planner
 	observer memberObserver
@@ -33,7 +35,7 @@
 // reconcile starts the next change, if any is due.
 func (k *memberReconciler) reconcile(ctx context.Context, now time.Time) {
 	node := k.manager.currentNode()
-	if node == nil || now.Before(k.nextRun) {
+	if node == nil || (now.Before(k.nextRun) && !k.changed.Swap(false)) {
 		return
 	}
 	k.nextRun = now.Add(reconcileInterval)
@@ -69,6 +71,7 @@
 			return
 		}
 	}
+	k.changed.Store(true)
 }
 
 func errorText(err error) string {
