forward: responses are read strictly, and a reset is no end

Callers got part of an answer as the whole: an endpoint answered an upload early without a length and reset the connection. The kernel reports a reset once; the write of the request took it and the read saw a plain end. Also passed on: a blank in a field's name (in trailers too), continued lines, a length beside chunks, and a head of status 000, which was skipped as informational.

Package response checks the bytes of a connection as RFC 9112 defines responses, and returns an error in place of the end after a failed write.

--- a/forward/client.go
+++ b/forward/client.go
@@ -4,7 +4,7 @@
 //
 // A pooled connection is closed whenever responses could be mixed up: on
 // unsolicited bytes, on a response before the request was sent completely, and on
-// a response that is truncated or carries another request's id. A response without an id
+// a response that is malformed, truncated or carries another request's id. A response without an id
 // is used only for a failure of the first request on its connection. A request that an
 // endpoint refused is not sent again on the same connection: another copy of the refusal
 // would have the same id.
@@ -25,6 +25,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/jacinthplank/jacinthplank/outcome"
+	"github.com/jacinthplank/jacinthplank/response"
 )
 
 // Connection timeouts and limits.
@@ -189,8 +190,9 @@
 		return nil, newError(outcome.CodeTransport, outcome.NotRun, "forward.connect", t, err)
 	}
 	connectionsOpened.Inc()
-	limiter := &headLimiter{Conn: conn}
-	return &connection{Conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), pool: p, endpoint: t.ID, noID: call.NoID}, nil
+	strict := response.NewConn(conn)
+	limiter := &headLimiter{Conn: strict}
+	return &connection{Conn: strict, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), pool: p, endpoint: t.ID, noID: call.NoID}, nil
 }
 
 func newError(code outcome.Code, state outcome.State, step string, t Target, cause error) *outcome.Error {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -46,6 +46,7 @@
 // roundTrip sends the request and reads the response headers.
 func (x *exchange) roundTrip() (*Reply, error) {
 	x.started = time.Now()
+	x.conn.ExpectMethod(x.call.Method)
 	if err := x.send(); err != nil {
 		return nil, x.wrapError("forward.send", err)
 	}
@@ -237,7 +238,7 @@
 	}
 	r.closed = true
 	x := r.exchange
-	if !x.stop() || !r.complete || !r.selfDelimited || !x.isBodySent() || x.conn.idleTimeout <= 0 || x.conn.reader.Buffered() > 0 {
+	if !x.stop() || !r.complete || !r.selfDelimited || !x.isBodySent() || x.conn.idleTimeout <= 0 || x.conn.hasUnread() {
 		x.conn.abort()
 		return
 	}
--- a/forward/idle_test.go
+++ b/forward/idle_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/jacinthplank/jacinthplank/response"
+
 	"github.com/jacinthplank/jacinthplank/outcome"
 )
 
@@ -94,7 +96,7 @@
 	g.Expect(p.acquireSlot(0)).To(BeTrue())
 	conn, err := net.Dial("tcp", target.Address)
 	g.Expect(err).ToNot(HaveOccurred())
-	p.put(&connection{Conn: conn, pool: p, endpoint: target.ID})
+	p.put(&connection{Conn: response.NewConn(conn), pool: p, endpoint: target.ID})
 	g.Expect(p.openCount()).To(BeZero())
 	g.Expect(p.pop(&Call{})).To(BeNil())
 }
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -2,15 +2,16 @@
 
 import (
 	"bufio"
-	"net"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/jacinthplank/jacinthplank/response"
 )
 
 // connection is a pooled connection to an endpoint.
 type connection struct {
-	net.Conn
+	*response.Conn
 	limiter     *headLimiter
 	reader      *bufio.Reader // of limiter
 	pool        *pool
--- a/forward/pool_test.go
+++ b/forward/pool_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/response"
 )
 
 // Guards against more open connections than an endpoint allows, for which it may refuse a request: the connection that
@@ -21,7 +23,7 @@
 			g.Expect(p.acquireSlot(limit)).To(BeTrue())
 			here, peer := net.Pipe()
 			peers = append(peers, peer)
-			p.put(&connection{Conn: here, pool: p})
+			p.put(&connection{Conn: response.NewConn(here), pool: p})
 		}
 		oldest := p.idle[0]
 		g.Expect(p.acquireSlot(limit)).To(BeTrue())
--- a/forward/socket.go
+++ b/forward/socket.go
@@ -20,18 +20,20 @@
 	return errors.Join(err, optionErr)
 }
 
+// hasUnread reports whether bytes have arrived that no response took.
+func (c *connection) hasUnread() bool { return c.reader.Buffered() > 0 || c.IsMalformed() }
+
 // isReusable reports whether an idle connection is open and has no data to read.
 // Data that arrives between two requests belongs to neither.
 func (c *connection) isReusable() bool {
-	if c.reader.Buffered() > 0 {
+	if c.hasUnread() {
 		connectionsUnclean.Inc()
 		return false
 	}
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	raw, err := c.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
 		return true
 	}
-	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
