--- a/load/caller.go
+++ b/load/caller.go
@@ -15,6 +15,7 @@
 	"github.com/openai/openai-go/v3/packages/ssestream"
 
 	"github.com/jacinthplank/jacinthplank/outcome"
+	"github.com/jacinthplank/jacinthplank/response"
 )
 
 // Result is the outcome of one request.
@@ -58,7 +59,7 @@
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: 1000,
 		IdleConnTimeout:     idleTimeout,
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         response.Dial((&net.Dialer{Timeout: time.Second}).DialContext).Strict(),
 	}
 	for _, url := range urls {
 		h.clients = append(h.clients, openai.NewClient(
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
+
+	"github.com/jacinthplank/jacinthplank/response"
 )
 
 // Settings of connections between entries. A call that times out closes its
@@ -27,39 +27,9 @@
 )
 
 // messageLimit bounds what is held of a message. connect reads the rest of a longer one
-// too, which boundedTransport and NewHTTPServer end.
+// too, which response.Bounded and NewHTTPServer end.
 var messageLimit = connect.WithReadMaxBytes(maxMessageBytes)
 
-// boundedTransport ends the body of a response after maxMessageBytes.
-type boundedTransport struct{ *http.Transport }
-
-// RoundTrip implements http.RoundTripper.
-func (t boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := t.Transport.RoundTrip(r)
-	if err == nil {
-		response.Body = &boundedBody{ReadCloser: response.Body, left: maxMessageBytes}
-	}
-	return response, err
-}
-
-var errMessageTooLong = fmt.Errorf("message exceeds %d bytes", maxMessageBytes)
-
-// boundedBody is a body that fails after a number of bytes.
-type boundedBody struct {
-	io.ReadCloser
-	left int64
-}
-
-// Read implements io.Reader.
-func (b *boundedBody) Read(p []byte) (int, error) {
-	if b.left <= 0 {
-		return 0, errMessageTooLong
-	}
-	n, err := b.ReadCloser.Read(p[:min(int64(len(p)), b.left)])
-	b.left -= int64(n)
-	return n, err
-}
-
 // jsonCodec encodes messages that are plain structs as JSON.
 type jsonCodec struct{}
 
@@ -77,9 +47,9 @@
 func NewHTTPClient() *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: boundedTransport{&http.Transport{
-		DialContext:            dialer.DialContext,
+	dial := response.Dial((&net.Dialer{Timeout: dialTimeout}).DialContext)
+	return &http.Client{Transport: response.Bounded{MaxBytes: maxMessageBytes, RoundTripper: &http.Transport{
+		DialContext:            dial.Strict(),
 		Protocols:              protocols,
 		MaxIdleConnsPerHost:    maxIdleConnsPerPeer,
 		IdleConnTimeout:        clientIdleTimeout,
--- a/plainservice/plainservice.go
+++ b/plainservice/plainservice.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/jacinthplank/jacinthplank/outcome"
+	"github.com/jacinthplank/jacinthplank/response"
 	"github.com/jacinthplank/jacinthplank/submit"
 )
 
@@ -60,19 +61,19 @@
 
 // New returns a service that forwards calls to the base URL.
 func New(name, url string) *Service {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := response.Dial((&net.Dialer{Timeout: dialTimeout}).DialContext).Strict()
 	return &Service{
 		name: name,
 		url:  strings.TrimSuffix(url, "/"),
 		pooledClient: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConnsPerHost: maxIdlePerURL,
 		}},
 		// net/http retries a request when a reused connection breaks, so each
 		// call that is not idempotent gets a new connection.
 		onceClient: &http.Client{Transport: &http.Transport{
-			DialContext:       dialer.DialContext,
+			DialContext:       dial,
 			DisableKeepAlives: true,
 		}, CheckRedirect: noRedirect},
 		dispatched: map[claim]time.Time{},
@@ -96,12 +97,12 @@
 	if err != nil {
 		return submit.Reply{}, s.refuse(outcome.CodeInvalidRequest, "the HTTP request could not be created: %v", err)
 	}
-	response, err := s.clientFor(c).Do(request)
+	answer, err := s.clientFor(c).Do(request)
 	if err != nil {
 		return submit.Reply{}, s.connectionError(err)
 	}
-	defer response.Body.Close()
-	return s.readReply(response)
+	defer answer.Body.Close()
+	return s.readReply(answer)
 }
 
 // Drain makes the service reject new calls.
