gateway: callers are accepted again after a shortage of descriptors

One failed accept for want of descriptors ended the accepting of callers for good, while the entry said that it was ready. It is tried again with growing pauses now, as net/http does; a series of failures gives one line and counts in a metric.

--- a/gateway/caller_server.go
+++ b/gateway/caller_server.go
@@ -2,11 +2,16 @@
 
 import (
 	"cmp"
+	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/jacinthplank/jacinthplank/drain"
 	"github.com/jacinthplank/jacinthplank/route"
 )
@@ -18,6 +23,14 @@
 	maxHeadBytes  = 16 << 10
 )
 
+// Pauses before another connection is accepted after a failure; they double up to the longest.
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = 250 * time.Millisecond // a fraction of the second that callers allow a connection
+)
+
+var acceptFailedTotal = metrics.NewCounter("jacinthplank_gateway_accept_failed_total")
+
 // callerServer serves callers. The limits of an http.Server are fixed, so a change of
 // limits starts another server for new connections; open connections keep theirs.
 type callerServer struct {
@@ -41,14 +54,28 @@
 }
 
 // serve passes accepted connections to the server with the current limits until the
-// listener is closed.
-func (s *callerServer) serve(l net.Listener) error {
+// listener is closed. While the process lacks descriptors or memory for a connection it tries
+// again; callers wait in the kernel's queue.
+func (s *callerServer) serve(l net.Listener, log *slog.Logger) error {
 	l = s.connections.Listener(l)
+	pause := time.Duration(0)
 	for {
 		conn, err := l.Accept()
+		if isShortage(err) {
+			if acceptFailedTotal.Inc(); pause == 0 {
+				log.Error("callers can't be accepted", "step", "gateway.accept", "error", err.Error())
+			}
+			pause = min(max(2*pause, minAcceptPause), maxAcceptPause)
+			time.Sleep(pause)
+			continue
+		}
 		if err != nil {
 			return err
 		}
+		if pause > 0 {
+			log.Info("callers are accepted again", "step", "gateway.accept")
+			pause = 0
+		}
 		s.mu.Lock()
 		b := s.current
 		s.mu.Unlock()
@@ -60,6 +87,17 @@
 	}
 }
 
+// isShortage reports whether a connection wasn't accepted for want of something that the process
+// or the machine may have again, or since its caller had left.
+func isShortage(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // setLimits sets the limits for new connections. Zero values select the defaults.
 func (s *callerServer) setLimits(l route.HeaderLimits) {
 	l.Bytes = cmp.Or(l.Bytes, maxHeadBytes)
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -42,7 +43,7 @@
 	s.setLimits(route.HeaderLimits{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).ToNot(HaveOccurred())
-	go func() { _ = s.serve(listener) }()
+	go func() { _ = s.serve(listener, slog.New(slog.DiscardHandler)) }()
 	t.Cleanup(func() { _ = listener.Close() })
 	conn, reader := keptConnection(g, listener.Addr().String())
 	defer func() { _ = conn.Close() }()
@@ -76,7 +77,7 @@
 		s.setLimits(route.HeaderLimits{})
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		g.Expect(err).ToNot(HaveOccurred())
-		go func() { _ = s.serve(listener) }()
+		go func() { _ = s.serve(listener, slog.New(slog.DiscardHandler)) }()
 		var cut atomic.Int64
 		var wait sync.WaitGroup
 		begin := make(chan struct{})
@@ -125,7 +126,7 @@
 	s.setLimits(route.HeaderLimits{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).ToNot(HaveOccurred())
-	go func() { _ = s.serve(listener) }()
+	go func() { _ = s.serve(listener, slog.New(slog.DiscardHandler)) }()
 	conn, reader := keptConnection(g, listener.Addr().String())
 	defer func() { _ = conn.Close() }()
 	_, err = io.WriteString(conn, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -229,7 +229,7 @@
 		_ = tree.Serve(ctx) // ends with ctx
 	}()
 	go func() {
-		err := g.callerServer.serve(l.callers)
+		err := g.callerServer.serve(l.callers, g.log)
 		if !g.shutdown.begun() {
 			g.log.Error("caller listener stopped accepting connections", "step", "gateway.serve", "error", err.Error())
 		}
