transport: a certificate that replaces one of the same time is loaded

TestCertificateIsReloadedWithoutRestart failed once. Changes were found by the times of the files alone; files that are written within one tick of the kernel's clock have the same. Size and inode count as well. With equal times, which the test sets now, it failed before and passes.

--- a/transport/identity.go
+++ b/transport/identity.go
@@ -3,9 +3,11 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"fmt"
 	"log/slog"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -81,7 +83,8 @@
 	i.reloadFailed = true
 }
 
-// fileStamp returns the modification times of the files, to detect changes.
+// fileStamp returns what changes when a file is written or replaced. The time alone doesn't: a file
+// that another one replaces may have been written within the same tick of the kernel's clock.
 func (i *identity) fileStamp() string {
 	stamp := ""
 	for _, file := range []string{i.files.Certificate, i.files.Key, i.files.Authority} {
@@ -90,11 +93,19 @@
 			stamp += "missing;"
 			continue
 		}
-		stamp += info.ModTime().String() + ";"
+		stamp += fmt.Sprint(info.ModTime(), info.Size(), inode(info), ";")
 	}
 	return stamp
 }
 
+// inode returns the number of a file in its file system, 0 if that isn't known.
+func inode(info os.FileInfo) uint64 {
+	if s, ok := info.Sys().(*syscall.Stat_t); ok {
+		return s.Ino
+	}
+	return 0
+}
+
 func (i *identity) load() (credentials, error) {
 	certificate, err := tls.LoadX509KeyPair(i.files.Certificate, i.files.Key)
 	if err != nil {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -107,6 +107,12 @@
 	g.Expect(get(client, address)).To(HaveSuffix(" client"))
 
 	renamed := issueCertificate(g, folder, "renamed")
+	// The clock of a file system may be too coarse to tell the new files from the old ones.
+	for before, after := range map[string]string{files.Certificate: renamed.Certificate, files.Key: renamed.Key} {
+		info, err := os.Stat(before)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(os.Chtimes(after, info.ModTime(), info.ModTime())).To(Succeed())
+	}
 	g.Expect(os.Rename(renamed.Certificate, files.Certificate)).To(Succeed())
 	g.Expect(os.Rename(renamed.Key, files.Key)).To(Succeed())
 	g.Eventually(func() (string, error) {
