--- a/coord/quorum/applier.go
+++ b/coord/quorum/applier.go
@@ -131,16 +131,25 @@
 	s := &Snapshot{Index: r.index, Term: r.term, Configuration: r.configuration, Data: data}
 	r.bytesSinceSnapshot = 0
 	r.snapshotDone = make(chan struct{})
-	r.node.goroutines.Go(func() { r.writeSnapshot(s, r.snapshotDone) })
+	w := &snapshotWrite{snapshot: s, written: make(chan struct{})}
+	r.node.snapshotWrite.Store(w)
+	r.node.goroutines.Go(func() { r.writeSnapshot(w, r.snapshotDone) })
 	return nil
 }
 
-func (r *applier) writeSnapshot(s *Snapshot, done chan<- struct{}) {
-	if err := r.node.storage.writeSnapshot(s); err != nil {
+// snapshotWrite is a snapshot that is written to disk, or was and awaits the compaction.
+type snapshotWrite struct {
+	snapshot *Snapshot
+	written  chan struct{} // closed once it is on disk
+}
+
+func (r *applier) writeSnapshot(w *snapshotWrite, done chan<- struct{}) {
+	if err := r.node.storage.writeSnapshot(w.snapshot); err != nil {
 		r.node.fail(err)
 		return
 	}
-	r.node.diskTasks.put(diskTask{snapshot: s, compacted: done})
+	close(w.written)
+	r.node.diskTasks.put(diskTask{snapshot: w.snapshot, compacted: done})
 }
 
 func (r *applier) isSnapshotInProgress() bool {
--- a/coord/quorum/disk_usage_test.go
+++ b/coord/quorum/disk_usage_test.go
@@ -8,6 +8,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -90,10 +91,20 @@
 	return nil
 }
 
-func startOnMeteredDisk(g *WithT, path string, logBytes int) (*quorum.Node, *lastCommand, *meteredFolder) {
+func openMetered(g *WithT, path string) *meteredFolder {
 	opened, err := wal.OpenFolder(path)
 	g.Expect(err).NotTo(HaveOccurred())
-	folder := &meteredFolder{Folder: opened, path: path}
+	return &meteredFolder{Folder: opened, path: path}
+}
+
+func startOnMeteredDisk(g *WithT, path string, logBytes int) (*quorum.Node, *lastCommand, *meteredFolder) {
+	folder := openMetered(g, path)
+	node, machine := startAlone(g, folder, logBytes)
+	return node, machine, folder
+}
+
+// startAlone starts the only member of a quorum.
+func startAlone(g *WithT, folder wal.Folder, logBytes int) (*quorum.Node, *lastCommand) {
 	machine := &lastCommand{}
 	node, err := quorum.Start(quorum.Options{
 		Name: "a", Address: "a", Members: []quorum.Member{{Name: "a", Address: "a"}},
@@ -101,7 +112,7 @@
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(func() bool { return node.Status().IsLeader }).WithTimeout(10 * time.Second).Should(BeTrue())
-	return node, machine, folder
+	return node, machine
 }
 
 // TestDiskUsage proposes large commands on a disk of the file system and checks what
@@ -144,3 +155,54 @@
 		})
 	}
 }
+
+// slowSnapshots is a folder on which the sync of a snapshot takes as long as delay.
+type slowSnapshots struct {
+	wal.Folder
+	delay time.Duration
+}
+
+type slowFile struct {
+	wal.File
+	delay time.Duration
+}
+
+func (f slowSnapshots) Create(name string) (wal.File, error) {
+	file, err := f.Folder.Create(name)
+	if err != nil || !strings.HasPrefix(name, "snapshot-") {
+		return file, err
+	}
+	return slowFile{file, f.delay}, nil
+}
+
+func (f slowFile) Sync() error {
+	time.Sleep(f.delay)
+	return f.File.Sync()
+}
+
+// TestSlowSnapshotsDoNotFillDisk guards against a log that grows without bound while a snapshot
+// is being written: the disk fills up, and the next start needs as much room and memory again.
+func TestSlowSnapshotsDoNotFillDisk(t *testing.T) {
+	const logBytes, maxBytes = 8 << 20, 32_000_000
+	for _, commandBytes := range []int{300 << 10, base64.StdEncoding.EncodedLen(1 << 20)} {
+		t.Run(fmt.Sprint(commandBytes), func(t *testing.T) {
+			g := NewWithT(t)
+			metered := openMetered(g, t.TempDir())
+			node, _ := startAlone(g, slowSnapshots{metered, 700 * time.Millisecond}, logBytes)
+			var proposers sync.WaitGroup
+			for i := range 4 { // configurations are changed by several operators at once
+				proposers.Go(func() {
+					for range 48 << 20 / commandBytes / 4 {
+						_, err := node.Propose(context.Background(), bytes.Repeat([]byte{byte(i)}, commandBytes))
+						g.Expect(err).NotTo(HaveOccurred())
+					}
+				})
+			}
+			proposers.Wait()
+			node.Stop()
+			g.Expect(node.Status().Err).NotTo(HaveOccurred())
+			t.Logf("peak of the disk: %d bytes", metered.peak)
+			g.Expect(metered.peak).To(BeNumerically("<", maxBytes))
+		})
+	}
+}
--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -41,6 +41,9 @@
 	diskTasks    *mailbox[diskTask]
 	diskResults  *mailbox[diskResult]
 	applyTasks   *mailbox[applyTask]
+	// snapshotWrite is the snapshot that is being written, nil if there is none. The apply
+	// goroutine sets it, the disk goroutine clears it after the compaction.
+	snapshotWrite atomic.Pointer[snapshotWrite]
 
 	ctx        context.Context
 	cancel     context.CancelFunc
--- a/coord/quorum/node_disk.go
+++ b/coord/quorum/node_disk.go
@@ -1,5 +1,9 @@
 package quorum
 
+import "github.com/VictoriaMetrics/metrics"
+
+var logHoldBacks = metrics.NewCounter("jacinthplank_quorum_log_hold_backs_total")
+
 // diskTask is a task of the disk goroutine: a Ready or a promise to write, or a
 // snapshot that is on disk and allows the log to be compacted.
 type diskTask struct {
@@ -48,11 +52,76 @@
 	return n.writeGroup(group)
 }
 
-// writeGroup writes a group of Readys with one sync, then sends their messages.
+// Limits of what the log holds beyond the compaction that follows each snapshot.
+const (
+	maxLogShare   = 2 // bytes of the log file above which entries wait for the snapshot in progress, times Options.LogBytes
+	maxGroupShare = 8 // bytes of entries written with one sync, as a divisor of Options.LogBytes
+)
+
+// writeGroup writes a group of Readys with as few syncs as their size allows.
 func (n *Node) writeGroup(group []diskTask) error {
-	if len(group) == 0 {
+	for len(group) > 0 {
+		count, size := 0, 0
+		for _, task := range group {
+			taskSize := entryBytes(task.ready.Entries)
+			if count > 0 && size+taskSize > n.options.LogBytes/maxGroupShare {
+				break
+			}
+			count, size = count+1, size+taskSize
+		}
+		if err := n.makeRoom(size); err != nil {
+			return err
+		}
+		if err := n.writeTogether(group[:count]); err != nil {
+			return err
+		}
+		group = group[count:]
+	}
+	return nil
+}
+
+func entryBytes(entries []Entry) int {
+	size := 0
+	for _, e := range entries {
+		size += len(e.Data) + entryOverhead
+	}
+	return size
+}
+
+// makeRoom waits for the snapshot in progress and compacts the log if entries of size bytes
+// would otherwise make the log too large: the disk has to hold a copy of the log during the
+// next rotation, and the next start has to read it. Votes and terms don't wait.
+func (n *Node) makeRoom(size int) error {
+	if size == 0 || n.storage.log.Size()+int64(size) <= int64(maxLogShare*n.options.LogBytes) {
 		return nil
 	}
+	w := n.snapshotWrite.Load()
+	if w == nil {
+		return nil
+	}
+	logHoldBacks.Inc()
+	select {
+	case <-w.written:
+	case <-n.ctx.Done():
+		return nil
+	}
+	// A member may apply entries that a majority has on disk before its own are written.
+	if w.snapshot.Index > n.storage.entries.lastIndex() {
+		return nil
+	}
+	return n.compact(w.snapshot)
+}
+
+func (n *Node) compact(snapshot *Snapshot) error {
+	isNew, err := n.storage.compact(snapshot)
+	if isNew {
+		n.diskResults.put(diskResult{snapshot: snapshot})
+	}
+	return err
+}
+
+// writeTogether writes Readys with one sync, then sends their messages.
+func (n *Node) writeTogether(group []diskTask) error {
 	readys := make([]Ready, len(group))
 	for i, task := range group {
 		readys[i] = task.ready
@@ -77,10 +146,8 @@
 	if task.snapshot == nil {
 		return nil
 	}
-	isNew, err := n.storage.compact(task.snapshot)
+	err := n.compact(task.snapshot)
+	n.snapshotWrite.Store(nil)
 	close(task.compacted)
-	if isNew {
-		n.diskResults.put(diskResult{snapshot: task.snapshot})
-	}
 	return err
 }
--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -83,9 +83,9 @@
 	Logger       *slog.Logger  // nil for none
 	Seed         uint64        // seed of the election jitter; 0 for a random one
 	// LogBytes are the bytes of log after which a snapshot is taken; 0 for 16 MiB. Half
-	// as many are retained before the snapshot. While a log file is replaced, the disk
-	// holds two of them, that is three times LogBytes, and two snapshots, besides the
-	// commands that arrive while a snapshot is written.
+	// as many are retained before the snapshot. Commands that arrive while a snapshot is
+	// written wait when the log has twice LogBytes. While a log file is replaced, the disk
+	// holds two of them, that is three and a half times LogBytes, and two snapshots.
 	LogBytes int
 	// Repair makes a leader replace an unresponsive voter whose name has
 	// reappeared with another disk, once that disk has caught up.
