quorum: a start needs no room for a second copy of the log

Each start writes the log to a new file, as a sync may have failed before it. On a disk without that much room the member failed for good: with disks of 64 MB, once the log has 32 MB, or less beside other files.

A rotation that finds the disk full now removes its temporary file and leaves the log in use.

--- a/coord/quorum/storage.go
+++ b/coord/quorum/storage.go
@@ -144,9 +144,21 @@
 			return PersistedState{}, err
 		}
 	}
-	// A sync may have failed before this start, so what was read may not be on
-	// disk; write it again.
-	return saved, s.rotate(s.snapshotIndex)
+	return saved, s.renew()
+}
+
+// renew writes the log again: a sync may have failed before this start, so what was read may
+// not be on disk. On a disk that is too full for a copy the log is written in place.
+func (s *storage) renew() error {
+	// No snapshot is being written: those that the log doesn't refer to are of earlier starts.
+	if err := s.removeSnapshotsExcept(func(name string) bool { return name == snapshotName(s.snapshotIndex) }); err != nil {
+		return err
+	}
+	err := s.rotate(s.snapshotIndex)
+	if wal.IsFull(err) {
+		err = s.log.Rewrite()
+	}
+	return err
 }
 
 func (s *storage) replay(i int, data []byte) error {
@@ -288,13 +300,18 @@
 // removeSnapshots removes complete snapshots older than the one that the log refers
 // to. It leaves one that another goroutine is writing.
 func (s *storage) removeSnapshots() error {
+	return s.removeSnapshotsExcept(func(name string) bool { return name >= snapshotName(s.snapshotIndex) })
+}
+
+// removeSnapshotsExcept removes the complete snapshots that isNeeded doesn't name.
+func (s *storage) removeSnapshotsExcept(isNeeded func(name string) bool) error {
 	names, err := s.folder.List()
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	for _, name := range names {
 		isSnapshot := strings.HasPrefix(name, snapshotPrefix) && !wal.IsIncomplete(name)
-		if !isSnapshot || name >= snapshotName(s.snapshotIndex) {
+		if !isSnapshot || isNeeded(name) {
 			continue
 		}
 		if err := s.folder.Remove(name); err != nil {
--- a/coord/wal/doc.go
+++ b/coord/wal/doc.go
@@ -24,5 +24,6 @@
 // and modifies nothing.
 //
 // After a failed write or sync the content of the disk is unknown, so every
-// later call returns the same error.
+// later call returns the same error. Only a Rotate that finds no room for the new file leaves
+// the log in use.
 package wal
--- a/coord/wal/folder.go
+++ b/coord/wal/folder.go
@@ -20,6 +20,8 @@
 	Create(name string) (File, error)
 	// Append opens an existing file for appending.
 	Append(name string) (File, error)
+	// Rewrite writes the content of a file again in place and syncs it. Needs no room.
+	Rewrite(name string) error
 	// Rename renames a file, replacing any existing file named to.
 	Rename(from, to string) error
 	// Remove removes a file.
@@ -99,6 +101,36 @@
 	return os.OpenFile(d.filePath(name), os.O_WRONLY|os.O_APPEND, fileMode)
 }
 
+// Rewrite implements Folder.
+func (d *directory) Rewrite(name string) error {
+	f, err := os.OpenFile(d.filePath(name), os.O_RDWR, fileMode)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	err = rewrite(f)
+	return trace.NewAggregate(err, f.Close())
+}
+
+// rewriteBytes is the size of the parts in which a file is written again.
+const rewriteBytes = 1 << 20
+
+func rewrite(f *os.File) error {
+	part := make([]byte, rewriteBytes)
+	for offset := int64(0); ; {
+		n, err := f.ReadAt(part, offset)
+		if err != nil && err != io.EOF {
+			return trace.Wrap(err)
+		}
+		if n == 0 {
+			return trace.Wrap(f.Sync())
+		}
+		if _, err := f.WriteAt(part[:n], offset); err != nil {
+			return trace.Wrap(err)
+		}
+		offset += int64(n)
+	}
+}
+
 // Rename implements Folder.
 func (d *directory) Rename(from, to string) error {
 	return os.Rename(d.filePath(from), d.filePath(to))
--- a/coord/wal/log.go
+++ b/coord/wal/log.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -109,7 +110,8 @@
 	return nil
 }
 
-// Rotate replaces the content of the log with the batch first.
+// Rotate replaces the content of the log with the batch first. If the disk has no room for
+// the new file, the log stays as it is and remains in use: see IsFull.
 func (l *Log) Rotate(first []byte) error {
 	if l.firstErr != nil {
 		return l.firstErr
@@ -118,7 +120,16 @@
 		return ErrTooLarge
 	}
 	next := &Log{folder: l.folder, salt: l.salt, number: l.number + 1}
-	if err := next.createFile(first); err != nil {
+	if err := next.writeTemp(first); err != nil {
+		next.closeFile()
+		if !IsFull(err) {
+			return l.fail(err)
+		}
+		failures.Inc()
+		_ = l.folder.Remove(next.tempName()) // the error of the write is returned
+		return trace.Wrap(err, "wal: %s at offset %d", next.tempName(), next.size)
+	}
+	if err := next.commitTemp(); err != nil {
 		next.closeFile()
 		return l.fail(err)
 	}
@@ -128,6 +139,22 @@
 	return l.removeOldFiles()
 }
 
+// Rewrite writes the file of the log again in place, which needs no more room, and syncs it.
+func (l *Log) Rewrite() error {
+	if l.firstErr != nil {
+		return l.firstErr
+	}
+	if err := l.folder.Rewrite(l.fileName()); err != nil {
+		return l.fail(err)
+	}
+	return nil
+}
+
+// IsFull reports whether an operation failed because the disk is full.
+func IsFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
 // Size returns the size of the log in bytes.
 func (l *Log) Size() int64 { return l.size }
 
@@ -148,10 +175,11 @@
 
 func (l *Log) fileName() string { return fmt.Sprintf("%s%016x", logPrefix, l.number) }
 
-// createFile durably creates the file of l with first as its only batch.
-func (l *Log) createFile(first []byte) error {
-	temp := l.fileName() + tempSuffix
-	file, err := l.folder.Create(temp)
+func (l *Log) tempName() string { return l.fileName() + tempSuffix }
+
+// writeTemp writes and syncs a temporary file with first as its only batch.
+func (l *Log) writeTemp(first []byte) error {
+	file, err := l.folder.Create(l.tempName())
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -162,10 +190,12 @@
 	if err := l.write(kindBatch, first); err != nil {
 		return err
 	}
-	if err := l.file.Sync(); err != nil {
-		return trace.Wrap(err)
-	}
-	if err := l.folder.Rename(temp, l.fileName()); err != nil {
+	return trace.Wrap(l.file.Sync())
+}
+
+// commitTemp durably makes the temporary file that of the log.
+func (l *Log) commitTemp() error {
+	if err := l.folder.Rename(l.tempName(), l.fileName()); err != nil {
 		return trace.Wrap(err)
 	}
 	return trace.Wrap(l.folder.Sync())
--- a/coord/wal/memory.go
+++ b/coord/wal/memory.go
@@ -152,6 +152,20 @@
 	return &memoryHandle{folder: m, file: f, name: name}, nil
 }
 
+// Rewrite implements Folder.
+func (m *MemoryFolder) Rewrite(name string) error {
+	m.mu.Lock()
+	f, ok := m.files[name]
+	m.mu.Unlock()
+	if !ok {
+		return fs.ErrNotExist
+	}
+	if err := m.fault("rewrite", name); err != nil {
+		return err
+	}
+	return (&memoryHandle{folder: m, file: f, name: name}).Sync()
+}
+
 // Rename implements Folder.
 func (m *MemoryFolder) Rename(from, to string) error {
 	if err := m.fault("rename", from); err != nil {
@@ -209,8 +223,8 @@
 }
 
 // SetFault sets a hook that is called before each modification and may return an
-// error or block. The operation is one of create, write, truncate, sync, rename,
-// remove and sync_folder. SetFault(nil) removes the hook.
+// error or block. The operation is one of create, write, rewrite, truncate, sync,
+// rename, remove and sync_folder. SetFault(nil) removes the hook.
 func (m *MemoryFolder) SetFault(fault func(operation, name string) error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
