--- a/coord/quorum/storage.go
+++ b/coord/quorum/storage.go
@@ -148,17 +148,22 @@
 }
 
 // renew writes the log again: a sync may have failed before this start, so what was read may
-// not be on disk. On a disk that is too full for a copy the log is written in place.
+// not be on disk. On a disk that is too full for a copy the log is written in place. A disk
+// without room for a vote is an error, so that its member is silent and gets replaced.
 func (s *storage) renew() error {
 	// No snapshot is being written: those that the log doesn't refer to are of earlier starts.
 	if err := s.removeSnapshotsExcept(func(name string) bool { return name == snapshotName(s.snapshotIndex) }); err != nil {
 		return err
 	}
 	err := s.rotate(s.snapshotIndex)
-	if wal.IsFull(err) {
-		err = s.log.Rewrite()
+	if !wal.IsFull(err) {
+		return err
+	}
+	if err := s.log.Rewrite(); err != nil {
+		return err
 	}
-	return err
+	hardState := s.hardState
+	return s.write([]Ready{{HardState: &hardState}})
 }
 
 func (s *storage) replay(i int, data []byte) error {
--- a/coord/quorum/storage_room_test.go
+++ b/coord/quorum/storage_room_test.go
@@ -89,6 +89,10 @@
 				g.Expect(s.close()).To(Succeed())
 				losePower(folder.MemoryFolder, func(options int) int { return options - 1 })
 			}
+			folder.limit = folder.used()
+			_, _, err = openStorage(folder, "d2", simulatedTail)
+			g.Expect(err).To(MatchError(syscall.ENOSPC), "a member that can't vote must be silent")
+
 			folder.limit = 1 << 20
 			s, saved, err := openStorage(folder, "d2", simulatedTail)
 			g.Expect(err).NotTo(HaveOccurred())
