mesh: essentials of no leader in the first 200 characters of its line

The users' record cuts each line after 200 characters, before the votes of 'no leader'. The number of voters, the votes, and the voters that are silent or refused (count and abbreviated names, bounded) now follow the instance.

An entry whose member doesn't run logged nothing after the change of its disk's state.

--- a/mesh/leader.go
+++ b/mesh/leader.go
@@ -104,13 +104,12 @@
 }
 
 // updateLeader takes over what this entry's member knows of the leader.
-func (c *quorumManager) updateLeader(observer *leaderObserver, now time.Time) {
+func (c *quorumManager) updateLeader() {
 	node := c.currentNode()
 	if node == nil {
 		return
 	}
 	s := node.Status()
-	observer.observe(now, s)
 	c.noteStatus(s)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/mesh/leader_observer.go
+++ b/mesh/leader_observer.go
@@ -11,6 +11,7 @@
 
 	"github.com/jacinthplank/jacinthplank/coord/document"
 	"github.com/jacinthplank/jacinthplank/coord/quorum"
+	"github.com/jacinthplank/jacinthplank/coord/shortname"
 )
 
 const (
@@ -51,11 +52,29 @@
 	}
 	o.leaderless, o.nextReport = true, now.Add(leaderlessReport)
 	e := s.Election
-	o.log.Warn("no leader", "step", "mesh.leader", "role", s.Role.String(), "voter", isVoter(s), "term", s.Term,
-		"silence_ms", e.Silence.Milliseconds(), "elections", e.Attempts, "granted", e.Granted, "refused", e.Refused, "voters", len(s.Voters),
-		"refused_by", e.RefusedBy, "silent", e.SilentVoters, "late_votes", e.LateVotes,
-		"reply_ms", e.SlowestReply.Milliseconds(), "sync_ms", e.SlowestSync.Milliseconds(),
-		"commit", s.Commit, "last_index", s.LastIndex, "uncommitted_document", uncommittedDocument(e))
+	silent, refused := voterLists(s)
+	// Collectors may cut a line after 200 characters: what tells causes apart comes first.
+	o.log.Warn("no leader", "voters", len(s.Voters), "granted", e.Granted, "silent", silent, "refused", refused,
+		"role", s.Role.String(), "voter", isVoter(s), "term", s.Term, "silence_ms", e.Silence.Milliseconds(), "elections", e.Attempts,
+		"late_votes", e.LateVotes, "reply_ms", e.SlowestReply.Milliseconds(), "sync_ms", e.SlowestSync.Milliseconds(),
+		"commit", s.Commit, "last_index", s.LastIndex, "uncommitted_document", uncommittedDocument(e),
+		"silent_names", e.SilentVoters, "refused_by", e.RefusedBy, "step", "mesh.leader")
+}
+
+// maxVoterListBytes bounds the two lists of voters together, so that both stand in the first
+// 200 characters of a line with an instance name of 18 characters.
+const maxVoterListBytes = 46
+
+// voterLists returns the voters that have not replied to the current attempt, and those that
+// refused their vote: how many, and their abbreviated names.
+func voterLists(s quorum.Status) (silent, refused string) {
+	var all []string
+	for _, v := range s.Voters {
+		all = append(all, v.Name)
+	}
+	refused = shortname.List(s.Election.RefusedBy, all, maxVoterListBytes/2)
+	silent = shortname.List(s.Election.SilentVoters, all, maxVoterListBytes-len(refused))
+	return silent, shortname.List(s.Election.RefusedBy, all, maxVoterListBytes-len(silent))
 }
 
 // uncommittedDocument returns the number of the last document of the log that may or may not be
--- a/mesh/leader_observer_test.go
+++ b/mesh/leader_observer_test.go
@@ -55,8 +55,8 @@
 	for _, line := range lines {
 		g.Expect(line).To(Equal(map[string]any{
 			"level": "WARN", "msg": "no leader", "step": "mesh.leader", "role": "candidate", "voter": true, "term": 9.0,
-			"silence_ms": 4500.0, "elections": 12.0, "granted": 1.0, "refused": 1.0, "voters": 3.0,
-			"refused_by": []any{"b"}, "silent": []any{"c"}, "late_votes": 3.0, "reply_ms": 300.0, "sync_ms": 700.0,
+			"silence_ms": 4500.0, "elections": 12.0, "granted": 1.0, "refused": "1 b", "voters": 3.0, "silent": "1 c",
+			"refused_by": []any{"b"}, "silent_names": []any{"c"}, "late_votes": 3.0, "reply_ms": 300.0, "sync_ms": 700.0,
 			"commit": 11.0, "last_index": 13.0, "uncommitted_document": 7.0,
 		}))
 	}
--- a/mesh/quorum_disk.go
+++ b/mesh/quorum_disk.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
@@ -35,8 +36,9 @@
 // DiskHealth is the state of an entry's disk and the reason for it.
 type DiskHealth struct {
 	State DiskState
-	Err   error // of the last start or of the running member; nil while it runs
-	Kept  error // why a refused disk was not emptied at the last attempt; nil before the first
+	Err   error     // of the last start or of the running member; nil while it runs
+	Kept  error     // why a refused disk was not emptied at the last attempt; nil before the first
+	Since time.Time // when the disk entered the state
 }
 
 func (h DiskHealth) isSameAs(other DiskHealth) bool {
@@ -65,17 +67,18 @@
 func (c *quorumManager) setDiskHealth(h DiskHealth) {
 	c.mu.Lock()
 	before := c.disk
+	now := time.Now()
+	h.Since = now
+	if before.State == h.State {
+		h.Since = before.Since
+	}
 	c.disk = h
 	c.mu.Unlock()
 	if before.isSameAs(h) {
 		return
 	}
 	setDiskGauges(h.State)
-	log := c.log.Info
-	if h.Err != nil {
-		log = c.log.Error
-	}
-	log("quorum disk", "step", "mesh.core", "state", h.State, "before", before.State, "error", errorText(h.Err), "kept", errorText(h.Kept))
+	c.logDisk(h, before.State, now)
 }
 
 func setDiskGauges(current DiskState) {
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -56,7 +56,8 @@
 	stopped       bool
 	lastLeader    string
 	disk          DiskHealth
-	discarded     bool // this process has emptied the disk, which therefore can't found a quorum
+	startingSince time.Time // of the start of the member in progress, zero without one
+	discarded     bool      // this process has emptied the disk, which therefore can't found a quorum
 	refusals      recovery.Refusals
 }
 
@@ -64,7 +65,7 @@
 	setDiskGauges(DiskNone)
 	return &quorumManager{
 		mesh: m, log: m.log, state: newQuorumState(), openFolder: wal.OpenFolder, logBytes: logBytes,
-		disk: DiskHealth{State: DiskNone},
+		disk: DiskHealth{State: DiskNone, Since: time.Now()},
 	}
 }
 
@@ -76,8 +77,8 @@
 	ticker := time.NewTicker(quorumTickInterval)
 	defer ticker.Stop()
 	go c.mesh.confirmDocument(ctx)
+	go c.reportState(ctx)
 	reconciler := newMemberReconciler(c)
-	observer := leaderObserver{log: c.log, nextReport: time.Now().Add(leaderlessReport)}
 	var retryAt time.Time
 	for {
 		now := time.Now()
@@ -87,7 +88,7 @@
 		}
 		c.updateContacts()
 		c.applyCommitted()
-		c.updateLeader(&observer, now)
+		c.updateLeader()
 		reconciler.reconcile(ctx, now)
 		select {
 		case <-ctx.Done():
@@ -172,6 +173,8 @@
 		c.setDiskHealth(DiskHealth{State: DiskBlank})
 		return true
 	}
+	c.setStartingSince(time.Now())
+	defer c.setStartingSince(time.Time{})
 	return c.startNode(contacts)
 }
 
