quorum: refused votes of all candidates, within 200 characters of a line

At most four different refusals were logged in 2 s, so a few reasons of two candidates hid a third one, and lines of long names were cut before 'dropped'. Each candidate now has up to three lines, 24 in all; candidate, reason and dropped come first, and the two longest reasons are shorter.

--- a/coord/quorum/vote_observer.go
+++ b/coord/quorum/vote_observer.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	// maxVoteRefusals bounds the different refusals that are logged in a voteReport. A quorum has
-	// fewer candidates at a time.
-	maxVoteRefusals = 4
+	// maxVoteRefusals bounds the different refusals that are logged in a voteReport: those of eight
+	// candidates. Members of a quorum and disks that were removed from it may ask at the same time.
+	maxVoteRefusals = 8 * maxCandidateRefusals
+	// maxCandidateRefusals bounds those of one candidate, which takes no other's place.
+	maxCandidateRefusals = 3
 	// voteReport is how often refused requests for votes are logged. A disk that was removed asks
 	// several times a second for as long as it runs.
 	voteReport = 2 * time.Second
@@ -39,7 +41,13 @@
 func (o *voteObserver) reset() { o.replies, o.late, o.sync = 0, 0, 0 }
 
 func (o *voteObserver) add(r voteRefusal) {
-	if len(o.refusals) >= maxVoteRefusals || slices.Contains(o.refusals, r) {
+	sameCandidate := 0
+	for _, other := range o.refusals {
+		if other.candidate == r.candidate && other.name == r.name {
+			sameCandidate++
+		}
+	}
+	if sameCandidate >= maxCandidateRefusals || len(o.refusals) >= maxVoteRefusals || slices.Contains(o.refusals, r) {
 		o.unlisted++
 		return
 	}
@@ -51,7 +59,7 @@
 	if m.Kind != PreVote && m.Kind != Vote {
 		return
 	}
-	reason := "not a member of the configuration here"
+	reason := "not a member here"
 	switch {
 	case m.To != c.config.Self:
 		reason = "addressed to another disk"
@@ -71,7 +79,7 @@
 	case c.hearsOtherLeader(m.From):
 		reason = "hears a leader"
 	case m.Kind == PreVote && c.hasOpenElection():
-		reason = "waits for the outcome of an election"
+		reason = "waits for another election"
 	case m.Term < c.hardState.Term:
 		reason = "older term"
 	case !c.log.isUpToDate(m.Index, m.LogTerm):
@@ -137,8 +145,9 @@
 		return
 	}
 	for _, r := range o.refusals {
-		n.options.Logger.Warn("vote refused", "step", "quorum.vote", "candidate", r.name, "disk", r.candidate, "request", r.request.String(),
-			"reason", r.reason, "dropped", r.dropped, "term", n.core.Term(), "role", n.core.Role().String(), "unlisted", o.unlisted)
+		// Collectors may cut a line after 200 characters.
+		n.options.Logger.Warn("vote refused", "candidate", r.name, "reason", r.reason, "dropped", r.dropped, "request", r.request.String(),
+			"disk", r.candidate, "term", n.core.Term(), "role", n.core.Role().String(), "unlisted", o.unlisted, "step", "quorum.vote")
 	}
 	o.refusals, o.unlisted, o.lastTicks = nil, 0, 0
 }
