quorum: each member logs the configuration that its log holds

Which voters a member counts could be seen only on the leader that changed them. A leader makes one change at a time, so the lines are bounded.

--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -28,8 +28,9 @@
 	peers            map[DiskIdentity]Member
 	pendingReads     map[uint64]*readRequest
 	lastReadID       uint64
-	ticksSinceHello  int                             // ticks since the last Hello
-	ticksSinceRepair int                             // ticks since announced was last cleared
+	ticksSinceHello  int // ticks since the last Hello
+	ticksSinceRepair int // ticks since announced was last cleared
+	configuration    configurationObserver
 	announced        []Member                        // peers that are not members and have announced themselves
 	foundingTicks    int                             // ticks as a founder that waits for promises
 	progress         map[DiskIdentity]MemberProgress // as of the last tick as leader; replaced, never modified
--- a/coord/quorum/node_core.go
+++ b/coord/quorum/node_core.go
@@ -344,6 +344,7 @@
 
 // updateStatus publishes the Core's state to other goroutines.
 func (n *Node) updateStatus() {
+	n.reportConfiguration()
 	configuration := n.core.Configuration()
 	election := n.core.Election()
 	n.options.setDurations(&election)
