mesh, quorum: lines about changes of members tell voters and reason

'members of the quorum' and 'member replaced' named a change, not what it left or why it was made, and a repair's step that failed logged nothing. Both now have the voters and learners after the change, its reason, and a warning with the error if it failed; a repair's step that keeps failing is logged every 2 s.

'quorum incomplete' is a new warning of the leader while voters are fewer than wanted or silent, every 2 s and after a minute every 30 s, with what it waits for. jacinthplank_mesh_quorum_voters_wanted is new.

--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -31,6 +31,7 @@
 	ticksSinceHello  int // ticks since the last Hello
 	ticksSinceRepair int // ticks since announced was last cleared
 	configuration    configurationObserver
+	repairFailures   repairFailures
 	announced        []Member                        // peers that are not members and have announced themselves
 	foundingTicks    int                             // ticks as a founder that waits for promises
 	progress         map[DiskIdentity]MemberProgress // as of the last tick as leader; replaced, never modified
--- a/coord/quorum/repair.go
+++ b/coord/quorum/repair.go
@@ -16,12 +16,12 @@
 	if !ok {
 		return
 	}
-	if _, _, err := n.core.ChangeMember(change); err != nil {
-		return
+	reason := n.repairReason(change)
+	_, _, err := n.core.ChangeMember(change)
+	if err == nil {
+		repairSteps.Inc()
 	}
-	repairSteps.Inc()
-	n.options.Logger.Info("member replaced", "step", change.Kind.String(),
-		"member", change.Member.Name, "disk", change.Member.Disk)
+	n.logRepair(change, reason, err)
 }
 
 // nextRepair returns the next membership change of a repair. Replacements in
--- a/mesh/member_reconciler.go
+++ b/mesh/member_reconciler.go
@@ -49,6 +49,7 @@
 	if len(changes) == 0 {
 		return
 	}
+	reasons := k.observer.reasons(changes, s)
 	select {
 	case k.changing <- struct{}{}:
 	default:
@@ -56,17 +57,16 @@
 	}
 	go func() {
 		defer func() { <-k.changing }()
-		k.applyChanges(ctx, node, changes)
+		k.applyChanges(ctx, node, changes, reasons)
 	}()
 }
 
-func (k *memberReconciler) applyChanges(ctx context.Context, node *quorum.Node, changes []quorum.Change) {
-	for _, change := range changes {
+func (k *memberReconciler) applyChanges(ctx context.Context, node *quorum.Node, changes []quorum.Change, reasons []string) {
+	for i, change := range changes {
 		changeCtx, cancel := context.WithTimeout(ctx, changeTimeout)
 		err := node.ChangeMember(changeCtx, change)
 		cancel()
-		k.manager.log.Info("members of the quorum", "step", "mesh.keeper", "change", change.Kind.String(),
-			"member", change.Member.Name, "disk", change.Member.Disk, "error", errorText(err))
+		k.observer.logChange(node.Status(), change, reasons[i], err)
 		if err != nil {
 			return
 		}
@@ -85,8 +85,8 @@
 func (k *memberReconciler) plan(now time.Time, s quorum.Status) []quorum.Change {
 	m := k.manager.mesh
 	view := k.diskEntries(now)
-	k.observer.observe(s, view)
 	k.planner.Tolerated = m.options.Tolerated.disks(m.gossip.Members(), m.options.Regions)
+	k.observer.observe(now, s, view, recovery.WantedVoters(k.planner.Tolerated))
 	return k.planner.Plan(now, s, view)
 }
 
