recovery: play planned stops, stale views and overlapping splits in the model

The model knew every entry's disk at once and only of entries that run, and ended processes only by a kill or a loss of power. An entry now knows of others what package mesh knows: the disk of the last sync, which may be out of date, an entry that has left, and one that is silent. New faults are planned stops, also in series and with an emptied disk, a split in halves that overlaps with two lost disks, two entries that are dark for up to 7 s with whole disks, and a loss of power after which all unsynced writes are gone. Each run ends with the loss of the leader's disk and of as many other voters' as are tolerated while all others lose power: a leader is due before the lost ones return, within recovery_s.

--- a/coord/recovery/model_checks_test.go
+++ b/coord/recovery/model_checks_test.go
@@ -4,6 +4,10 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/jacinthplank/jacinthplank/coord/quorum"
@@ -97,3 +101,75 @@
 	defer m.mu.Unlock()
 	return m.acked
 }
+
+// configurations returns what each member takes for the configuration of members.
+func (m *model) configurations() string {
+	var out strings.Builder
+	for _, e := range m.running() {
+		node := e.currentNode()
+		if node == nil {
+			fmt.Fprintf(&out, "\n%s has no member", e.name)
+			continue
+		}
+		s := node.Status()
+		fmt.Fprintf(&out, "\n%s, disk %s, %v in term %d, last %d, commit %d: voters %v, learners %v",
+			e.name, s.DiskIdentity, s.Role, s.Term, s.LastIndex, s.Commit, s.Voters, s.Learners)
+	}
+	return out.String()
+}
+
+// missing returns what keeps the quorum from being complete, empty if it is.
+func (m *model) missing() string {
+	leader, s := m.leader()
+	if leader == nil {
+		return "no leader"
+	}
+	members := fmt.Sprintf("voters %v, learners %v", s.Voters, s.Learners)
+	if len(s.Voters) <= 2*m.tolerated {
+		return "too few voters: " + members
+	}
+	running := map[quorum.DiskIdentity]bool{}
+	for _, e := range m.places {
+		node := e.currentNode()
+		if node == nil {
+			return e.name + " has no member"
+		}
+		running[node.Status().DiskIdentity] = true
+	}
+	for _, v := range s.Voters {
+		if !running[v.Disk] {
+			return v.Name + " votes and is gone: " + members
+		}
+		delete(running, v.Disk)
+	}
+	for _, l := range s.Learners {
+		delete(running, l.Disk)
+	}
+	if len(running) > 0 {
+		return fmt.Sprintf("disks %v run outside of the quorum: %s", slices.Collect(maps.Keys(running)), members)
+	}
+	return ""
+}
+
+// awaitComplete waits until the quorum is complete, by a committed configuration: a change that
+// was sent later is accepted.
+func (m *model) awaitComplete(allowed time.Duration) time.Duration {
+	begun := time.Now()
+	var sent uint64 // last change that may have been sent before the configuration was there
+	for {
+		missing := m.missing()
+		acked := m.ackedNumber()
+		switch {
+		case missing != "":
+			sent = 0
+		case sent == 0:
+			sent = acked + 1
+		case acked > sent:
+			return time.Since(begun)
+		}
+		if time.Since(begun) > allowed {
+			m.fail("not complete after %v: %s, last change %d", allowed, missing, acked)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/coord/recovery/model_faults_test.go
+++ b/coord/recovery/model_faults_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -14,7 +13,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/jacinthplank/jacinthplank/coord/quorum"
 	"github.com/jacinthplank/jacinthplank/coord/wal"
 )
 
@@ -38,7 +36,7 @@
 var errDead = errors.New("the process has ended")
 
 // kill ends a process at once. With power, each change of its disk that was not synced may be
-// lost.
+// lost, or all of them are.
 func (e *entry) kill(power bool) {
 	m := e.model
 	m.mu.Lock()
@@ -50,7 +48,12 @@
 	e.cancel()
 	<-e.done
 	e.folder.SetFault(nil)
-	if power {
+	switch {
+	case !power:
+	case m.intN(3) == 0:
+		never := func() bool { return false }
+		e.folder.PowerLoss(func(int) (int, int) { return 0, 0 }, never, never)
+	default:
 		e.folder.PowerLoss(func(size int) (int, int) {
 			from := m.intN(size + 1)
 			switch m.intN(3) {
@@ -235,6 +238,15 @@
 		e.kill(fault == "power loss")
 		time.Sleep(down)
 		m.bringBack(place, false)
+	case "planned stop":
+		e.leave()
+		time.Sleep(down / 3)
+		m.bringBack(place, false)
+	case "planned stop and wipe":
+		e.leave()
+		e.folder = wal.NewMemoryFolder()
+		time.Sleep(down)
+		m.bringBack(place, true)
 	case "power loss at an operation":
 		e.killAtOperation(m.intN(60))
 		time.Sleep(down)
@@ -251,7 +263,11 @@
 		m.bringBack(place, true)
 		return completeAgain + refusalTime
 	case "replacement":
-		e.kill(false)
+		if m.intN(2) == 0 {
+			e.leave()
+		} else {
+			e.kill(false)
+		}
 		time.Sleep(down)
 		successor := m.newEntry()
 		m.mu.Lock()
@@ -276,7 +292,7 @@
 
 var entryFaults = []string{
 	"kill", "power loss", "power loss at an operation", "wipe", "rot", "replacement", "cut", "full disk", "slow disk",
-	"silent disk",
+	"silent disk", "planned stop", "planned stop and wipe",
 }
 
 // cutOff cuts entries off from all others, but not from each other.
@@ -297,62 +313,6 @@
 	}
 }
 
-// missing returns what keeps the quorum from being complete, empty if it is.
-func (m *model) missing() string {
-	leader, s := m.leader()
-	if leader == nil {
-		return "no leader"
-	}
-	members := fmt.Sprintf("voters %v, learners %v", s.Voters, s.Learners)
-	if len(s.Voters) <= 2*m.tolerated {
-		return "too few voters: " + members
-	}
-	running := map[quorum.DiskIdentity]bool{}
-	for _, e := range m.places {
-		node := e.currentNode()
-		if node == nil {
-			return e.name + " has no member"
-		}
-		running[node.Status().DiskIdentity] = true
-	}
-	for _, v := range s.Voters {
-		if !running[v.Disk] {
-			return v.Name + " votes and is gone: " + members
-		}
-		delete(running, v.Disk)
-	}
-	for _, l := range s.Learners {
-		delete(running, l.Disk)
-	}
-	if len(running) > 0 {
-		return fmt.Sprintf("disks %v run outside of the quorum: %s", slices.Collect(maps.Keys(running)), members)
-	}
-	return ""
-}
-
-// awaitComplete waits until the quorum is complete, by a committed configuration: a change that
-// was sent later is accepted.
-func (m *model) awaitComplete(allowed time.Duration) time.Duration {
-	begun := time.Now()
-	var sent uint64 // last change that may have been sent before the configuration was there
-	for {
-		missing := m.missing()
-		acked := m.ackedNumber()
-		switch {
-		case missing != "":
-			sent = 0
-		case sent == 0:
-			sent = acked + 1
-		case acked > sent:
-			return time.Since(begun)
-		}
-		if time.Since(begun) > allowed {
-			m.fail("not complete after %v: %s, last change %d", allowed, missing, acked)
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-}
-
 // modelFleets are the fleets of TestModel: as many disks as deployments have, and losses that
 // they tolerate at once.
 var modelFleets = []struct{ size, tolerated int }{{3, 1}, {4, 1}, {5, 2}, {6, 2}, {7, 3}, {8, 2}}
@@ -387,6 +347,9 @@
 						allowed := m.disturb()
 						longest = max(longest, m.awaitComplete(allowed))
 					}
+					time.Sleep(m.duration(completeAgain))
+					m.loseWorst()
+					longest = max(longest, m.awaitComplete(completeAgain))
 				})
 			})
 		}
--- a/coord/recovery/model_fleet_faults_test.go
+++ b/coord/recovery/model_fleet_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/jacinthplank/jacinthplank/coord/wal"
@@ -9,14 +10,15 @@
 
 // fleetFaults disturb all entries at once.
 var fleetFaults = []string{
-	"slow links", "slow disks", "split in halves", "wipe of two, power loss of all others", "cut over a change of members",
+	"slow links", "slow disks", "split in halves", "worst loss, power loss of all others", "wipe of two, power loss of all others",
+	"cut over a change of members", "split in halves, lost disks", "two dark", "planned stops",
 }
 
 // disturbFleet plays one fault of the whole fleet.
 func (m *model) disturbFleet() (allowed time.Duration) {
 	fault := fleetFaults[m.intN(len(fleetFaults))]
 	if m.tolerated < 2 {
-		fault = fleetFaults[m.intN(3)] // the others lose two disks
+		fault = fleetFaults[m.intN(4)] // the others lose two disks
 	}
 	m.logf("%s;", fault)
 	switch fault {
@@ -31,8 +33,16 @@
 		m.heal(half...)
 	case "wipe of two, power loss of all others":
 		m.wipeTwo()
+	case "worst loss, power loss of all others":
+		m.loseWorst()
 	case "cut over a change of members":
 		m.cutOverChange()
+	case "split in halves, lost disks":
+		m.splitAndLose()
+	case "two dark":
+		m.darken()
+	case "planned stops":
+		m.stopInTurn()
 	}
 	return completeAgain
 }
@@ -102,3 +112,80 @@
 		m.restart(slices.Index(m.places, e))
 	}
 }
+
+// splitAndLose splits the fleet in halves and empties two disks at any moment of that. They are
+// back before or after its end.
+func (m *model) splitAndLose() {
+	half := m.chosen(len(m.places) / 2)
+	lost := m.chosen(2)
+	m.cutOff(half...)
+	time.Sleep(m.duration(8 * time.Second))
+	for _, e := range lost {
+		e.kill(m.intN(2) == 0)
+		e.folder = wal.NewMemoryFolder()
+		m.logf("%s emptied;", e.name)
+		time.Sleep(m.duration(time.Second))
+	}
+	healed := m.duration(6 * time.Second)
+	var back sync.WaitGroup
+	for _, e := range lost {
+		later := m.duration(6 * time.Second)
+		back.Go(func() {
+			time.Sleep(later)
+			next := m.restart(slices.Index(m.places, e))
+			if later < healed {
+				m.mu.Lock()
+				next.side = e.side
+				m.mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(healed)
+	m.heal(m.running()...)
+	back.Wait()
+}
+
+// darken lets two entries with whole disks lose power or all links for longer than it takes to
+// replace them.
+func (m *model) darken() {
+	dark := m.chosen(2)
+	losesPower := m.intN(2) == 0
+	for _, e := range dark {
+		m.logf("%s dark, without power %v;", e.name, losesPower)
+		if losesPower {
+			e.kill(true)
+		} else {
+			m.cutOff(e)
+		}
+	}
+	time.Sleep(m.duration(7 * time.Second))
+	for _, e := range dark {
+		if losesPower {
+			m.restart(slices.Index(m.places, e))
+		} else {
+			m.heal(e)
+		}
+	}
+}
+
+// stopInTurn stops three entries in turn, as an operator does who restarts a fleet. Another one
+// loses power meanwhile.
+func (m *model) stopInTurn() {
+	order := m.chosen(4)
+	other := slices.Index(m.places, order[3])
+	var ended sync.WaitGroup
+	ended.Go(func() {
+		time.Sleep(m.duration(6 * time.Second))
+		order[3].kill(true)
+		time.Sleep(m.duration(3 * time.Second))
+		m.restart(other)
+	})
+	for _, e := range order[:3] {
+		place := slices.Index(m.places, e)
+		e.leave()
+		time.Sleep(m.duration(time.Second))
+		m.restart(place)
+		time.Sleep(2 * time.Second)
+	}
+	ended.Wait()
+}
--- a/coord/recovery/model_test.go
+++ b/coord/recovery/model_test.go
@@ -37,6 +37,7 @@
 	places  []*entry          // that belong to the fleet
 	names   int               // given so far
 	sides   int               // of cuts so far
+	starts  int               // of processes so far
 	acked   uint64            // highest number acknowledged
 	leaders map[uint64]quorum.DiskIdentity
 	log     []string
@@ -54,8 +55,10 @@
 	isFirstStart  bool
 	machine       *machine
 	cancel        context.CancelFunc
-	done          chan struct{} // closed when the process has ended
-	side          int           // of a cut that the process is on, 0 without one; guarded by model.mu
+	done          chan struct{}    // closed when the process has ended
+	side          int              // of a cut that the process is on, 0 without one; guarded by model.mu
+	process       int              // number of the process, higher than those of the entry before it
+	views         map[string]*view // of other entries, by name; guarded by model.mu
 
 	mu       sync.Mutex
 	node     *quorum.Node
@@ -224,6 +227,8 @@
 	e.cancel, e.done, e.machine, e.changing = cancel, make(chan struct{}), &machine{}, make(chan struct{}, 1)
 	e.meetsAt = time.Now().Add(e.model.duration(time.Second))
 	e.model.mu.Lock()
+	e.model.starts++
+	e.process, e.views = e.model.starts, map[string]*view{}
 	e.model.entries[e.address] = e
 	e.model.mu.Unlock()
 	go e.run(ctx)
@@ -244,6 +249,7 @@
 		if now := time.Now(); now.After(e.retryAt) && !e.ensureNode() && !e.emptyRefusedDisk(ctx) {
 			e.retryAt = now.Add(restartBackoff)
 		}
+		e.meet()
 		e.updateContacts()
 		e.reconcile(ctx)
 		select {
@@ -360,15 +366,7 @@
 		return
 	}
 	e.model.noteLeader(s)
-	disks := map[string]recovery.Disk{}
-	for _, p := range e.model.peers(e) {
-		d := recovery.Disk{Member: quorum.Member{Name: p.name, Address: p.address}}
-		if n := p.currentNode(); n != nil {
-			d.Member.Disk = n.Status().DiskIdentity
-		}
-		disks[p.name] = d
-	}
-	changes := e.planner.Plan(now, s, disks)
+	changes := e.planner.Plan(now, s, e.disks(now))
 	if len(changes) == 0 {
 		return
 	}
