quorum: limit what is sent to a member by its replies, in bytes

With changes of some 100 KB and links of 100 Mbit/s that fills the leader's link: calls with messages end by their time limit of 1 s, all of it is lost and sent again, and a new disk is never caught up. The transport's queue of 128 messages holds up to 128 MB for each member that is down.

A probe now carries at most a 64th of a message, a replicating member has at most one message's bytes in flight before the next one is sent, and a chunk is sent again only if the member has replied later. Lost entries are found as before, by the rejected heartbeat.

--- a/coord/quorum/replication.go
+++ b/coord/quorum/replication.go
@@ -16,11 +16,14 @@
 	transferTicks int          // ticks since the transfer was requested
 }
 
+// probeShare is the part of MaxMessageBytes that a probe may have, as a divisor.
+const probeShare = 64
+
 type progressState uint8
 
 const (
 	probing      progressState = iota // searching for the matching index
-	replicating                       // sending entries without waiting for replies
+	replicating                       // sending entries, up to the flow control limits without replies
 	snapshotting                      // sending a snapshot
 )
 
@@ -33,11 +36,20 @@
 	lastResponse uint64 // tick of the last reply
 	round        uint64 // last heartbeat round confirmed by the member
 
+	inFlight      []sentEntries // messages with entries not acknowledged yet, oldest first; empty unless replicating
+	inFlightBytes int           // bytes of their entries
+
 	snapshot       *Snapshot // snapshot being sent; nil if none
 	snapshotOffset int       // bytes of the snapshot received by the member
 	lastChunkSent  uint64    // tick at which the last chunk was sent
 }
 
+// sentEntries are the entries of one message.
+type sentEntries struct {
+	last  uint64
+	bytes int
+}
+
 // Propose appends commands to the leader's log and returns the index of the
 // first one and the term.
 func (c *Core) Propose(commands ...[]byte) (first, term uint64, err error) {
@@ -113,10 +125,12 @@
 		p := c.leaderState.progress[disk]
 		p.paused = false
 		_, hasPrevious := c.log.term(p.next - 1)
-		isStalled := p.state == snapshotting && c.now-p.lastChunkSent > uint64(c.config.ElectionTicks)
+		// A chunk is lost if the member has replied since. Sent again while it is on its way, or to
+		// a member that is down, it would only fill the link.
+		isStalled := p.state == snapshotting && p.lastResponse > p.lastChunkSent+uint64(c.config.ElectionTicks)
 		needsSnapshot := p.state == replicating && !hasPrevious
 		if isStalled || needsSnapshot {
-			p.state = probing
+			p.probe()
 		}
 		c.sendHeartbeat(disk, p)
 	}
@@ -151,34 +165,74 @@
 }
 
 func (c *Core) sendEntriesTo(to DiskIdentity, p *progress) {
-	for p.next <= c.log.lastIndex() && p.canSend(c.config.MaxInFlight) {
+	for p.next <= c.log.lastIndex() && c.canSend(p) {
 		prev := p.next - 1
 		term, ok := c.log.term(prev)
 		if !ok {
 			c.sendSnapshot(to, p)
 			return
 		}
-		entries := c.log.slice(p.next, c.log.lastIndex(), c.config.MaxMessageBytes)
-		c.sendAppend(to, p, Message{Index: prev, LogTerm: term, Entries: entries})
 		if p.state == probing {
 			p.paused = true
+			c.sendAppend(to, p, Message{Index: prev, LogTerm: term, Entries: c.probeEntries(p)})
 			return
 		}
+		entries := c.log.slice(p.next, c.log.lastIndex(), c.config.MaxMessageBytes)
+		c.sendAppend(to, p, Message{Index: prev, LogTerm: term, Entries: entries})
 		p.next += uint64(len(entries))
+		p.inFlight = append(p.inFlight, sentEntries{p.next - 1, dataBytes(entries)})
+		p.inFlightBytes += p.inFlight[len(p.inFlight)-1].bytes
 	}
 }
 
-func (p *progress) canSend(maxInFlight int) bool {
+// canSend reports whether the flow control limits allow entries to be sent. Replies limit what is
+// sent by its bytes, too: a new member that is sent the whole log at once gets none of it in time.
+func (c *Core) canSend(p *progress) bool {
 	switch p.state {
 	case probing:
 		return !p.paused
 	case replicating:
-		return p.next-p.match <= uint64(maxInFlight)
+		return p.next-p.match <= uint64(c.config.MaxInFlight) && p.inFlightBytes < c.config.MaxMessageBytes
 	default:
 		return false
 	}
 }
 
+// probeEntries returns the entries that are sent with a probe: a few small ones, as probes are
+// repeated with each heartbeat, also to a member that is down or still receives the last one.
+func (c *Core) probeEntries(p *progress) []Entry {
+	limit := c.config.MaxMessageBytes / probeShare
+	entries := c.log.slice(p.next, c.log.lastIndex(), limit)
+	if dataBytes(entries) > limit {
+		return nil // a single one
+	}
+	return entries
+}
+
+func dataBytes(entries []Entry) int {
+	size := 0
+	for _, e := range entries {
+		size += len(e.Data)
+	}
+	return size
+}
+
+// probe starts the search for the matching index.
+func (p *progress) probe() {
+	p.state, p.paused = probing, false
+	p.inFlight, p.inFlightBytes = nil, 0
+}
+
+// acknowledge records that the member has synced the entries up to match.
+func (p *progress) acknowledge(match uint64) {
+	p.match = max(p.match, match)
+	p.next = max(p.next, p.match+1)
+	for len(p.inFlight) > 0 && p.inFlight[0].last <= p.match {
+		p.inFlightBytes -= p.inFlight[0].bytes
+		p.inFlight = p.inFlight[1:]
+	}
+}
+
 // stepAppendReply handles a member's reply to an Append or a completed snapshot.
 func (c *Core) stepAppendReply(m Message) {
 	if c.role != Leader {
@@ -203,13 +257,12 @@
 		logsDiverged.Inc()
 		return
 	}
-	p.match = max(p.match, m.Match)
-	p.next = max(p.next, p.match+1)
+	p.acknowledge(m.Match)
 	isMatched := m.Match+1 >= p.next || m.Index == p.next-1
 	switch {
 	case p.state == snapshotting && p.match >= c.log.baseIndex:
-		p.state, p.next, p.paused = probing, p.match+1, false
-		p.snapshot = nil
+		p.probe()
+		p.next, p.snapshot = p.match+1, nil
 	case p.state == probing && isMatched:
 		p.state, p.paused = replicating, false
 	}
@@ -234,7 +287,7 @@
 		}
 		hint--
 	}
-	p.state, p.paused = probing, false
+	p.probe()
 	p.next = max(p.match, hint) + 1
 }
 
