quorum: a disk that lacks large entries isn't caught up

A learner counted as caught up with up to 64 entries less than the leader. With configurations of 1,400 routes these are 3 MB. After the loss of two disks (8 real entries, links of 100 Mbit/s) a disk with 10 of 44 entries was promoted, was silent for 3.6 s as it received the rest, and was removed again as a silent voter.

It may lack 256 KiB of entries now, or one entry. TestLearnerThatLacksLargeEntriesIsNotPromoted failed before.

--- a/coord/quorum/flow_control_test.go
+++ b/coord/quorum/flow_control_test.go
@@ -80,3 +80,23 @@
 	}
 	return size
 }
+
+// TestLearnerThatLacksLargeEntriesIsNotPromoted guards against a voter that is busy for seconds
+// with the entries that it lacks, while the disk that it replaces doesn't vote any more.
+func TestLearnerThatLacksLargeEntriesIsNotPromoted(t *testing.T) {
+	g, s, leader := newSettledCluster(t)
+	core := s.members[leader].core
+	behind := (leader + 1) % 3
+	s.isolate(behind)
+	for range 4 {
+		s.propose(leader, strings.Repeat("x", maxPromotionLagBytes/2))
+		s.deliverOthers(behind)
+	}
+	disk := s.members[behind].core.config.Self
+	p := core.leaderState.progress[disk]
+	p.state = replicating
+	g.Expect(core.Commit() - p.match).To(BeNumerically("<=", maxPromotionLag))
+	g.Expect(core.isCaughtUp(disk)).To(BeFalse())
+	p.match = core.Commit() - 2
+	g.Expect(core.isCaughtUp(disk)).To(BeTrue())
+}
--- a/coord/quorum/membership.go
+++ b/coord/quorum/membership.go
@@ -1,8 +1,13 @@
 package quorum
 
-// maxPromotionLag is the maximum number of committed entries by which a learner
-// may lag when it is promoted.
-const maxPromotionLag = 64
+import "math"
+
+// Limits of the committed entries by which a learner may lag when it is promoted. Until it has
+// them it replies late, and no other voter may be lost.
+const (
+	maxPromotionLag      = 64
+	maxPromotionLagBytes = 256 << 10 // of their data; one entry may be larger
+)
 
 // ChangeMember appends a membership change and returns its index and term. Only
 // one change may be pending: others are rejected until it is committed.
@@ -27,11 +32,13 @@
 	return index, c.hardState.Term, nil
 }
 
-// isCaughtUp reports whether a member has synced the committed entries, except
-// for at most maxPromotionLag.
+// isCaughtUp reports whether a member has synced the committed entries, except for a few.
 func (c *Core) isCaughtUp(disk DiskIdentity) bool {
 	p := c.leaderState.progress[disk]
-	return p != nil && p.state == replicating && p.match+maxPromotionLag >= c.commit && p.match >= c.leaderState.termStart
+	if p == nil || p.state != replicating || p.match < c.leaderState.termStart || p.match+maxPromotionLag < c.commit {
+		return false
+	}
+	return p.match+1 >= c.commit || dataBytes(c.log.slice(p.match+1, c.commit, math.MaxInt)) <= maxPromotionLagBytes
 }
 
 // Transfer starts a leadership transfer to another voter. Proposals are rejected
