quorum, control: votes, heartbeats and replies don't wait behind entries

Messages to a member went through one queue, one call at a time of up to 4 MiB and a second each. On a slow link or a busy machine a call with entries ended by its time limit, was sent again, and votes, heartbeats and replies waited behind it for 15 s and more.

A heartbeat may overtake entries now, so it refers to the entry before those on their way; these are sent again when their loss is reported, or when the member has replied later than they take.

--- a/control/control.go
+++ b/control/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -45,6 +46,7 @@
 	node    *quorum.Node
 	mesh    *Mesh
 	server  *server
+	started atomic.Pointer[quorum.Node] // node, for the goroutines of the mesh
 }
 
 // Start opens the data folder and starts a member of the quorum.
@@ -59,6 +61,11 @@
 	m := &Member{options: o}
 	m.machine = state.New(o.Name, func() time.Duration { return time.Since(started) })
 	m.mesh = NewMesh(o.Name, m.quorumClient)
+	m.mesh.OnBulkLost = func(to quorum.Member) {
+		if node := m.started.Load(); node != nil {
+			node.ReportLost(to.Disk)
+		}
+	}
 	node, err := quorum.Start(quorum.Options{
 		Name: o.Name, Address: o.Address, Members: initialMembers(o.Members), Folder: o.Folder,
 		StateMachine: m.machine, Transport: m.mesh, Logger: o.Log, Repair: true,
@@ -68,6 +75,7 @@
 		return nil, trace.Wrap(err)
 	}
 	m.node = node
+	m.started.Store(node)
 	m.server = &server{
 		address: o.Address, log: node, machine: m.machine,
 		members: memberService{log: node, identify: m.identify, logger: o.Log},
--- a/coord/quorum/core.go
+++ b/coord/quorum/core.go
@@ -26,9 +26,12 @@
 	JitterTicks     int // exclusive upper bound of the random jitter added to timeouts
 	MaxMessageBytes int // maximum bytes of entries in one message
 	MaxInFlight     int // maximum unacknowledged entries per member
-	TailLength      int // maximum entries retained before a snapshot, for lagging members
-	TailBytes       int // maximum bytes of the retained entries
-	Rand            *rand.Rand
+	BytesPerTick    int // lowest rate at which members receive entries; 0 for an unlimited one
+	// Overtaking is set if messages without entries may overtake those with entries.
+	Overtaking bool
+	TailLength int // maximum entries retained before a snapshot, for lagging members
+	TailBytes  int // maximum bytes of the retained entries
+	Rand       *rand.Rand
 }
 
 // PersistedState is the state read from disk from which a Core starts.
--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -40,6 +40,7 @@
 	proposals    chan *proposal
 	readRequests chan *readRequest
 	coreCalls    chan func()
+	losses       chan DiskIdentity // members to which bulk messages were lost
 	diskTasks    *mailbox[diskTask]
 	diskResults  *mailbox[diskResult]
 	applyTasks   *mailbox[applyTask]
@@ -114,6 +115,7 @@
 		proposals:        make(chan *proposal, proposalQueueSize),
 		readRequests:     make(chan *readRequest, proposalQueueSize),
 		coreCalls:        make(chan func()),
+		losses:           make(chan DiskIdentity, lossQueueSize),
 		diskTasks:        newMailbox[diskTask](),
 		diskResults:      newMailbox[diskResult](),
 		applyTasks:       newMailbox[applyTask](),
--- a/coord/quorum/node_send.go
+++ b/coord/quorum/node_send.go
@@ -2,8 +2,9 @@
 
 // envelope is an encoded message and its receiver.
 type envelope struct {
-	to   Member
-	data []byte
+	to     Member
+	data   []byte
+	isBulk bool
 }
 
 // memberByDisk returns the member with the given disk, from the configuration or
@@ -38,7 +39,8 @@
 		messagesDropped.Inc()
 		return nil
 	}
-	return []envelope{{to, data}}
+	isBulk := len(m.Entries) > 0 || m.Kind == InstallSnapshot
+	return []envelope{{to, data, isBulk}}
 }
 
 // send passes messages to the transport, batched by receiver.
@@ -47,11 +49,11 @@
 		return
 	}
 	for len(envelopes) > 0 {
-		to := envelopes[0].to
+		to, isBulk := envelopes[0].to, envelopes[0].isBulk
 		var batch [][]byte
 		var rest []envelope
 		for _, e := range envelopes {
-			if e.to != to {
+			if e.to != to || e.isBulk != isBulk {
 				rest = append(rest, e)
 				continue
 			}
@@ -59,7 +61,25 @@
 			messageBytesSent.Add(len(e.data))
 		}
 		messagesSent.Add(len(batch))
-		n.options.Transport.Send(to, batch)
+		n.sendBatch(to, batch, isBulk)
 		envelopes = rest
 	}
 }
+
+func (n *Node) sendBatch(to Member, batch [][]byte, isBulk bool) {
+	if bulk, ok := n.options.Transport.(BulkTransport); ok && isBulk {
+		bulk.SendBulk(to, batch)
+		return
+	}
+	n.options.Transport.Send(to, batch)
+}
+
+// ReportLost tells that entries or a part of a snapshot that were sent to a member may not have
+// arrived. They are sent again once the member replies.
+func (n *Node) ReportLost(disk DiskIdentity) {
+	// Without this report, the time in which they should have been acknowledged tells it, too.
+	select {
+	case n.losses <- disk:
+	default:
+	}
+}
--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -31,8 +31,10 @@
 	MaxCommandBytes   = 8 << 20 // bytes of one command
 	MaxMessageBytes   = 1 << 20 // bytes of entries in one message, unless a single entry is larger
 	maxInFlight       = 4096    // unacknowledged entries sent to one member
+	minBytesPerSecond = 1 << 20 // at which a member receives entries; sent later than that, they are lost
 	proposalQueueSize = 1024    // proposals queued to be appended
 	messageQueueSize  = 4096    // received messages queued for the core
+	lossQueueSize     = 64      // reports of lost messages queued for the core
 	maxUnsynced       = 64      // number of unsynced batches at which further proposals stay queued
 	defaultLogBytes   = 16 << 20
 	defaultTailLength = 2048 // maximum entries retained before a snapshot
@@ -63,6 +65,15 @@
 	Send(to Member, msgs [][]byte)
 }
 
+// BulkTransport is a Transport that doesn't let votes, heartbeats and replies wait behind bulk
+// messages, which hold entries of the log or a part of a snapshot. Both kinds may overtake each
+// other; bulk messages to one member stay in order as far as possible.
+type BulkTransport interface {
+	Transport
+	// SendBulk sends bulk messages, as Send does others.
+	SendBulk(to Member, msgs [][]byte)
+}
+
 // Options are the settings of a Node.
 type Options struct {
 	Name    string // name of this member
@@ -196,6 +207,7 @@
 }
 
 func (o Options) coreConfig(self DiskIdentity, random *mathrand.Rand) CoreConfig {
+	_, overtakes := o.Transport.(BulkTransport)
 	return CoreConfig{
 		Self:            self,
 		HeartbeatTicks:  o.ticks(HeartbeatInterval),
@@ -203,6 +215,8 @@
 		JitterTicks:     o.ticks(ElectionJitter),
 		MaxMessageBytes: MaxMessageBytes,
 		MaxInFlight:     maxInFlight,
+		BytesPerTick:    int(minBytesPerSecond * o.Tick / time.Second),
+		Overtaking:      overtakes,
 		TailLength:      defaultTailLength,
 		TailBytes:       o.tail().bytes,
 		Rand:            random,
--- a/coord/quorum/replication.go
+++ b/coord/quorum/replication.go
@@ -38,6 +38,7 @@
 
 	inFlight      []sentEntries // messages with entries not acknowledged yet, oldest first; empty unless replicating
 	inFlightBytes int           // bytes of their entries
+	lossReported  uint64        // tick at which some of them, or a chunk, was reported as lost; 0 if none was
 
 	snapshot       *Snapshot // snapshot being sent; nil if none
 	snapshotOffset int       // bytes of the snapshot received by the member
@@ -46,8 +47,9 @@
 
 // sentEntries are the entries of one message.
 type sentEntries struct {
-	last  uint64
-	bytes int
+	first, last uint64
+	bytes       int
+	sent        uint64 // tick
 }
 
 // Propose appends commands to the leader's log and returns the index of the
@@ -125,21 +127,55 @@
 		p := c.leaderState.progress[disk]
 		p.paused = false
 		_, hasPrevious := c.log.term(p.next - 1)
-		// A chunk is lost if the member has replied since. Sent again while it is on its way, or to
-		// a member that is down, it would only fill the link.
-		isStalled := p.state == snapshotting && p.lastResponse > p.lastChunkSent+uint64(c.config.ElectionTicks)
 		needsSnapshot := p.state == replicating && !hasPrevious
-		if isStalled || needsSnapshot {
+		if needsSnapshot || c.isLost(p) {
 			p.probe()
 		}
 		c.sendHeartbeat(disk, p)
 	}
 }
 
+// isLost reports whether entries or a chunk of a snapshot that a member has not acknowledged were
+// lost: the member has replied since that was reported, or later than they take to arrive. Sent
+// again while they are on their way, or to a member that is down, they would only fill the link.
+func (c *Core) isLost(p *progress) bool {
+	if p.lossReported > 0 && p.lastResponse > p.lossReported {
+		return true
+	}
+	switch {
+	case p.state == snapshotting:
+		return p.lastResponse > p.lastChunkSent+c.arrivalTicks(c.config.MaxMessageBytes)
+	case p.state == replicating && len(p.inFlight) > 0:
+		return c.config.Overtaking && p.lastResponse > p.inFlight[0].sent+c.arrivalTicks(p.inFlightBytes)
+	default:
+		return false
+	}
+}
+
+// arrivalTicks returns the ticks after which a message of a size is taken for lost if the member
+// has replied to later ones.
+func (c *Core) arrivalTicks(size int) uint64 {
+	ticks := c.config.ElectionTicks
+	if c.config.BytesPerTick > 0 {
+		ticks += size / c.config.BytesPerTick
+	}
+	return uint64(ticks)
+}
+
+// ReportLost records that entries or a chunk sent to a member may not have arrived.
+func (c *Core) ReportLost(disk DiskIdentity) {
+	if p := c.leaderState.progress[disk]; p != nil && (p.state == snapshotting || len(p.inFlight) > 0) {
+		p.lossReported = c.now
+	}
+}
+
 // sendHeartbeat sends an Append without entries. The reply also reveals entries
-// lost in transit.
+// lost in transit, unless it may have overtaken them.
 func (c *Core) sendHeartbeat(to DiskIdentity, p *progress) {
 	prev := p.next - 1
+	if c.config.Overtaking && len(p.inFlight) > 0 {
+		prev = p.inFlight[0].first - 1
+	}
 	term, ok := c.log.term(prev)
 	if !ok || p.state == snapshotting {
 		prev, term = 0, 0
@@ -180,7 +216,7 @@
 		entries := c.log.slice(p.next, c.log.lastIndex(), c.config.MaxMessageBytes)
 		c.sendAppend(to, p, Message{Index: prev, LogTerm: term, Entries: entries})
 		p.next += uint64(len(entries))
-		p.inFlight = append(p.inFlight, sentEntries{p.next - 1, dataBytes(entries)})
+		p.inFlight = append(p.inFlight, sentEntries{first: prev + 1, last: p.next - 1, bytes: dataBytes(entries), sent: c.now})
 		p.inFlightBytes += p.inFlight[len(p.inFlight)-1].bytes
 	}
 }
@@ -219,8 +255,11 @@
 
 // probe starts the search for the matching index.
 func (p *progress) probe() {
+	if len(p.inFlight) > 0 {
+		p.next = p.inFlight[0].first
+	}
 	p.state, p.paused = probing, false
-	p.inFlight, p.inFlightBytes = nil, 0
+	p.inFlight, p.inFlightBytes, p.lossReported = nil, 0, 0
 }
 
 // acknowledge records that the member has synced the entries up to match.
@@ -231,6 +270,9 @@
 		p.inFlightBytes -= p.inFlight[0].bytes
 		p.inFlight = p.inFlight[1:]
 	}
+	if len(p.inFlight) == 0 {
+		p.lossReported = 0
+	}
 }
 
 // stepAppendReply handles a member's reply to an Append or a completed snapshot.
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -110,6 +110,13 @@
 	}
 }
 
+// reportLost tells the member that entries sent to another one may not have arrived.
+func (c *quorumManager) reportLost(to quorum.Member) {
+	if node := c.currentNode(); node != nil {
+		node.ReportLost(to.Disk)
+	}
+}
+
 func (c *quorumManager) currentNode() *quorum.Node {
 	c.mu.Lock()
 	defer c.mu.Unlock()
