--- a/mesh/quorum_disk.go
+++ b/mesh/quorum_disk.go
@@ -36,9 +36,8 @@
 // DiskHealth is the state of an entry's disk and the reason for it.
 type DiskHealth struct {
 	State DiskState
-	Err   error     // of the last start or of the running member; nil while it runs
-	Kept  error     // why a refused disk was not emptied at the last attempt; nil before the first
-	Since time.Time // when the disk entered the state
+	Err   error // of the last start or of the running member; nil while it runs
+	Kept  error // why a refused disk was not emptied at the last attempt; nil before the first
 }
 
 func (h DiskHealth) isSameAs(other DiskHealth) bool {
@@ -68,17 +67,17 @@
 	c.mu.Lock()
 	before := c.disk
 	now := time.Now()
-	h.Since = now
-	if before.State == h.State {
-		h.Since = before.Since
+	if before.State != h.State {
+		c.diskSince = now
 	}
 	c.disk = h
+	since := c.diskSince
 	c.mu.Unlock()
 	if before.isSameAs(h) {
 		return
 	}
 	setDiskGauges(h.State)
-	c.logDisk(h, before.State, now)
+	c.logDisk(h, before.State, now.Sub(since))
 }
 
 func setDiskGauges(current DiskState) {
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -56,6 +56,7 @@
 	stopped       bool
 	lastLeader    string
 	disk          DiskHealth
+	diskSince     time.Time // when the disk entered its state
 	startingSince time.Time // of the start of the member in progress, zero without one
 	discarded     bool      // this process has emptied the disk, which therefore can't found a quorum
 	refusals      recovery.Refusals
@@ -65,7 +66,7 @@
 	setDiskGauges(DiskNone)
 	return &quorumManager{
 		mesh: m, log: m.log, state: newQuorumState(), openFolder: wal.OpenFolder, logBytes: logBytes,
-		disk: DiskHealth{State: DiskNone, Since: time.Now()},
+		disk: DiskHealth{State: DiskNone}, diskSince: time.Now(),
 	}
 }
 
--- a/mesh/state_reporter.go
+++ b/mesh/state_reporter.go
@@ -53,26 +53,26 @@
 		return
 	}
 	c.mu.Lock()
-	disk, startingSince, stopped := c.disk, c.startingSince, c.stopped
+	disk, diskSince, startingSince, stopped := c.disk, c.diskSince, c.startingSince, c.stopped
 	c.mu.Unlock()
 	if c.mesh.options.DataFolder == "" || stopped {
 		return
 	}
-	r.leader.observeNoMember(now, disk, startingSince)
+	r.leader.observeNoMember(now, disk, diskSince, startingSince)
 	if now.Before(r.nextDisk) {
 		return
 	}
 	r.nextDisk = now.Add(leaderlessReport)
-	c.logDisk(disk, disk.State, now)
+	c.logDisk(disk, disk.State, now.Sub(diskSince))
 }
 
 // observeNoMember is called regularly while no member runs on this entry's disk.
-func (o *leaderObserver) observeNoMember(now time.Time, disk DiskHealth, startingSince time.Time) {
+func (o *leaderObserver) observeNoMember(now time.Time, disk DiskHealth, diskSince, startingSince time.Time) {
 	if now.Before(o.nextReport) {
 		return
 	}
 	o.leaderless, o.nextReport = true, now.Add(leaderlessReport)
-	fields := []any{"member", false, "disk", disk.State, "for_ms", now.Sub(disk.Since).Milliseconds()}
+	fields := []any{"member", false, "disk", disk.State, "for_ms", now.Sub(diskSince).Milliseconds()}
 	if !startingSince.IsZero() {
 		fields = append(fields, "starting_ms", now.Sub(startingSince).Milliseconds())
 	}
@@ -83,12 +83,12 @@
 }
 
 // logDisk logs the state of the disk.
-func (c *quorumManager) logDisk(h DiskHealth, before DiskState, now time.Time) {
+func (c *quorumManager) logDisk(h DiskHealth, before DiskState, inState time.Duration) {
 	level := slog.LevelInfo
 	if h.Err != nil {
 		level = slog.LevelError
 	}
-	c.log.Log(context.Background(), level, "quorum disk", "state", h.State, "for_ms", now.Sub(h.Since).Milliseconds(),
+	c.log.Log(context.Background(), level, "quorum disk", "state", h.State, "for_ms", inState.Milliseconds(),
 		"reason", diskReason(h.Err), "kept", keptReason(h.Kept), "before", before,
 		"error", errorText(h.Err), "kept_error", errorText(h.Kept), "step", "mesh.core")
 }
