recovery: replace a lost voter while its entry's new disk is learning

The planner left a lost voter to the repair from the moment at which the new disk of its entry was added, also if that one takes long to catch up or never does: a settled learner next to it stayed unused, and the lost voter counted. It is left to the repair only once its new disk is caught up.

The case "a voter whose entry is back with a new disk is left to the repair" had a new disk that was not caught up, and a settled learner: it demanded the fault. Three cases stand in its place: caught up, learning beside a settled learner (failed before: no change planned), and learning alone.

--- a/coord/recovery/plan.go
+++ b/coord/recovery/plan.go
@@ -101,10 +101,13 @@
 }
 
 // goneVoter returns a voter to be replaced. A voter whose own entry is back with a new disk
-// is left to the quorum's repair.
+// is left to the quorum's repair once that disk is caught up: until then, which may take long, a
+// settled learner takes its place.
 func goneVoter(s quorum.Status, disks map[string]Disk) (quorum.Member, bool) {
 	for _, v := range s.Voters {
-		isBeingRepaired := slices.ContainsFunc(s.Learners, func(l quorum.Member) bool { return l.Replaces == v.Disk })
+		isBeingRepaired := slices.ContainsFunc(s.Learners, func(l quorum.Member) bool {
+			return l.Replaces == v.Disk && s.Progress[l.Disk].CaughtUp
+		})
 		if v.Disk != s.DiskIdentity && !isBeingRepaired && isGone(v, s, disks) {
 			return v, true
 		}
--- a/coord/recovery/plan_test.go
+++ b/coord/recovery/plan_test.go
@@ -71,7 +71,11 @@
 	behind := leaderStatus(abc, d, "c")
 	behind.Progress["disk-d"] = quorum.MemberProgress{}
 	repaired := leaderStatus(abc, append(members("d"), replacing("c")), "c")
-	repaired.Progress[replacing("c").Disk] = quorum.MemberProgress{}
+	repaired.Progress[replacing("c").Disk] = quorum.MemberProgress{CaughtUp: true}
+	learning := leaderStatus(abc, append(members("d"), replacing("c")), "c")
+	learning.Progress[replacing("c").Disk] = quorum.MemberProgress{}
+	alone := leaderStatus(abc, []quorum.Member{replacing("c")}, "c")
+	alone.Progress[replacing("c").Disk] = quorum.MemberProgress{}
 	type change struct {
 		kind quorum.ChangeKind
 		name string
@@ -99,7 +103,9 @@
 		{"a learner that has left is removed", leaderStatus(abc, d), hasLeft(knownDisks("b", "c"), "d"), settled, []change{{quorum.Remove, "d"}}, 1},
 		{"a settled learner becomes the third voter", leaderStatus(members("a", "b"), d), knownDisks("b", "d"), settled, []change{{quorum.Promote, "d"}}, 1},
 		{"a silent learner does not become the third voter", leaderStatus(members("a", "b"), d, "d"), knownDisks("b"), settled, []change{{quorum.Remove, "d"}}, 1},
-		{"a voter whose entry is back with a new disk is left to the repair", repaired, knownDisks("b", "c", "d"), settled, nil, 1},
+		{"a voter whose entry's new disk is caught up is left to the repair", repaired, knownDisks("b", "c", "d"), settled, nil, 1},
+		{"a settled learner doesn't wait for a new disk that is learning", learning, knownDisks("b", "c", "d"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}, 1},
+		{"a voter whose entry's new disk is learning stays without a settled learner", alone, knownDisks("b", "c"), settled, nil, 1},
 		{"a settled learner replaces a silent voter of an even number", leaderStatus(abcd, members("e"), "c"), knownDisks("b", "d", "e"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "e"}}, 1},
 		{"a silent voter beyond the wanted number is removed without a successor", leaderStatus(abcd, nil, "c"), knownDisks("b", "d"), nil, []change{{quorum.Remove, "c"}}, 1},
 		{"a silent voter beyond the wanted number waits for its successor", leaderStatus(abcd, members("e"), "c"), knownDisks("b", "d", "e"), map[quorum.DiskIdentity]time.Time{"disk-e": now}, nil, 1},
