--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -28,12 +28,12 @@
 
 // Limits.
 const (
-	MaxCommandBytes   = 8 << 20 // bytes of one command
-	MaxMessageBytes   = 1 << 20 // bytes of entries in one message, unless a single entry is larger
-	maxInFlight       = 4096    // unacknowledged entries sent to one member
-	proposalQueueSize = 1024    // proposals queued to be appended
-	messageQueueSize  = 4096    // received messages queued for the core
-	maxUnsynced       = 64      // number of unsynced batches at which further proposals stay queued
+	MaxCommandBytes   = 8 << 20   // bytes of one command
+	MaxMessageBytes   = 256 << 10 // bytes of entries in one message, unless a single entry is larger; 0.1 s of a link of 100 Mbit/s for five members
+	maxInFlight       = 4096      // unacknowledged entries sent to one member
+	proposalQueueSize = 1024      // proposals queued to be appended
+	messageQueueSize  = 4096      // received messages queued for the core
+	maxUnsynced       = 64        // number of unsynced batches at which further proposals stay queued
 	defaultLogBytes   = 16 << 20
 	defaultTailLength = 2048 // maximum entries retained before a snapshot
 	tailShare         = 2    // maximum bytes of these entries, as a divisor of Options.LogBytes
