--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -28,8 +28,10 @@
 	peers            map[DiskIdentity]Member
 	pendingReads     map[uint64]*readRequest
 	lastReadID       uint64
-	ticksSinceHello  int                             // ticks since the last Hello
-	ticksSinceRepair int                             // ticks since announced was last cleared
+	ticksSinceHello  int // ticks since the last Hello
+	ticksSinceRepair int // ticks since announced was last cleared
+	configuration    configurationObserver
+	repairFailures   repairFailures
 	announced        []Member                        // peers that are not members and have announced themselves
 	foundingTicks    int                             // ticks as a founder that waits for promises
 	progress         map[DiskIdentity]MemberProgress // as of the last tick as leader; replaced, never modified
@@ -41,6 +43,9 @@
 	diskTasks    *mailbox[diskTask]
 	diskResults  *mailbox[diskResult]
 	applyTasks   *mailbox[applyTask]
+	// snapshotWrite is the snapshot that is being written, nil if there is none. The apply
+	// goroutine sets it, the disk goroutine clears it after the compaction.
+	snapshotWrite atomic.Pointer[snapshotWrite]
 
 	ctx        context.Context
 	cancel     context.CancelFunc
