wal: sync the parents of a new data folder

The name of a new data folder was never synced in its parent: a loss of power could take the whole folder with all that was synced in it, a loss of one disk more than is tolerated. Only folders that OpenFolder creates are concerned; a platform that provides the folder is not.

--- a/coord/wal/folder.go
+++ b/coord/wal/folder.go
@@ -1,7 +1,9 @@
 package wal
 
 import (
+	"errors"
 	"io"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -57,8 +59,8 @@
 // OpenFolder opens a directory of the file system and creates it when it is
 // missing. The directory is locked against other processes until Close.
 func OpenFolder(path string) (Folder, error) {
-	if err := os.MkdirAll(path, folderMode); err != nil {
-		return nil, trace.Wrap(err)
+	if err := createFolders(path, syncFolder); err != nil {
+		return nil, err
 	}
 	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, fileMode)
 	if err != nil {
@@ -71,6 +73,34 @@
 	return &directory{path: path, lock: lock}, nil
 }
 
+// createFolders creates a directory and its missing parents and makes their names durable. A
+// parent that can't be synced, such as one without permission to read it, is no error.
+func createFolders(path string, syncFolder func(path string) error) error {
+	var parents []string
+	for p := filepath.Clean(path); ; p = filepath.Dir(p) {
+		if _, err := os.Stat(p); !errors.Is(err, fs.ErrNotExist) {
+			break
+		}
+		parents = append(parents, filepath.Dir(p))
+	}
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return trace.Wrap(err)
+	}
+	for _, p := range parents {
+		_ = syncFolder(p)
+	}
+	return nil
+}
+
+func syncFolder(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = f.Close() }()
+	return trace.Wrap(f.Sync())
+}
+
 // List implements Folder.
 func (d *directory) List() ([]string, error) {
 	entries, err := os.ReadDir(d.path)
@@ -140,14 +170,7 @@
 func (d *directory) Remove(name string) error { return os.Remove(d.filePath(name)) }
 
 // Sync implements Folder.
-func (d *directory) Sync() error {
-	f, err := os.Open(d.path)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	defer func() { _ = f.Close() }()
-	return trace.Wrap(f.Sync())
-}
+func (d *directory) Sync() error { return syncFolder(d.path) }
 
 // Close implements Folder.
 func (d *directory) Close() error { return d.lock.Close() }
