--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -57,9 +57,12 @@
 
 // Start starts a member on its disk. It fails with a *wal.CorruptError, which
 // gives file and offset, when acknowledged data on the disk is missing or damaged.
-// Such a disk must be emptied, which makes it a new member.
+// Such a disk must be emptied, which makes it a new member. Options.Disk is closed on failure.
 func Start(o Options) (*Node, error) {
 	if err := o.check(); err != nil {
+		if o.Disk != nil {
+			_ = o.Disk.Close()
+		}
 		return nil, err
 	}
 	o = o.withDefaults()
