quorum: rotate a log whose entries were mostly replaced

A log of more than twice LogBytes is now rotated if that halves it.

TestReplacedEntriesDoNotFillDisk failed before.

--- a/coord/quorum/node_disk.go
+++ b/coord/quorum/node_disk.go
@@ -88,15 +88,18 @@
 	return size
 }
 
-// makeRoom waits for the snapshot in progress and compacts the log if entries of size bytes
-// would otherwise make the log too large: the disk has to hold a copy of the log during the
-// next rotation, and the next start has to read it. Votes and terms don't wait.
+// makeRoom keeps the log from growing beyond its limit by entries of size bytes: the disk has
+// to hold a copy of the log during the next rotation, and the next start has to read it. It
+// waits for the snapshot in progress and compacts the log. Votes and terms don't wait.
 func (n *Node) makeRoom(size int) error {
-	if size == 0 || n.storage.log.Size()+int64(size) <= int64(maxLogShare*n.options.LogBytes) {
+	if n.storage.log.Size()+int64(size) <= int64(maxLogShare*n.options.LogBytes) {
 		return nil
 	}
+	if n.storage.isMostlyReplaced() {
+		return n.storage.rotate(n.storage.snapshotIndex)
+	}
 	w := n.snapshotWrite.Load()
-	if w == nil {
+	if w == nil || size == 0 {
 		return nil
 	}
 	logHoldBacks.Inc()
--- a/coord/quorum/storage.go
+++ b/coord/quorum/storage.go
@@ -267,6 +267,12 @@
 	return s.removeSnapshots()
 }
 
+// isMostlyReplaced reports whether a rotation would halve the log file: entries in it were
+// replaced, or the hard state was written often. Snapshots follow committed entries only.
+func (s *storage) isMostlyReplaced() bool {
+	return int64(entryBytes(s.entries.entries)) < s.log.Size()/2
+}
+
 // firstBatch returns the first batch of a new log file: the complete state of the
 // log.
 func (s *storage) firstBatch() ([]byte, error) {
--- a/coord/quorum/storage_room_test.go
+++ b/coord/quorum/storage_room_test.go
@@ -120,3 +120,26 @@
 	}
 	g.Expect(snapshotFiles(g, folder)).To(ConsistOf(snapshotName(3)))
 }
+
+// TestReplacedEntriesDoNotFillDisk guards against a log that grows without bound while entries
+// are replaced or terms change and nothing is committed, so that no snapshot is taken.
+func TestReplacedEntriesDoNotFillDisk(t *testing.T) {
+	g := NewWithT(t)
+	const logBytes = 1 << 10
+	folder := wal.NewMemoryFolder()
+	s, saved, err := openStorage(folder, "d1", simulatedTail)
+	g.Expect(err).NotTo(HaveOccurred())
+	n := newNode(Options{Name: "a", StateMachine: nil, LogBytes: logBytes}.withDefaults(), s, saved)
+	for term := uint64(1); term <= 200; term++ {
+		r := Ready{Sequence: term, HardState: &HardState{Term: term}}
+		if term%2 == 0 {
+			r.Entries = []Entry{{Index: 1, Term: term, Data: bytes.Repeat([]byte("x"), 100)}}
+		}
+		g.Expect(n.writeGroup([]diskTask{{ready: r}})).To(Succeed())
+		g.Expect(s.log.Size()).To(BeNumerically("<", (maxLogShare+1)*logBytes))
+	}
+	s, saved, err = openStorage(folder, "d2", simulatedTail)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(saved.HardState.Term).To(Equal(uint64(200)))
+	g.Expect(s.entries.lastTerm()).To(Equal(uint64(200)))
+}
