quorum: lose power also on directories of the file system

TestPowerLossOfAllMembers plays the same losses on directories: each modification goes to the directory and to an in-memory model, which decides what a loss of power leaves; the directory is then written again from it. Before each loss the two are compared.

--- a/coord/quorum/node_power_test.go
+++ b/coord/quorum/node_power_test.go
@@ -6,16 +6,15 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"path/filepath"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/jacinthplank/jacinthplank/coord/quorum"
-	"github.com/jacinthplank/jacinthplank/coord/wal"
 )
 
 var (
@@ -23,14 +22,12 @@
 	powerRounds = flag.Int("quorum.power-rounds", 6, "losses of power in TestPowerLossOfAllMembers")
 )
 
-var errNoPower = errors.New("no power")
-
 // powerRun is a cluster whose goroutines run in parallel, on disks that lose power at any
 // operation and keep any part of what was not synced.
 type powerRun struct {
 	g       *WithT
 	random  *rand.Rand
-	disks   []*wal.MemoryFolder
+	disks   []*powerDisk
 	network *network
 	members []quorum.Member
 
@@ -38,7 +35,8 @@
 	acknowledged []string
 }
 
-func newPowerRun(g *WithT, seed uint64, size int) *powerRun {
+// newPowerRun returns a run on in-memory disks, or on those below a folder.
+func newPowerRun(g *WithT, seed uint64, size int, folder string) *powerRun {
 	p := &powerRun{
 		g: g, random: rand.New(rand.NewPCG(seed, 1)),
 		network: &network{nodes: map[string]*quorum.Node{}, cutLinks: map[[2]string]bool{}, frozen: map[string]bool{}},
@@ -46,41 +44,13 @@
 	for i := range size {
 		name := fmt.Sprintf("m%d", i)
 		p.members = append(p.members, quorum.Member{Name: name, Address: "addr-" + name})
-		p.disks = append(p.disks, wal.NewMemoryFolder())
-	}
-	return p
-}
-
-// failAfter lets a disk fail each operation after the given number of them.
-func failAfter(disk *wal.MemoryFolder, operations int64) {
-	var left atomic.Int64
-	left.Store(operations)
-	disk.SetFault(func(string, string) error {
-		n := left.Add(-1)
-		if n < 0 {
-			return errNoPower
-		}
-		if n%3 == 0 {
-			time.Sleep(time.Duration(rand.IntN(500)) * time.Microsecond)
+		path := ""
+		if folder != "" {
+			path = filepath.Join(folder, name)
 		}
-		return nil
-	})
-}
-
-func (p *powerRun) losePower(disk *wal.MemoryFolder) {
-	disk.SetFault(nil)
-	keep := func(size int) (from, to int) {
-		switch p.random.IntN(4) {
-		case 0:
-			return 0, 0
-		case 1:
-			return 0, size
-		}
-		from = p.random.IntN(size + 1)
-		return from, from + p.random.IntN(size-from+1)
+		p.disks = append(p.disks, newPowerDisk(path))
 	}
-	isKept := func() bool { return p.random.IntN(2) == 1 }
-	disk.PowerLoss(keep, isKept, isKept)
+	return p
 }
 
 // start starts a member. Some starts lose power before they are done.
@@ -88,25 +58,25 @@
 	for {
 		interrupted := p.random.IntN(2) == 0
 		if interrupted {
-			failAfter(p.disks[i], p.random.Int64N(14))
+			p.disks[i].failAfter(p.random.Int64N(14))
 		}
 		m := p.members[i]
 		node, err := quorum.Start(quorum.Options{
-			Name: m.Name, Address: m.Address, Members: p.members, Disk: p.disks[i], StateMachine: machine,
+			Name: m.Name, Address: m.Address, Members: p.members, Disk: p.disks[i].open(p.g), StateMachine: machine,
 			Transport: link{p.network, m.Name}, Seed: p.random.Uint64() | 1, LogBytes: 600,
 		})
 		if interrupted && errors.Is(err, errNoPower) {
-			p.losePower(p.disks[i])
+			p.disks[i].losePower(p.g, p.random)
 			continue
 		}
-		files, _ := p.disks[i].List()
+		files, _ := p.disks[i].model.List()
 		p.g.Expect(err).NotTo(HaveOccurred(), "start of %s, files %v", m.Name, files)
-		p.disks[i].SetFault(nil)
+		p.disks[i].model.SetFault(nil)
 		if node.Status().Err == nil {
 			return node
 		}
 		node.Stop()
-		p.losePower(p.disks[i])
+		p.disks[i].losePower(p.g, p.random)
 	}
 }
 
@@ -185,8 +155,14 @@
 // disks: while snapshots are written by one goroutine and the log is replaced by another, and
 // during the next starts.
 func TestPowerLossOfAllMembers(t *testing.T) {
+	for name, folder := range map[string]string{"in-memory disks": "", "directories": t.TempDir()} {
+		t.Run(name, func(t *testing.T) { losePowerRepeatedly(t, folder) })
+	}
+}
+
+func losePowerRepeatedly(t *testing.T, folder string) {
 	g := NewWithT(t)
-	p := newPowerRun(g, *powerSeed, 3)
+	p := newPowerRun(g, *powerSeed, 3, folder)
 	for round := range *powerRounds {
 		machines := p.startAll()
 		commands := p.awaitState(machines)
@@ -194,13 +170,13 @@
 			g.Expect(slices.Contains(commands, command)).To(BeTrue(), "%s is in force in round %d", command, round)
 		}
 		for _, disk := range p.disks {
-			failAfter(disk, 20+p.random.Int64N(400))
+			disk.failAfter(20 + p.random.Int64N(400))
 		}
 		done := make(chan struct{})
 		workers := p.proposeUntil(done, round)
 		time.Sleep(time.Duration(200+p.random.IntN(400)) * time.Millisecond)
 		for _, disk := range p.disks {
-			failAfter(disk, 0)
+			disk.failAfter(0)
 		}
 		for _, n := range p.nodes() {
 			n.Stop()
@@ -208,7 +184,7 @@
 		close(done)
 		workers.Wait()
 		for _, disk := range p.disks {
-			p.losePower(disk)
+			disk.losePower(g, p.random)
 		}
 	}
 	t.Logf("%d commands acknowledged", len(p.acknowledged))
