--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -63,7 +63,7 @@
 func newQuorumManager(m *Mesh) *quorumManager {
 	setDiskGauges(DiskNone)
 	return &quorumManager{
-		mesh: m, log: m.log, state: newQuorumState(), openFolder: wal.OpenFolder, logBytes: logBytes,
+		mesh: m, log: m.log, state: newQuorumState(), openFolder: openDiskFolder, logBytes: logBytes,
 		disk: DiskHealth{State: DiskNone},
 	}
 }
--- a/soak/control_test.go
+++ b/soak/control_test.go
@@ -64,11 +64,16 @@
 }
 
 func (s *soak) configuration(version uint64) string {
+	var extra strings.Builder
+	for i := range s.extraRoutes {
+		fmt.Fprintf(&extra, `{"name":"extra-%d","host":"extra-%d.example","path_prefix":"/%d/","kind":"idempotent","timeout_ms":3000,"service":"s","attempts":2},
+`, i, i%97, (version+uint64(i))%1000)
+	}
 	return fmt.Sprintf(`{"version":%d,"routes":[
-{"name":"gen","host":"h","path_prefix":"/gen/","kind":"stream","timeout_ms":4000,"goal_ms":300,"service":"s","attempts":2,"resumable":true},
+%s{"name":"gen","host":"h","path_prefix":"/gen/","kind":"stream","timeout_ms":4000,"goal_ms":300,"service":"s","attempts":2,"resumable":true},
 {"name":"safe","host":"h","path_prefix":"/safe/","kind":"idempotent","timeout_ms":3000,"service":"s","attempts":2},
 {"name":"once","host":"h","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":3000,"service":"s","attempts":1}],
-"services":[{"name":"s","max_conns":%d}]}`, version, 50*len(s.fleet.processes))
+"services":[{"name":"s","max_conns":%d}]}`, version, extra.String(), 50*len(s.fleet.processes))
 }
 
 // putConfiguration sends a version once and reports whether it was acknowledged.
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -46,6 +46,7 @@
 	throttled bool // by SIGSTOP, as the quota is used up
 	claimed   bool // by a fault or by planned work
 	ending    bool // the current run was told to end
+	dark      bool // without power, so that it can't be started
 	faults    int  // odd while the process is faulted
 	stops     int  // odd from a planned SIGTERM until the next run is ready
 	stopAt    time.Time
@@ -73,6 +74,7 @@
 	tolerated int // entries with a disk that may be lost at once
 	domains   int // failure domains, filled in turn; one if 0
 	linked    bool
+	memory    int     // memory limit of an entry in MB, as its settings name it; 0 for that of the flag
 	quota     float64 // multiple of its share of a core that each process gets, see quota_test.go; 0 for no limit
 }
 
@@ -152,7 +154,7 @@
 budget_window_s = 10
 retry_slack = 100
 `, p.name, p.ip, p.domain, peerPort, peerPort+9, strings.Join(seeds, ","), first, data,
-		p.ip, callerPort, p.ip, readyPort, p.ip, controlPort, advertise, f.shape.tolerated, *entryMemory, gracePeriod/time.Second)
+		p.ip, callerPort, p.ip, readyPort, p.ip, controlPort, advertise, f.shape.tolerated, cmp.Or(f.shape.memory, *entryMemory), gracePeriod/time.Second)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -163,6 +165,9 @@
 	f.t.Helper()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.dark {
+		return
+	}
 	if p.command != nil {
 		if p.ending {
 			f.t.Errorf("%s was told to end and hasn't ended before its next start", p.name)
--- a/soak/links_test.go
+++ b/soak/links_test.go
@@ -23,6 +23,7 @@
 	closed    bool
 	listeners []net.Listener
 	open      map[*link]bool
+	dark      map[string]bool // entries without power, by IP
 }
 
 // link is a connection from the entry that opened it to another one.
@@ -30,10 +31,11 @@
 	from, to       string
 	caller, server net.Conn    // server is nil until the connection is established
 	silent         atomic.Bool // for good
+	forgotten      atomic.Bool // one end has lost power and is back: it resets the connection at the next packet
 }
 
 func newLinks() *links {
-	return &links{state: joined, changed: make(chan struct{}), open: map[*link]bool{}}
+	return &links{state: joined, changed: make(chan struct{}), open: map[*link]bool{}, dark: map[string]bool{}}
 }
 
 func joined(_, _ string) linkState { return linkState{} }
@@ -122,10 +124,12 @@
 
 func (l *links) now(from, to string) (s linkState, changed <-chan struct{}) {
 	l.mu.Lock()
-	state, changed := l.state, l.changed
+	state, changed, dark := l.state, l.changed, l.dark[from] || l.dark[to]
 	l.mu.Unlock()
 	// state may lock the fleet, which starts proxies while it is locked.
-	return state(from, to), changed
+	s = state(from, to)
+	s.cut = s.cut || dark
+	return s, changed
 }
 
 // establish plays the handshake, a packet each way, as the kernel of this machine completes
@@ -167,6 +171,9 @@
 	k.server = server
 	l.mu.Lock()
 	l.open[k] = !l.closed
+	if l.dark[k.from] || l.dark[k.to] {
+		k.silent.Store(true)
+	}
 	l.mu.Unlock()
 	var wait sync.WaitGroup
 	wait.Go(func() { l.copy(k, k.server, k.caller, k.from, k.to) })
@@ -211,6 +218,8 @@
 			<-changed
 		}
 		switch {
+		case k.forgotten.Load() && len(p.data) > 0:
+			resetConn(src)
 		case k.silent.Load():
 		case len(p.data) == 0:
 			_ = dst.Close()
--- /dev/null
+++ b/soak/power_run_test.go
@@ -0,0 +1,261 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+var (
+	powerEntries = flag.Int("soak.power-entries", 8, "entries of TestLossesOfPower; each is a process")
+	powerSeeds   = flag.Uint64("soak.power-seeds", 1, "number of seeds of TestLossesOfPower")
+	powerFirst   = flag.Uint64("soak.power-first", 0, "first seed of TestLossesOfPower; 0 for the regression seeds and the CI seed")
+	powerSeries  = flag.Int("soak.power-series", 1, "series of faults in a run of TestLossesOfPower")
+	powerFaults  = flag.Int("soak.power-faults", 1, "faults in a series before the losses at its end")
+	powerLast    = flag.Int("soak.power-last", 1, "losses at the end of each series")
+	powerKinds   = flag.String("soak.power-kinds", "", "kinds of these faults, separated by commas; empty for all")
+	powerFinals  = flag.String("soak.power-finals", "", "kinds of the losses at the end, separated by commas; empty for all")
+	powerQuota   = flag.Float64("soak.power-quota", 0, "give each entry of TestLossesOfPower this multiple of its share of a core; 0 for no limit")
+	powerRoutes  = flag.Int("soak.power-routes", -1, "routes of a configuration beside those in use; -1 for a number that the seed draws")
+	powerStops   = flag.Bool("soak.power-stops", true, "stop and restart entries in turn meanwhile")
+)
+
+const (
+	powerMemory   = 184 // MB
+	maxRoutes     = 1400
+	stopInterval  = 2 * time.Second // between the planned stops of two entries
+	firstStop     = time.Second
+	powerCallers  = 8
+	quickChange   = 60 * time.Millisecond
+	readyAtReturn = 10 * time.Second // of an entry after a planned stop
+)
+
+// powerRegressions are seeds that have failed before, each with its cause.
+var powerRegressions = []uint64{}
+
+// powerRun is a fleet that loses power.
+type powerRun struct {
+	*linkRun
+	stopping   atomic.Bool // entries are stopped and restarted in turn
+	stopped    sync.Mutex  // held while one of them is away
+	finalKinds []string
+}
+
+// TestLossesOfPower guards against a quorum that elects no leader, or loses an acknowledged
+// configuration, after two disks are lost at once, alone or while others lose power and with it what
+// they have not synced. Faults of other kinds, which leave the quorum with other members, come before.
+func TestLossesOfPower(t *testing.T) {
+	binary := buildWith(t, "-tags", "powerloss")
+	run := append([]uint64{ciSeed}, powerRegressions...)
+	if *powerFirst != 0 {
+		run = nil
+		for i := range *powerSeeds {
+			run = append(run, *powerFirst+i)
+		}
+	}
+	for _, seed := range run {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runPowerSeed(t, binary, seed) })
+	}
+}
+
+func runPowerSeed(t *testing.T, binary string, seed uint64) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	f := newFleet(t, binary, seed, shape{
+		entries: *powerEntries, disks: pairDisks, tolerated: 2, domains: domains, linked: true, memory: powerMemory, quota: *powerQuota,
+	})
+	s := &soak{
+		t: t, kind: "power", seed: seed, fleet: f, runs: newRunLog(), stop: ctx,
+		notRun: map[string]bool{}, nonIdempotent: map[string]bool{}, statuses: map[int]int{}, replicaRuns: map[string]*replica{},
+	}
+	s.random = s.newRandom("choices")
+	r := &powerRun{linkRun: &linkRun{pairsRun: &pairsRun{soak: s}, random: s.newRandom("power"), kinds: powerKindsAll}, finalKinds: finalKinds}
+	if *powerKinds != "" {
+		r.kinds = strings.Split(*powerKinds, ",")
+	}
+	if *powerFinals != "" {
+		r.finalKinds = strings.Split(*powerFinals, ",")
+	}
+	s.extraRoutes = *powerRoutes
+	if s.extraRoutes < 0 {
+		s.extraRoutes = []int{0, 100, maxRoutes}[r.random.IntN(3)]
+	}
+	// Requests may fail at any entry; only their content is checked.
+	for _, p := range f.all() {
+		p.setFaulted(true)
+	}
+	s.wait.Go(func() { f.watchMemory(ctx) })
+	if f.shape.quota > 0 {
+		s.wait.Go(func() { f.limitProcessors(ctx) })
+	}
+	t.Logf("%d entries, %d further routes", len(f.all()), s.extraRoutes)
+	r.startLinkLoad()
+	s.wait.Go(func() { r.changeQuickly(s.newRandom("quick changes")) })
+	if *powerStops {
+		s.wait.Go(r.stopInTurn)
+	}
+	for series := 1; series <= *powerSeries && !t.Failed(); series++ {
+		r.playSeries(series)
+	}
+	cancel()
+	s.wait.Wait()
+	r.expectReads()
+	r.checkRuns()
+	for _, v := range r.violations {
+		t.Error(v)
+	}
+	t.Logf("configuration %d acknowledged of %d sent, %d planned stops, statuses of callers %v", r.ackedVersion, r.sentVersion, r.stops.Load(), r.statuses)
+	if t.Failed() {
+		r.saveLog()
+	}
+}
+
+// playSeries plays faults of many kinds and then losses at which the entries have to recover.
+func (r *powerRun) playSeries(series int) {
+	r.stopping.Store(true)
+	for fault := 1; fault <= *powerFaults && !r.t.Failed(); fault++ {
+		kind := r.kinds[r.random.IntN(len(r.kinds))]
+		began := time.Now()
+		r.logLeader(kind)
+		settle := r.injectPower(kind)
+		// Some faults begin before the last one is overcome, where that is tolerated.
+		r.t.Logf("series %d, fault %d, %s: took %v", series, fault, kind, time.Since(began).Round(time.Millisecond))
+		if settle == 0 {
+			continue
+		}
+		r.stopping.Store(false)
+		r.expectRecovery(time.Now(), settle, fmt.Sprintf("series %d, fault %d, %s", series, fault, kind))
+		r.stopping.Store(true)
+	}
+	for last := 1; last <= *powerLast && !r.t.Failed(); last++ {
+		kind := r.finalKinds[r.random.IntN(len(r.finalKinds))]
+		underWay, withLeader := r.random.IntN(3) == 0, r.random.IntN(2) == 0
+		places := r.pickDisks(r.fleet.shape.tolerated, r.random, withLeader)
+		// Entries that are away by plan come back first: they would be a third loss.
+		r.stopping.Store(false)
+		r.stopped.Lock()
+		r.logLeader("last, " + kind)
+		r.awaitChange(underWay)
+		r.loseFinally(kind, places, func() time.Duration { return between(r.random, 300*time.Millisecond, 2*time.Second) })
+		r.stopped.Unlock()
+		r.expectRecovery(time.Now(), catchUpTime, fmt.Sprintf("series %d, last loss %d, %s", series, last, kind))
+	}
+}
+
+func (r *powerRun) logLeader(kind string) {
+	leader, quorum := r.findLeader()
+	name := "none"
+	if leader != nil {
+		name = leader.name
+	}
+	r.t.Logf("%s at %s: before it %s leads in term %d, voters %v, learners %v", kind, time.Now().UTC().Format("15:04:05.000"), name, quorum.GetTerm(), quorum.GetVoters(), quorum.GetLearners())
+}
+
+// expectRecovery expects that the quorum has recovered once settle has passed.
+func (r *powerRun) expectRecovery(healed time.Time, settle time.Duration, when string) {
+	time.Sleep(time.Until(healed.Add(settle)))
+	r.expectVoters(when)
+	r.expectChangesSince(healed, settle, when)
+	r.leader.log(r.t, 0, when, healed)
+	r.stalls.log(r.t)
+}
+
+// changeQuickly sends changes in quick succession from time to time, beside those of the operator.
+func (r *powerRun) changeQuickly(random *rand.Rand) {
+	for r.stop.Err() == nil {
+		r.sleep(between(random, 2*time.Second, 6*time.Second))
+		for range 10 {
+			r.mu.Lock()
+			version := r.sentVersion + 1
+			r.mu.Unlock()
+			r.putConfiguration(version)
+			r.sleep(quickChange)
+		}
+	}
+}
+
+// stopInTurn stops and restarts an entry after the other, whose callers go on.
+func (r *powerRun) stopInTurn() {
+	random := r.newRandom("stops")
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	r.sleep(firstStop)
+	for place := 0; r.stop.Err() == nil; place++ {
+		all := r.fleet.all()
+		p := all[place%len(all)]
+		if r.stopping.Load() && !p.isDark() && r.stopped.TryLock() {
+			plan := drawStopPlan(random)
+			plan.againSignal = 0
+			wait.Go(func() {
+				defer r.stopped.Unlock()
+				r.stopAndStart(p, plan)
+			})
+		}
+		r.sleep(stopInterval)
+	}
+}
+
+func (r *powerRun) stopAndStart(p *process, plan stopPlan) {
+	r.t.Logf("planned stop of %s", p.name)
+	r.stopEntry(p, plan)
+	r.sleep(plan.down)
+	r.fleet.start(p, false)
+	eventually(readyAtReturn, func() bool { return p.isDark() || r.stop.Err() != nil || p.isReady() })
+	p.setStopping(false)
+}
+
+func (p *process) isDark() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dark
+}
+
+// expectVoters expects that as many disks vote as wanted, and that each of them runs.
+func (s *soak) expectVoters(when string) {
+	var report string
+	leader, quorum := s.findLeader()
+	if leader == nil {
+		report = "there is no leader"
+	} else {
+		report = s.missingVoters(quorum.GetVoters(), quorum.GetSilent())
+	}
+	if report == "" {
+		return
+	}
+	s.t.Errorf("%s, %s; %s", report, when, s.describeQuorum())
+}
+
+// missingVoters tells what is wrong about the voters.
+func (s *soak) missingVoters(voters, silent []string) string {
+	wanted := 2*s.fleet.shape.tolerated + 1
+	if len(voters) < wanted {
+		return fmt.Sprintf("%d voters, %v, of at least %d", len(voters), voters, wanted)
+	}
+	for i, name := range voters {
+		p := slices.IndexFunc(s.fleet.all(), func(p *process) bool { return p.name == name && p.running() })
+		if p < 0 || slices.Contains(silent, name) || slices.Contains(voters[:i], name) {
+			return fmt.Sprintf("a disk of %s votes that doesn't run, voters %v, silent %v", name, voters, silent)
+		}
+	}
+	return ""
+}
+
+// describeQuorum tells what each entry with a disk says of the quorum.
+func (s *soak) describeQuorum() string {
+	var out strings.Builder
+	for _, p := range s.fleet.all()[:s.fleet.shape.disks] {
+		status := statusOf(p)
+		q, d := status.GetQuorum(), status.GetDisk()
+		e := q.GetElection()
+		fmt.Fprintf(&out, "\n%s: disk %s %s %s, %s of term %d, commit %d, leader %q, voters %v, learners %v, silence %d ms, attempts %d, granted %d, refused by %v, silent %v", p.name,
+			d.GetState(), d.GetError(), d.GetKept(), q.GetRole(), q.GetTerm(), q.GetCommit(), q.GetLeader(), q.GetVoters(), q.GetLearners(), e.GetSilenceMs(), e.GetAttempts(), e.GetGranted(), e.GetRefusedBy(), e.GetSilentVoters())
+	}
+	return out.String()
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -63,10 +63,12 @@
 	}
 }
 
-func build(t *testing.T) string {
+func build(t *testing.T) string { return buildWith(t) }
+
+func buildWith(t *testing.T, flags ...string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "jacinthplankd")
-	out, err := exec.Command("go", "build", "-o", path, "../cmd/jacinthplankd").CombinedOutput()
+	out, err := exec.Command("go", append(append([]string{"build"}, flags...), "-o", path, "../cmd/jacinthplankd")...).CombinedOutput()
 	if err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
@@ -95,6 +97,7 @@
 	violations    []string
 	statuses      map[int]int
 	nextID        atomic.Int64
+	extraRoutes   int // of each configuration
 	crossed       int // requests that crossed the close of their connection
 	cutAtGrace    int // requests cut at the end of the grace period
 	stops         atomic.Int64
