--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -74,6 +74,7 @@
 	tolerated int // entries with a disk that may be lost at once
 	domains   int // failure domains, filled in turn; one if 0
 	linked    bool
+	mbps      float64 // of the own link of each entry; 0 for no limit
 	memory    int     // memory limit of an entry in MB, as its settings name it; 0 for that of the flag
 	quota     float64 // multiple of its share of a core that each process gets, see quota_test.go; 0 for no limit
 }
@@ -90,6 +91,7 @@
 	f := &fleet{t: t, binary: binary, folder: folder, shape: s, log: log}
 	if s.linked {
 		f.links = newLinks()
+		f.links.rate = s.mbps * 1e6 / 8
 	}
 	for i := range s.entries {
 		f.processes = append(f.processes, f.newProcess(seed, i, fmt.Sprintf("z-%d", i%max(s.domains, 1)), i < s.disks))
--- a/soak/links_test.go
+++ b/soak/links_test.go
@@ -24,6 +24,8 @@
 	listeners []net.Listener
 	open      map[*link]bool
 	dark      map[string]bool // entries without power, by IP
+	rate      float64         // bytes per second that an entry sends and receives, all its connections together; 0 for no limit
+	busyUntil map[string]time.Time
 }
 
 // link is a connection from the entry that opened it to another one.
@@ -35,7 +37,7 @@
 }
 
 func newLinks() *links {
-	return &links{state: joined, changed: make(chan struct{}), open: map[*link]bool{}, dark: map[string]bool{}}
+	return &links{state: joined, changed: make(chan struct{}), open: map[*link]bool{}, dark: map[string]bool{}, busyUntil: map[string]time.Time{}}
 }
 
 func joined(_, _ string) linkState { return linkState{} }
@@ -185,24 +187,54 @@
 	l.mu.Unlock()
 }
 
+// reserve returns when n bytes have passed the own links of both entries.
+func (l *links) reserve(n int, from, to string) time.Time {
+	now := time.Now()
+	if l.rate == 0 {
+		return now
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	latest := now
+	for _, end := range []string{"from " + from, "to " + to} {
+		start := now
+		if l.busyUntil[end].After(now) {
+			start = l.busyUntil[end]
+		}
+		l.busyUntil[end] = start.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
+		if l.busyUntil[end].After(latest) {
+			latest = l.busyUntil[end]
+		}
+	}
+	return latest
+}
+
 // packet is what was read at once, or the end of the connection if it is empty.
 type packet struct {
 	data []byte
 	due  time.Time
 }
 
-const packetsOnTheWay = 64 // of 32 KiB at most, then the sender has to wait
+// Limits of what is on its way on a connection. Then the sender has to wait.
+const (
+	packetsOnTheWay = 64 // of 32 KiB at most
+	smallWindow     = 4  // packets, on links with a limited rate
+)
 
 // copy passes on what src sends as the link allows, and the end of the connection as well.
 func (l *links) copy(k *link, dst, src net.Conn, from, to string) {
-	packets := make(chan packet, packetsOnTheWay)
+	window := packetsOnTheWay
+	if l.rate > 0 {
+		window = smallWindow
+	}
+	packets := make(chan packet, window)
 	go func() {
 		defer close(packets)
 		buffer := make([]byte, 32<<10)
 		for {
 			n, err := src.Read(buffer)
 			s, _ := l.now(from, to)
-			due := time.Now().Add(s.delay)
+			due := l.reserve(n, from, to).Add(s.delay)
 			if n > 0 {
 				packets <- packet{slices.Clone(buffer[:n]), due}
 			}
--- a/soak/power_run_test.go
+++ b/soak/power_run_test.go
@@ -24,6 +24,7 @@
 	powerFinals  = flag.String("soak.power-finals", "", "kinds of the losses at the end, separated by commas; empty for all")
 	powerQuota   = flag.Float64("soak.power-quota", 0, "give each entry of TestLossesOfPower this multiple of its share of a core; 0 for no limit")
 	powerRoutes  = flag.Int("soak.power-routes", -1, "routes of a configuration beside those in use; -1 for a number that the seed draws")
+	powerRate    = flag.Float64("soak.power-mbps", 0, "rate of the own link of each entry in Mbit/s; 0 for no limit")
 	powerStops   = flag.Bool("soak.power-stops", true, "stop and restart entries in turn meanwhile")
 )
 
@@ -69,7 +70,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	f := newFleet(t, binary, seed, shape{
-		entries: *powerEntries, disks: pairDisks, tolerated: 2, domains: domains, linked: true, memory: powerMemory, quota: *powerQuota,
+		entries: *powerEntries, disks: pairDisks, tolerated: 2, domains: domains, linked: true, memory: powerMemory, quota: *powerQuota, mbps: *powerRate,
 	})
 	s := &soak{
 		t: t, kind: "power", seed: seed, fleet: f, runs: newRunLog(), stop: ctx,
@@ -97,6 +98,7 @@
 	}
 	t.Logf("%d entries, %d further routes", len(f.all()), s.extraRoutes)
 	r.startLinkLoad()
+	s.wait.Go(r.watchVoters)
 	s.wait.Go(func() { r.changeQuickly(s.newRandom("quick changes")) })
 	if *powerStops {
 		s.wait.Go(r.stopInTurn)
@@ -167,6 +169,21 @@
 	r.stalls.log(r.t)
 }
 
+// watchVoters logs each change of the members as the leader tells them.
+func (r *powerRun) watchVoters() {
+	last := ""
+	for r.stop.Err() == nil {
+		if leader, q := r.findLeader(); leader != nil {
+			text := fmt.Sprintf("%s leads term %d, voters %v, learners %v, silent %v", leader.name, q.GetTerm(), q.GetVoters(), q.GetLearners(), q.GetSilent())
+			if text != last {
+				r.t.Logf("%s: %s", time.Now().UTC().Format("15:04:05.000"), text)
+			}
+			last = text
+		}
+		r.sleep(watchInterval)
+	}
+}
+
 // changeQuickly sends changes in quick succession from time to time, beside those of the operator.
 func (r *powerRun) changeQuickly(random *rand.Rand) {
 	for r.stop.Err() == nil {
