--- a/soak/control_test.go
+++ b/soak/control_test.go
@@ -101,7 +101,7 @@
 		for s.stop.Err() == nil && !s.putConfiguration(version) {
 			time.Sleep(50 * time.Millisecond)
 		}
-		s.sleep(between(random, 100*time.Millisecond, 500*time.Millisecond))
+		s.sleep(s.changePause + between(random, 100*time.Millisecond, 500*time.Millisecond))
 	}
 }
 
--- a/soak/power_run_test.go
+++ b/soak/power_run_test.go
@@ -25,6 +25,7 @@
 	powerQuota   = flag.Float64("soak.power-quota", 0, "give each entry of TestLossesOfPower this multiple of its share of a core; 0 for no limit")
 	powerRoutes  = flag.Int("soak.power-routes", -1, "routes of a configuration beside those in use; -1 for a number that the seed draws")
 	powerRate    = flag.Float64("soak.power-mbps", 0, "rate of the own link of each entry in Mbit/s; 0 for no limit")
+	powerPause   = flag.Duration("soak.power-pause", 0, "pause of the operator between two changes, beside that of other runs; with one there are no quick changes")
 	powerStops   = flag.Bool("soak.power-stops", true, "stop and restart entries in turn meanwhile")
 )
 
@@ -84,7 +85,7 @@
 	if *powerFinals != "" {
 		r.finalKinds = strings.Split(*powerFinals, ",")
 	}
-	s.extraRoutes = *powerRoutes
+	s.extraRoutes, s.changePause = *powerRoutes, *powerPause
 	if s.extraRoutes < 0 {
 		s.extraRoutes = []int{0, 100, maxRoutes}[r.random.IntN(3)]
 	}
@@ -99,7 +100,9 @@
 	t.Logf("%d entries, %d further routes", len(f.all()), s.extraRoutes)
 	r.startLinkLoad()
 	s.wait.Go(r.watchVoters)
-	s.wait.Go(func() { r.changeQuickly(s.newRandom("quick changes")) })
+	if s.changePause == 0 {
+		s.wait.Go(func() { r.changeQuickly(s.newRandom("quick changes")) })
+	}
 	if *powerStops {
 		s.wait.Go(r.stopInTurn)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -97,9 +97,10 @@
 	violations    []string
 	statuses      map[int]int
 	nextID        atomic.Int64
-	extraRoutes   int // of each configuration
-	crossed       int // requests that crossed the close of their connection
-	cutAtGrace    int // requests cut at the end of the grace period
+	extraRoutes   int           // of each configuration
+	changePause   time.Duration // more between two changes of the operator
+	crossed       int           // requests that crossed the close of their connection
+	cutAtGrace    int           // requests cut at the end of the grace period
 	stops         atomic.Int64
 	deadly        deadlyRecord
 }
