--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -28,8 +28,10 @@
 	peers            map[DiskIdentity]Member
 	pendingReads     map[uint64]*readRequest
 	lastReadID       uint64
-	ticksSinceHello  int                             // ticks since the last Hello
-	ticksSinceRepair int                             // ticks since announced was last cleared
+	ticksSinceHello  int // ticks since the last Hello
+	ticksSinceRepair int // ticks since announced was last cleared
+	configuration    configurationObserver
+	repairFailures   repairFailures
 	announced        []Member                        // peers that are not members and have announced themselves
 	foundingTicks    int                             // ticks as a founder that waits for promises
 	progress         map[DiskIdentity]MemberProgress // as of the last tick as leader; replaced, never modified
@@ -38,9 +40,13 @@
 	proposals    chan *proposal
 	readRequests chan *readRequest
 	coreCalls    chan func()
+	losses       chan DiskIdentity // members to which bulk messages were lost
 	diskTasks    *mailbox[diskTask]
 	diskResults  *mailbox[diskResult]
 	applyTasks   *mailbox[applyTask]
+	// snapshotWrite is the snapshot that is being written, nil if there is none. The apply
+	// goroutine sets it, the disk goroutine clears it after the compaction.
+	snapshotWrite atomic.Pointer[snapshotWrite]
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -109,6 +115,7 @@
 		proposals:        make(chan *proposal, proposalQueueSize),
 		readRequests:     make(chan *readRequest, proposalQueueSize),
 		coreCalls:        make(chan func()),
+		losses:           make(chan DiskIdentity, lossQueueSize),
 		diskTasks:        newMailbox[diskTask](),
 		diskResults:      newMailbox[diskResult](),
 		applyTasks:       newMailbox[applyTask](),
--- a/coord/quorum/node_core.go
+++ b/coord/quorum/node_core.go
@@ -46,6 +46,8 @@
 			n.startRead(r)
 		case fn := <-n.coreCalls:
 			fn()
+		case disk := <-n.losses:
+			n.core.ReportLost(disk)
 		case <-n.diskResults.signal:
 		}
 		n.handleDiskResults()
@@ -344,6 +346,7 @@
 
 // updateStatus publishes the Core's state to other goroutines.
 func (n *Node) updateStatus() {
+	n.reportConfiguration()
 	configuration := n.core.Configuration()
 	election := n.core.Election()
 	n.options.setDurations(&election)
--- a/mesh/quorum_disk.go
+++ b/mesh/quorum_disk.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
@@ -65,17 +66,18 @@
 func (c *quorumManager) setDiskHealth(h DiskHealth) {
 	c.mu.Lock()
 	before := c.disk
+	now := time.Now()
+	if before.State != h.State {
+		c.diskSince = now
+	}
 	c.disk = h
+	since := c.diskSince
 	c.mu.Unlock()
 	if before.isSameAs(h) {
 		return
 	}
 	setDiskGauges(h.State)
-	log := c.log.Info
-	if h.Err != nil {
-		log = c.log.Error
-	}
-	log("quorum disk", "step", "mesh.core", "state", h.State, "before", before.State, "error", errorText(h.Err), "kept", errorText(h.Kept))
+	c.logDisk(h, before.State, now.Sub(since))
 }
 
 func setDiskGauges(current DiskState) {
