quorum: heartbeats may overtake entries

A heartbeat to a replicating member referred to the last entry sent. If it arrived before that, as in a transport with a lane of its own for small messages, it was rejected, and the leader sent all entries on their way again.

It now refers to the last entry acknowledged.

--- a/coord/quorum/core.go
+++ b/coord/quorum/core.go
@@ -26,6 +26,7 @@
 	JitterTicks     int // exclusive upper bound of the random jitter added to timeouts
 	MaxMessageBytes int // maximum bytes of entries in one message
 	MaxInFlight     int // maximum unacknowledged entries per member
+	BytesPerTick    int // bytes that a link carries at least; 0: any number
 	TailLength      int // maximum entries retained before a snapshot, for lagging members
 	TailBytes       int // maximum bytes of the retained entries
 	Rand            *rand.Rand
--- a/coord/quorum/flow_control_test.go
+++ b/coord/quorum/flow_control_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -80,3 +81,64 @@
 	}
 	return size
 }
+
+// TestHeartbeatMayOvertakeEntries guards against a leader that takes entries for lost because a
+// heartbeat, which is small, arrived before them, and sends them again.
+func TestHeartbeatMayOvertakeEntries(t *testing.T) {
+	g, s, leader := newSettledCluster(t)
+	slow := (leader + 1) % 3
+	core := s.members[leader].core
+	p := core.leaderState.progress[s.members[slow].core.config.Self]
+	var late []inFlightMessage
+	bytes := 0
+	for tick := range 5 * core.config.HeartbeatTicks {
+		if tick < 2 {
+			s.propose(leader, "1234567890")
+		}
+		s.tick(leader)
+		for len(s.inFlight) > 0 {
+			packet := s.inFlight[0]
+			m, err := DecodeMessage(packet.data)
+			g.Expect(err).NotTo(HaveOccurred())
+			if packet.to != slow || len(m.Entries) == 0 {
+				s.deliver(0)
+				s.syncAll()
+				continue
+			}
+			bytes += dataBytes(m.Entries)
+			late = append(late, packet)
+			s.inFlight = s.inFlight[1:]
+		}
+	}
+	g.Expect(p.state).To(Equal(replicating))
+	g.Expect(bytes).To(Equal(20), "each entry is sent once")
+	s.inFlight = append(s.inFlight, late...)
+	s.deliverAll(true)
+	g.Expect(p.match).To(Equal(core.LastIndex()))
+}
+
+// TestLostEntriesAreSentAgain guards against entries that are never sent again after they were
+// lost on their way, as nothing that follows them is rejected.
+func TestLostEntriesAreSentAgain(t *testing.T) {
+	for name, isReported := range map[string]bool{"reported by the transport": true, "not reported": false} {
+		t.Run(name, func(t *testing.T) {
+			g, s, leader := newSettledCluster(t)
+			other := (leader + 1) % 3
+			core := s.members[leader].core
+			disk := s.members[other].core.config.Self
+			s.propose(leader, "lost")
+			s.inFlight = slices.DeleteFunc(s.inFlight, func(packet inFlightMessage) bool { return packet.to == other })
+			s.deliverAll(true)
+			limit := 2 * core.config.ElectionTicks
+			if isReported {
+				core.ReportLost(disk)
+				limit = 3 * core.config.HeartbeatTicks
+			}
+			for range limit {
+				s.tick(leader)
+				s.deliverAll(true)
+			}
+			g.Expect(core.leaderState.progress[disk].match).To(Equal(core.LastIndex()))
+		})
+	}
+}
--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -31,6 +31,7 @@
 	MaxCommandBytes   = 8 << 20   // bytes of one command
 	MaxMessageBytes   = 256 << 10 // bytes of entries in one message, unless a single entry is larger; 0.1 s of a link of 100 Mbit/s for five members
 	maxInFlight       = 4096      // unacknowledged entries sent to one member
+	minLinkBytes      = 1 << 20   // bytes per second that a member is expected to receive
 	proposalQueueSize = 1024      // proposals queued to be appended
 	messageQueueSize  = 4096      // received messages queued for the core
 	maxUnsynced       = 64        // number of unsynced batches at which further proposals stay queued
@@ -203,6 +204,7 @@
 		JitterTicks:     o.ticks(ElectionJitter),
 		MaxMessageBytes: MaxMessageBytes,
 		MaxInFlight:     maxInFlight,
+		BytesPerTick:    int(minLinkBytes * o.Tick.Seconds()),
 		TailLength:      defaultTailLength,
 		TailBytes:       o.tail().bytes,
 		Rand:            random,
--- a/coord/quorum/replication.go
+++ b/coord/quorum/replication.go
@@ -38,16 +38,19 @@
 
 	inFlight      []sentEntries // messages with entries not acknowledged yet, oldest first; empty unless replicating
 	inFlightBytes int           // bytes of their entries
+	lostAt        uint64        // tick at which the transport reported a loss, 0 without one since the last probe
 
 	snapshot       *Snapshot // snapshot being sent; nil if none
 	snapshotOffset int       // bytes of the snapshot received by the member
 	lastChunkSent  uint64    // tick at which the last chunk was sent
+	chunkBytes     int       // of the last chunk
 }
 
 // sentEntries are the entries of one message.
 type sentEntries struct {
 	last  uint64
 	bytes int
+	sent  uint64 // tick
 }
 
 // Propose appends commands to the leader's log and returns the index of the
@@ -125,21 +128,46 @@
 		p := c.leaderState.progress[disk]
 		p.paused = false
 		_, hasPrevious := c.log.term(p.next - 1)
-		// A chunk is lost if the member has replied since. Sent again while it is on its way, or to
-		// a member that is down, it would only fill the link.
-		isStalled := p.state == snapshotting && p.lastResponse > p.lastChunkSent+uint64(c.config.ElectionTicks)
 		needsSnapshot := p.state == replicating && !hasPrevious
-		if isStalled || needsSnapshot {
+		if needsSnapshot || c.hasLost(p) {
 			p.probe()
 		}
 		c.sendHeartbeat(disk, p)
 	}
 }
 
-// sendHeartbeat sends an Append without entries. The reply also reveals entries
-// lost in transit.
+// hasLost reports whether entries or a chunk that a member was sent are taken for lost: it has
+// replied so much later that they should have arrived. Sent again while they are on their way, or
+// to a member that is down, they would only fill the link.
+func (c *Core) hasLost(p *progress) bool {
+	switch {
+	case p.lostAt != 0 && p.lastResponse > p.lostAt:
+		return true
+	case p.state == snapshotting:
+		return p.lastResponse > p.lastChunkSent+c.arrivalTicks(p.chunkBytes)
+	case p.state == replicating && len(p.inFlight) > 0:
+		return p.lastResponse > p.inFlight[0].sent+c.arrivalTicks(p.inFlightBytes)
+	default:
+		return false
+	}
+}
+
+// arrivalTicks returns the time within which so many bytes arrive and are acknowledged.
+func (c *Core) arrivalTicks(bytes int) uint64 {
+	ticks := c.config.ElectionTicks
+	if c.config.BytesPerTick > 0 {
+		ticks += bytes / c.config.BytesPerTick
+	}
+	return uint64(ticks)
+}
+
+// sendHeartbeat sends an Append without entries. To a member that is sent entries it refers to the
+// last one acknowledged: the transport may deliver it before entries that were sent earlier.
 func (c *Core) sendHeartbeat(to DiskIdentity, p *progress) {
 	prev := p.next - 1
+	if p.state == replicating {
+		prev = p.match
+	}
 	term, ok := c.log.term(prev)
 	if !ok || p.state == snapshotting {
 		prev, term = 0, 0
@@ -180,8 +208,9 @@
 		entries := c.log.slice(p.next, c.log.lastIndex(), c.config.MaxMessageBytes)
 		c.sendAppend(to, p, Message{Index: prev, LogTerm: term, Entries: entries})
 		p.next += uint64(len(entries))
-		p.inFlight = append(p.inFlight, sentEntries{p.next - 1, dataBytes(entries)})
-		p.inFlightBytes += p.inFlight[len(p.inFlight)-1].bytes
+		size := dataBytes(entries)
+		p.inFlight = append(p.inFlight, sentEntries{p.next - 1, size, c.now})
+		p.inFlightBytes += size
 	}
 }
 
@@ -217,10 +246,21 @@
 	return size
 }
 
-// probe starts the search for the matching index.
+// probe starts the search for the matching index. What was not acknowledged is sent again.
 func (p *progress) probe() {
+	if p.state == replicating {
+		p.next = p.match + 1
+	}
 	p.state, p.paused = probing, false
-	p.inFlight, p.inFlightBytes = nil, 0
+	p.inFlight, p.inFlightBytes, p.lostAt = nil, 0, 0
+}
+
+// ReportLost tells that entries or a chunk that were sent to a member may not have arrived. They
+// are sent again once the member replies.
+func (c *Core) ReportLost(disk DiskIdentity) {
+	if p := c.leaderState.progress[disk]; p != nil {
+		p.lostAt = c.now
+	}
 }
 
 // acknowledge records that the member has synced the entries up to match.
--- a/coord/quorum/transfer.go
+++ b/coord/quorum/transfer.go
@@ -31,6 +31,7 @@
 	end := min(p.snapshotOffset+c.config.MaxMessageBytes, len(data))
 	chunk := *p.snapshot
 	chunk.Data = data[p.snapshotOffset:end]
+	p.chunkBytes = len(chunk.Data)
 	c.send(Message{
 		Kind: InstallSnapshot, To: to, Term: c.hardState.Term, Round: c.leaderState.round,
 		Snapshot: &chunk, Offset: uint64(p.snapshotOffset), Total: uint64(len(data)), Sender: c.self(),
