--- a/coord/recovery/model_test.go
+++ b/coord/recovery/model_test.go
@@ -42,8 +42,9 @@
 	leaders map[uint64]quorum.DiskIdentity
 	log     []string
 
-	payload  int // bytes of each change and of the state
-	logBytes int // after which a member takes a snapshot
+	payload   int  // bytes of each change and of the state
+	logBytes  int  // after which a member takes a snapshot
+	overtakes bool // small messages don't wait behind large ones
 
 	callTimeout time.Duration // of those who propose changes
 	pause       time.Duration // between two changes, at least
