control: votes have a queue of their own, calls the time that their size needs

Messages of elections now have their own queue and call. A batch ends at 256 KiB, so that it arrives within the election timeout over 20 Mbit/s; the time limit grows with its size. Queues are kept by name and address, and end after a minute without messages.

--- a/control/control.go
+++ b/control/control.go
@@ -58,7 +58,7 @@
 	started := time.Now()
 	m := &Member{options: o}
 	m.machine = state.New(o.Name, func() time.Duration { return time.Since(started) })
-	m.mesh = NewMesh(o.Name, m.quorumClient)
+	m.mesh = NewMesh(o.Name, m.quorumClient, o.Log)
 	node, err := quorum.Start(quorum.Options{
 		Name: o.Name, Address: o.Address, Members: initialMembers(o.Members), Folder: o.Folder,
 		StateMachine: m.machine, Transport: m.mesh, Logger: o.Log, Repair: true,
--- a/control/mesh.go
+++ b/control/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -14,11 +15,20 @@
 	"github.com/jacinthplank/jacinthplank/ring"
 )
 
-// Limits of the send queue of one member and of one call to it.
+// Limits of a send queue of one member and of one call to it.
 const (
 	sendQueueCapacity = 128 // messages
-	maxBatchBytes     = 4 << 20
-	sendTimeout       = time.Second
+	// maxBatchBytes lets a batch with one more message of 1 MiB arrive within the election
+	// timeout over a link of 20 Mbit/s: each one shows that the leader is there.
+	maxBatchBytes = 256 << 10
+	maxVoteBytes  = 1 << 10 // of messages that are looked at to find those of elections
+	sendTimeout   = time.Second
+	// minBytesPerSecond prolongs calls with large messages, up to a command of 8 MiB: over a
+	// link of 20 Mbit/s it takes longer than sendTimeout, each time that it is sent again.
+	minBytesPerSecond = 2 << 20
+	// senderIdleTime is the time without messages after which a sender ends: members that are
+	// replaced come back with other addresses and disks.
+	senderIdleTime = time.Minute
 )
 
 var (
@@ -27,93 +37,145 @@
 	meshDropped = metrics.NewCounter("jacinthplank_control_mesh_messages_dropped_total")
 )
 
-// Mesh is the transport between the members of the quorum, with a send queue and
-// a sender goroutine per peer. It implements quorum.Transport.
+// lane is a send queue of a member. A call at a time is made for each. Messages of elections
+// have their own: they don't wait for a batch of entries that takes seconds over a slow link.
+type lane struct {
+	name, address string // of the member
+	isElection    bool
+}
+
+// Mesh is the transport between the members of the quorum, with send queues and
+// sender goroutines per peer. It implements quorum.Transport.
 type Mesh struct {
-	from string
-	dial func(address string) jacinthplankv1connect.QuorumServiceClient
+	from     string
+	dial     func(address string) jacinthplankv1connect.QuorumServiceClient
+	failures *callFailures
+	idleTime time.Duration
 
 	ctx     context.Context
 	cancel  context.CancelFunc
 	senders sync.WaitGroup
 
 	mu     sync.Mutex
-	queues map[quorum.Member]*ring.Ring[[]byte]
+	queues map[lane]*ring.Ring[[]byte]
 	closed bool
 }
 
 // NewMesh returns the mesh of the member named from. dial creates the client of
-// the member at an address.
-func NewMesh(from string, dial func(address string) jacinthplankv1connect.QuorumServiceClient) *Mesh {
-	m := &Mesh{from: from, dial: dial, queues: make(map[quorum.Member]*ring.Ring[[]byte])}
+// the member at an address. log may be nil.
+func NewMesh(from string, dial func(address string) jacinthplankv1connect.QuorumServiceClient, log *slog.Logger) *Mesh {
+	m := &Mesh{from: from, dial: dial, failures: newCallFailures(log), idleTime: senderIdleTime, queues: make(map[lane]*ring.Ring[[]byte])}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	return m
 }
 
 // Send implements quorum.Transport.
 func (m *Mesh) Send(to quorum.Member, messages [][]byte) {
-	q := m.queue(to)
-	if q == nil {
-		return
-	}
-	before := q.Dropped()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	dropped := uint64(0)
 	for _, message := range messages {
-		q.Put(message)
+		if q := m.queue(lane{name: to.Name, address: to.Address, isElection: isOfElection(message)}); q != nil {
+			before := q.Dropped()
+			q.Put(message)
+			dropped += q.Dropped() - before
+		}
 	}
-	meshDropped.Add(int(q.Dropped() - before))
+	meshDropped.Add(int(dropped))
 }
 
-// queue returns the send queue of a member. It returns nil for a new member once
-// the mesh is closed.
-func (m *Mesh) queue(to quorum.Member) *ring.Ring[[]byte] {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	q, ok := m.queues[to]
+// isOfElection reports whether a message is one of an election.
+func isOfElection(message []byte) bool {
+	if len(message) > maxVoteBytes {
+		return false
+	}
+	m, err := quorum.DecodeMessage(message)
+	if err != nil {
+		return false
+	}
+	switch m.Kind {
+	case quorum.PreVote, quorum.PreVoteReply, quorum.Vote, quorum.VoteReply, quorum.TimeoutNow:
+		return true
+	default:
+		return false
+	}
+}
+
+// queue returns a send queue of a member. It returns nil for a new one once the mesh is closed.
+// The caller holds the lock.
+func (m *Mesh) queue(l lane) *ring.Ring[[]byte] {
+	q, ok := m.queues[l]
 	if ok || m.closed {
 		return q
 	}
 	q = ring.New[[]byte](sendQueueCapacity, ring.DropOldest)
-	m.queues[to] = q
-	client := m.dial(to.Address)
-	m.senders.Go(func() { m.sendLoop(to, q, client) })
+	m.queues[l] = q
+	client := m.dial(l.address)
+	m.senders.Go(func() { m.sendLoop(l, q, client) })
 	return q
 }
 
-// sendLoop sends the queued messages of one member in batches.
-func (m *Mesh) sendLoop(to quorum.Member, q *ring.Ring[[]byte], client jacinthplankv1connect.QuorumServiceClient) {
+// sendLoop sends the messages of one queue in batches until none come any more.
+func (m *Mesh) sendLoop(l lane, q *ring.Ring[[]byte], client jacinthplankv1connect.QuorumServiceClient) {
+	idle := time.NewTimer(m.idleTime)
+	defer idle.Stop()
 	for {
-		first, ok := q.Get(m.ctx)
-		if !ok {
+		select {
+		case <-m.ctx.Done():
 			return
+		case <-idle.C:
+			if m.endIdle(l, q) {
+				return
+			}
+			idle.Reset(m.idleTime)
+		case first := <-q.Items():
+			batch, size := collectBatch(first, q)
+			meshSent.Add(len(batch))
+			err := m.call(l, client, batch, size)
+			if err != nil {
+				meshFailed.Inc()
+			}
+			if m.ctx.Err() == nil {
+				m.failures.note(l, time.Now(), err)
+			}
+			idle.Reset(m.idleTime)
 		}
-		batch := collectBatch(first, q)
-		meshSent.Add(len(batch))
-		if err := m.call(to, client, batch); err != nil {
-			meshFailed.Inc()
-		}
 	}
 }
 
-// collectBatch returns first and the messages queued behind it. It stops once the
-// batch has reached maxBatchBytes.
-func collectBatch(first []byte, q *ring.Ring[[]byte]) [][]byte {
-	batch, size := [][]byte{first}, len(first)
+// endIdle removes a queue, unless a message was added meanwhile, and reports whether it did.
+func (m *Mesh) endIdle(l lane, q *ring.Ring[[]byte]) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if q.Len() > 0 {
+		return false
+	}
+	delete(m.queues, l)
+	m.failures.forget(l)
+	return true
+}
+
+// collectBatch returns first and the messages queued behind it, and their size. It stops once
+// the batch has reached maxBatchBytes.
+func collectBatch(first []byte, q *ring.Ring[[]byte]) (batch [][]byte, size int) {
+	batch, size = [][]byte{first}, len(first)
 	for size < maxBatchBytes {
 		select {
 		case next := <-q.Items():
 			batch = append(batch, next)
 			size += len(next)
 		default:
-			return batch
+			return batch, size
 		}
 	}
-	return batch
+	return batch, size
 }
 
-func (m *Mesh) call(to quorum.Member, client jacinthplankv1connect.QuorumServiceClient, batch [][]byte) error {
-	ctx, cancel := context.WithTimeout(m.ctx, sendTimeout)
+func (m *Mesh) call(l lane, client jacinthplankv1connect.QuorumServiceClient, batch [][]byte, size int) error {
+	timeout := sendTimeout + time.Duration(size)*time.Second/minBytesPerSecond
+	ctx, cancel := context.WithTimeout(m.ctx, timeout)
 	defer cancel()
-	_, err := client.Send(ctx, connect.NewRequest(&pb.SendRequest{From: m.from, To: to.Name, Messages: batch}))
+	_, err := client.Send(ctx, connect.NewRequest(&pb.SendRequest{From: m.from, To: l.name, Messages: batch}))
 	return err
 }
 
@@ -124,4 +186,5 @@
 	m.mu.Unlock()
 	m.cancel()
 	m.senders.Wait()
+	m.failures.close()
 }
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -23,7 +23,7 @@
 	readHeaderTimeout   = 2 * time.Second
 	maxHeadBytes        = 64 << 10 // of a request or response
 	// maxMessageBytes is the largest message of another entry that is read: a batch of the
-	// quorum's log is sent once it has 4 MiB, and its last command may have 8 MiB.
+	// quorum's log is sent once it has 256 KiB, and its last command may have 8 MiB.
 	maxMessageBytes = 16 << 20
 )
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -127,7 +127,7 @@
 	}
 	m.transport = control.NewMesh(o.Name, func(address string) jacinthplankv1connect.QuorumServiceClient {
 		return jacinthplankv1connect.NewQuorumServiceClient(m.client, "http://"+address, messageLimit)
-	})
+	}, o.Log)
 	m.quorum = newQuorumManager(m)
 	m.gossip = gossip.New(gossip.Options{
 		Self: membership.Record{
--- a/mesh/silent_connections_test.go
+++ b/mesh/silent_connections_test.go
@@ -65,10 +65,46 @@
 type quorumStub struct {
 	jacinthplankv1connect.UnimplementedQuorumServiceHandler
 	received atomic.Int64
+
+	mu       sync.Mutex
+	messages map[string]bool // short ones
+	address  string
+}
+
+// newQuorumStub serves a member on a real socket.
+func newQuorumStub(t *testing.T) *quorumStub {
+	stub := &quorumStub{}
+	mux := http.NewServeMux()
+	mux.Handle(jacinthplankv1connect.NewQuorumServiceHandler(stub))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stub.address = l.Addr().String()
+	server := NewHTTPServer(mux)
+	go func() { _ = server.Serve(l) }()      // ends with the test
+	t.Cleanup(func() { _ = server.Close() }) // nothing is written
+	return stub
+}
+
+func (s *quorumStub) has(message string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.messages[message]
 }
 
 func (s *quorumStub) Send(_ context.Context, r *connect.Request[pb.SendRequest]) (*connect.Response[pb.SendResponse], error) {
 	s.received.Add(int64(len(r.Msg.GetMessages())))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.messages == nil {
+		s.messages = map[string]bool{}
+	}
+	for _, message := range r.Msg.GetMessages() {
+		if len(message) < 100 {
+			s.messages[string(message)] = true
+		}
+	}
 	return connect.NewResponse(&pb.SendResponse{}), nil
 }
 
