mesh: messages of the quorum follow a disk to another address

Voters were reached at the address that the configuration had when they were added. Without a leader that can't be changed: with two or three of three disks back at other addresses no leader was elected within 20 s (the end of the test), with one it heard no leader for 10 s.

Entries report disk and address with each sync, so messages, calls to members and hints of the leader now go to where a disk was reported last. A new disk under the same name takes no messages of the old one.

--- a/mesh/document.go
+++ b/mesh/document.go
@@ -40,6 +40,7 @@
 // handleFacts applies the sender's evacuated domains and starts a fetch of the document if
 // the sender has newer ones.
 func (m *Mesh) handleFacts(f facts) {
+	m.quorum.addresses.note(f)
 	m.quorum.mergeFacts(f)
 	m.applyEvacuations(f.Evacuations)
 	m.mu.Lock()
--- a/mesh/leader.go
+++ b/mesh/leader.go
@@ -109,7 +109,7 @@
 	if node == nil {
 		return
 	}
-	s := node.Status()
+	s := c.addresses.currentStatus(node.Status())
 	c.noteStatus(s)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -125,7 +125,7 @@
 	var s quorum.Status
 	node := c.currentNode()
 	if node != nil {
-		s = node.Status()
+		s = c.addresses.currentStatus(node.Status())
 		if s.IsLeader && s.HasQuorum {
 			return "", true, s.Term
 		}
--- a/mesh/member_calls.go
+++ b/mesh/member_calls.go
@@ -211,8 +211,8 @@
 		out = append(out, leader)
 	}
 	for _, v := range c.knownVoters() {
-		if v.Address != leader && v.Address != "" {
-			out = append(out, v.Address)
+		if address := c.addresses.current(v).Address; address != leader && address != "" {
+			out = append(out, address)
 		}
 	}
 	if len(out) > 0 {
--- a/mesh/quorum_disk.go
+++ b/mesh/quorum_disk.go
@@ -106,7 +106,7 @@
 	o := c.mesh.options
 	node, err := quorum.Start(quorum.Options{
 		Name: o.Name, Address: o.Address, Members: contacts, Disk: folder,
-		StateMachine: c.state, Transport: c.mesh.transport, Logger: c.log, Repair: true, FoundByMajority: true,
+		StateMachine: c.state, Transport: diskTransport{c.mesh.transport, &c.addresses}, Logger: c.log, Repair: true, FoundByMajority: true,
 		PreferAsLeader: func(m quorum.Member) bool { return c.mesh.acceptsRequests(m.Name) },
 		LogBytes:       c.logBytes,
 		OnRecovered:    c.mesh.noteRecovered,
@@ -122,6 +122,7 @@
 	c.mu.Lock()
 	c.node, c.contacts = node, contacts
 	c.mu.Unlock()
+	c.addresses.note(facts{Disk: node.Status().DiskIdentity, Address: o.Address, Incarnation: c.mesh.incarnation})
 	c.setDiskHealth(DiskHealth{State: DiskRunning})
 	c.log.Info("quorum member started", "step", "mesh.core", "disk", node.Status().DiskIdentity, "members", len(contacts))
 	return true
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -56,6 +56,7 @@
 	stopped       bool
 	lastLeader    string
 	disk          DiskHealth
+	addresses     diskAddresses
 	diskSince     time.Time // when the disk entered its state
 	startingSince time.Time // of the start of the member in progress, zero without one
 	discarded     bool      // this process has emptied the disk, which therefore can't found a quorum
@@ -254,7 +255,7 @@
 		voters = slices.Clone(c.knownVoters())
 	}
 	for i, v := range voters {
-		voters[i] = quorum.Member{Name: v.Name, Address: v.Address}
+		voters[i] = quorum.Member{Name: v.Name, Address: c.addresses.current(v).Address}
 	}
 	slices.SortFunc(voters, func(a, b quorum.Member) int {
 		return cmp.Or(strings.Compare(a.Name, b.Name), strings.Compare(a.Address, b.Address))
@@ -268,7 +269,7 @@
 	node, f := c.node, facts{Founders: c.founders}
 	c.mu.Unlock()
 	if node != nil {
-		s := node.Status()
+		s := c.addresses.currentStatus(node.Status())
 		f.Disk, f.Voters = s.DiskIdentity, s.Voters
 		if s.HasQuorum {
 			f.Leader, f.LeaderTerm = s.LeaderAddress, s.Term
