--- a/coord/quorum/bulk_test.go
+++ b/coord/quorum/bulk_test.go
@@ -49,8 +49,14 @@
 	to := Member{Name: "b", Disk: "b"}
 	var all []envelope
 	for _, m := range []Message{
-		{Kind: PreVote}, {Kind: Append}, {Kind: Append, Entries: []Entry{{Index: 1, Term: 1}}}, {Kind: AppendReply},
-		{Kind: InstallSnapshot, Snapshot: &Snapshot{Index: 1, Term: 1}}, {Kind: VoteReply}, {Kind: SnapshotReply}, {Kind: TimeoutNow},
+		{Kind: PreVote},
+		{Kind: Append},
+		{Kind: Append, Entries: []Entry{{Index: 1, Term: 1}}},
+		{Kind: AppendReply},
+		{Kind: InstallSnapshot, Snapshot: &Snapshot{Index: 1, Term: 1, Configuration: Configuration{Voters: []Member{to}}}},
+		{Kind: VoteReply},
+		{Kind: SnapshotReply},
+		{Kind: TimeoutNow},
 	} {
 		m.From, m.To, m.Cluster = "a", "b", "c"
 		all = append(all, n.encode(to, m)...)
