--- a/coord/quorum/storage.go
+++ b/coord/quorum/storage.go
@@ -79,7 +79,7 @@
 	}
 	var in quorumv1.Identity
 	if err := proto.Unmarshal(data, &in); err != nil {
-		return false, trace.Wrap(err)
+		return false, &wal.CorruptError{File: identityFile, Reason: err.Error()}
 	}
 	s.identity, s.promise = DiskIdentity(in.GetDisk()), DiskIdentity(in.GetPromise())
 	return in.GetReady(), nil
@@ -129,8 +129,8 @@
 	}
 	s.log = log
 	for i, data := range batches {
-		if err := s.replay(i, data); err != nil {
-			return PersistedState{}, err
+		if err := s.replay(data); err != nil {
+			return PersistedState{}, &wal.CorruptError{File: s.log.Name(), Reason: fmt.Sprintf("batch %d: %v", i, err)}
 		}
 	}
 	// The log may have been written with other limits.
@@ -166,10 +166,10 @@
 	return s.write([]Ready{{HardState: &hardState}})
 }
 
-func (s *storage) replay(i int, data []byte) error {
+func (s *storage) replay(data []byte) error {
 	var batch quorumv1.Batch
 	if err := proto.Unmarshal(data, &batch); err != nil {
-		return trace.Wrap(err, "quorum: cannot decode batch %d of the log", i)
+		return trace.Wrap(err)
 	}
 	if base := batch.GetBase(); base != nil {
 		s.entries.reset(base.GetIndex(), base.GetTerm())
@@ -305,7 +305,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return decodeSnapshot(data)
+	snapshot, err := decodeSnapshot(data)
+	if err != nil {
+		return nil, &wal.CorruptError{File: name, Reason: err.Error()}
+	}
+	return snapshot, nil
 }
 
 // removeSnapshots removes complete snapshots older than the one that the log refers
--- a/coord/wal/log.go
+++ b/coord/wal/log.go
@@ -139,6 +139,9 @@
 	return l.removeOldFiles()
 }
 
+// Name returns the name of the current file.
+func (l *Log) Name() string { return l.fileName() }
+
 // Rewrite writes the file of the log again in place, which needs no more room, and syncs it.
 func (l *Log) Rewrite() error {
 	if l.firstErr != nil {
