mesh: the disk of an entry's earlier process isn't added to the quorum

The leader kept the disk that an entry reported last, also after membership had told of a new process of that entry. If that one came back with an empty disk, the planner could add the lost disk as a learner. The new disk, whose name was taken, had to wait until the lost one was removed after 2 s of silence.

TestDiskOfEarlierProcessIsNotAdded failed before: the lost disk was returned.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -248,6 +248,9 @@
 	}
 	if p.address != c.After.Address || p.incarnation != c.After.Incarnation {
 		p.syncedSeq, p.nextSync, p.failures = 0, time.Time{}, 0
+		if p.facts.Incarnation < c.After.Incarnation {
+			p.facts.Disk = "" // it was reported by an earlier process, and may have been lost since
+		}
 	}
 	p.address, p.incarnation, p.state = c.After.Address, c.After.Incarnation, c.After.State
 	if m.document.Number == 0 {
--- a/mesh/quorum_recovery_test.go
+++ b/mesh/quorum_recovery_test.go
@@ -211,3 +211,34 @@
 		g.Expect(p.due).To(Equal(name == "entry-007"), name)
 	}
 }
+
+// TestDiskOfEarlierProcessIsNotAdded guards against a lost disk that is added to the quorum under
+// the name of its entry, which is back with an empty one: the new disk then waits until the lost
+// one is removed as silent.
+func TestDiskOfEarlierProcessIsNotAdded(t *testing.T) {
+	g := NewWithT(t)
+	m := idleMesh("leader", nil)
+	heartbeat := func(incarnation uint64) {
+		facts := &pb.MemberFacts{Duties: []string{dutyControl}}
+		from := &pb.MemberRecord{Name: "other", Address: "other", Watcher: true, Incarnation: incarnation, Facts: facts}
+		_, err := m.gossip.Exchange(t.Context(), connect.NewRequest(&pb.ExchangeRequest{Heartbeat: &pb.Heartbeat{From: from}}))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	report := func(incarnation uint64, disk quorum.DiskIdentity) {
+		from := facts{Name: "other", Address: "other", Incarnation: incarnation, Disk: disk}
+		_, err := m.serveSync(t.Context(), &syncRequest{From: from})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	disk := func() quorum.DiskIdentity {
+		return newMemberReconciler(m.quorum).diskEntries(time.Now())["other"].Member.Disk
+	}
+	heartbeat(1)
+	report(1, "lost")
+	g.Expect(disk()).To(BeEquivalentTo("lost"))
+	heartbeat(2)
+	g.Expect(disk()).To(BeEmpty())
+	report(2, "new")
+	g.Expect(disk()).To(BeEquivalentTo("new"))
+	heartbeat(2)
+	g.Expect(disk()).To(BeEquivalentTo("new"))
+}
