--- a/coord/quorum/replication.go
+++ b/coord/quorum/replication.go
@@ -38,11 +38,12 @@
 
 	inFlight      []sentEntries // messages with entries not acknowledged yet, oldest first; empty unless replicating
 	inFlightBytes int           // bytes of their entries
-	lossReported  uint64        // tick at which some of them, or a chunk, was reported as lost; 0 if none was
+	lostAt        uint64        // tick at which the transport reported a loss, 0 without one since the last probe
 
 	snapshot       *Snapshot // snapshot being sent; nil if none
 	snapshotOffset int       // bytes of the snapshot received by the member
 	lastChunkSent  uint64    // tick at which the last chunk was sent
+	chunkBytes     int       // of the last chunk
 }
 
 // sentEntries are the entries of one message.
@@ -128,52 +129,44 @@
 		p.paused = false
 		_, hasPrevious := c.log.term(p.next - 1)
 		needsSnapshot := p.state == replicating && !hasPrevious
-		if needsSnapshot || c.isLost(p) {
+		if needsSnapshot || c.hasLost(p) {
 			p.probe()
 		}
 		c.sendHeartbeat(disk, p)
 	}
 }
 
-// isLost reports whether entries or a chunk of a snapshot that a member has not acknowledged were
-// lost: the member has replied since that was reported, or later than they take to arrive. Sent
-// again while they are on their way, or to a member that is down, they would only fill the link.
-func (c *Core) isLost(p *progress) bool {
-	if p.lossReported > 0 && p.lastResponse > p.lossReported {
-		return true
-	}
+// hasLost reports whether entries or a chunk that a member was sent are taken for lost: it has
+// replied so much later that they should have arrived. Sent again while they are on their way, or
+// to a member that is down, they would only fill the link.
+func (c *Core) hasLost(p *progress) bool {
 	switch {
+	case p.lostAt != 0 && p.lastResponse > p.lostAt:
+		return true
 	case p.state == snapshotting:
-		return p.lastResponse > p.lastChunkSent+c.arrivalTicks(c.config.MaxMessageBytes)
+		return p.lastResponse > p.lastChunkSent+c.arrivalTicks(p.chunkBytes)
 	case p.state == replicating && len(p.inFlight) > 0:
-		return c.config.Overtaking && p.lastResponse > p.inFlight[0].sent+c.arrivalTicks(p.inFlightBytes)
+		return p.lastResponse > p.inFlight[0].sent+c.arrivalTicks(p.inFlightBytes)
 	default:
 		return false
 	}
 }
 
-// arrivalTicks returns the ticks after which a message of a size is taken for lost if the member
-// has replied to later ones.
-func (c *Core) arrivalTicks(size int) uint64 {
+// arrivalTicks returns the time within which so many bytes arrive and are acknowledged.
+func (c *Core) arrivalTicks(bytes int) uint64 {
 	ticks := c.config.ElectionTicks
 	if c.config.BytesPerTick > 0 {
-		ticks += size / c.config.BytesPerTick
+		ticks += bytes / c.config.BytesPerTick
 	}
 	return uint64(ticks)
 }
 
-// ReportLost records that entries or a chunk sent to a member may not have arrived.
-func (c *Core) ReportLost(disk DiskIdentity) {
-	if p := c.leaderState.progress[disk]; p != nil && (p.state == snapshotting || len(p.inFlight) > 0) {
-		p.lossReported = c.now
-	}
-}
-
-// sendHeartbeat sends an Append without entries. The reply also reveals entries
-// lost in transit, unless it may have overtaken them.
+// sendHeartbeat sends an Append without entries. It refers to the entry before those on their way:
+// the transport may deliver it before them. The reply reveals whether the member has synced
+// that entry, should the reply to a message with entries have been lost.
 func (c *Core) sendHeartbeat(to DiskIdentity, p *progress) {
 	prev := p.next - 1
-	if c.config.Overtaking && len(p.inFlight) > 0 {
+	if len(p.inFlight) > 0 {
 		prev = p.inFlight[0].first - 1
 	}
 	term, ok := c.log.term(prev)
@@ -216,8 +209,9 @@
 		entries := c.log.slice(p.next, c.log.lastIndex(), c.config.MaxMessageBytes)
 		c.sendAppend(to, p, Message{Index: prev, LogTerm: term, Entries: entries})
 		p.next += uint64(len(entries))
-		p.inFlight = append(p.inFlight, sentEntries{first: prev + 1, last: p.next - 1, bytes: dataBytes(entries), sent: c.now})
-		p.inFlightBytes += p.inFlight[len(p.inFlight)-1].bytes
+		size := dataBytes(entries)
+		p.inFlight = append(p.inFlight, sentEntries{prev + 1, p.next - 1, size, c.now})
+		p.inFlightBytes += size
 	}
 }
 
@@ -253,13 +247,21 @@
 	return size
 }
 
-// probe starts the search for the matching index.
+// probe starts the search for the matching index. What was not acknowledged is sent again.
 func (p *progress) probe() {
-	if len(p.inFlight) > 0 {
-		p.next = p.inFlight[0].first
+	if p.state == replicating {
+		p.next = p.match + 1
 	}
 	p.state, p.paused = probing, false
-	p.inFlight, p.inFlightBytes, p.lossReported = nil, 0, 0
+	p.inFlight, p.inFlightBytes, p.lostAt = nil, 0, 0
+}
+
+// ReportLost tells that entries or a chunk that were sent to a member may not have arrived. They
+// are sent again once the member replies.
+func (c *Core) ReportLost(disk DiskIdentity) {
+	if p := c.leaderState.progress[disk]; p != nil {
+		p.lostAt = c.now
+	}
 }
 
 // acknowledge records that the member has synced the entries up to match.
@@ -270,9 +272,6 @@
 		p.inFlightBytes -= p.inFlight[0].bytes
 		p.inFlight = p.inFlight[1:]
 	}
-	if len(p.inFlight) == 0 {
-		p.lossReported = 0
-	}
 }
 
 // stepAppendReply handles a member's reply to an Append or a completed snapshot.
--- a/coord/wal/powerloss/journal.go
+++ b/coord/wal/powerloss/journal.go
@@ -223,7 +223,7 @@
 	return trace.Wrap(os.Link(j.realPath(name), j.contentPath(id)))
 }
 
-func (j *journal) realPath(name string) string { return filepath.Join(j.path, name) }
+func (j *journal) realPath(name string) string   { return filepath.Join(j.path, name) }
 func (j *journal) recordPath(name string) string { return filepath.Join(j.path, recordFolder, name) }
 
 func (j *journal) contentPath(id uint64) string { return j.recordPath(fmt.Sprintf("content-%d", id)) }
