--- a/coord/quorum/mailbox.go
+++ b/coord/quorum/mailbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 )
 
@@ -51,3 +52,10 @@
 		}
 	}
 }
+
+// contains reports whether an item is queued that match selects.
+func (m *mailbox[T]) contains(match func(T) bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.items, match)
+}
--- a/coord/quorum/node_disk.go
+++ b/coord/quorum/node_disk.go
@@ -1,6 +1,11 @@
 package quorum
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
 
 var logHoldBacks = metrics.NewCounter("jacinthplank_quorum_log_hold_backs_total")
 
@@ -69,8 +74,10 @@
 			}
 			count, size = count+1, size+taskSize
 		}
-		if err := n.makeRoom(size); err != nil {
-			return err
+		if !slices.ContainsFunc(group, hasHardState) {
+			if err := n.makeRoom(size); err != nil {
+				return err
+			}
 		}
 		if err := n.writeTogether(group[:count]); err != nil {
 			return err
@@ -80,6 +87,8 @@
 	return nil
 }
 
+func hasHardState(t diskTask) bool { return t.ready.HardState != nil }
+
 func entryBytes(entries []Entry) int {
 	size := 0
 	for _, e := range entries {
@@ -103,9 +112,7 @@
 		return nil
 	}
 	logHoldBacks.Inc()
-	select {
-	case <-w.written:
-	case <-n.ctx.Done():
+	if !n.awaitSnapshot(w) {
 		return nil
 	}
 	// A member may apply entries that a majority has on disk before its own are written.
@@ -115,6 +122,25 @@
 	return n.compact(w.snapshot)
 }
 
+// awaitSnapshot waits until a snapshot is on disk. It returns false if a term or a vote is to be
+// written meanwhile: an election must not wait for it.
+func (n *Node) awaitSnapshot(w *snapshotWrite) bool {
+	poll := time.NewTicker(n.options.Tick)
+	defer poll.Stop()
+	for {
+		select {
+		case <-w.written:
+			return true
+		case <-n.ctx.Done():
+			return false
+		case <-poll.C:
+			if n.diskTasks.contains(hasHardState) {
+				return false
+			}
+		}
+	}
+}
+
 func (n *Node) compact(snapshot *Snapshot) error {
 	isNew, err := n.storage.compact(snapshot)
 	if isNew {
