quorum, control: what is on its way is not sent again; a leader whose entries don't pass steps down

At 500 KB/s commands of 1 MB never arrived (26 MB sent for 4 MB in 37 s), at 250 KB/s nothing did. A leader whose small messages pass and whose entries don't stayed for 60 s while nothing was committed. A lost reply cost 500 ms in place of 100.

The transport reports when bulk messages are lost and when none is on its way any more, the core counts from there. The time limit of bulk calls is doubled, up to 16 times, while they time out. The reply to a heartbeat tells all entries that the member has of that leader.

--- a/control/control.go
+++ b/control/control.go
@@ -61,9 +61,9 @@
 	m := &Member{options: o}
 	m.machine = state.New(o.Name, func() time.Duration { return time.Since(started) })
 	m.mesh = NewMesh(o.Name, m.quorumClient, o.Log)
-	m.mesh.OnBulkLost = func(disk quorum.DiskIdentity) {
+	m.mesh.OnBulk = func(disk quorum.DiskIdentity, isLost bool) {
 		if node := m.started.Load(); node != nil {
-			node.ReportLost(disk)
+			node.ReportBulk(disk, isLost)
 		}
 	}
 	node, err := quorum.Start(quorum.Options{
--- a/control/mesh.go
+++ b/control/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -17,14 +18,15 @@
 
 // Limits of a send queue of one member and of one call to it.
 const (
-	sendQueueCapacity = 128 // messages
-	// maxBatchBytes lets a batch with one more message of 1 MiB arrive within the election
-	// timeout over a link of 20 Mbit/s: each one shows that the leader is there.
-	maxBatchBytes = 256 << 10
-	sendTimeout   = time.Second
-	// minBytesPerSecond prolongs calls with large messages, up to a command of 8 MiB: over a
-	// link of 20 Mbit/s it takes longer than sendTimeout, each time that it is sent again.
+	sendQueueCapacity = 128      // messages
+	maxBatchBytes     = 64 << 10 // before the last message
+	sendTimeout       = time.Second
+	// minBytesPerSecond prolongs calls with large messages, up to a command of 8 MiB. A call that
+	// is given up too soon is sent again, and again too slow.
 	minBytesPerSecond = 1 << 20
+	// maxSlowdown bounds how often the time limit of bulk calls is doubled while they time out.
+	// It is then that of a link with a sixteenth of minBytesPerSecond.
+	maxSlowdown = 4
 	// senderIdleTime is the time without messages after which a sender ends: members that are
 	// replaced come back with other addresses and disks.
 	senderIdleTime = time.Minute
@@ -46,9 +48,9 @@
 // Mesh is the transport between the members of the quorum, with send queues and
 // sender goroutines per peer. It implements quorum.BulkTransport.
 type Mesh struct {
-	// OnBulkLost, if set, is called when a bulk message to a disk may not have arrived. It must
-	// not block and is set before the first message is sent.
-	OnBulkLost func(disk quorum.DiskIdentity)
+	// OnBulk, if set, is called when bulk messages to a disk may not have arrived, and when none
+	// is on its way any more. It must not block and is set before the first message is sent.
+	OnBulk func(disk quorum.DiskIdentity, isLost bool)
 
 	from     string
 	dial     func(address string) jacinthplankv1connect.QuorumServiceClient
@@ -84,7 +86,7 @@
 	dropped := m.enqueue(l, to.Disk, messages)
 	meshDropped.Add(int(dropped))
 	if dropped > 0 {
-		m.reportLoss(l)
+		m.report(l, true)
 	}
 }
 
@@ -105,14 +107,15 @@
 	return q.Dropped() - before
 }
 
-func (m *Mesh) reportLoss(l lane) {
-	if !l.isBulk || m.OnBulkLost == nil {
+// report reports on the bulk messages of a lane.
+func (m *Mesh) report(l lane, isLost bool) {
+	if !l.isBulk || m.OnBulk == nil {
 		return
 	}
 	m.mu.Lock()
 	disk := m.disks[l]
 	m.mu.Unlock()
-	m.OnBulkLost(disk)
+	m.OnBulk(disk, isLost)
 }
 
 // queue returns a send queue of a member. It returns nil for a new one once the mesh is closed.
@@ -133,6 +136,7 @@
 func (m *Mesh) sendLoop(l lane, q *ring.Ring[[]byte], client jacinthplankv1connect.QuorumServiceClient) {
 	idle := time.NewTimer(m.idleTime)
 	defer idle.Stop()
+	slowdown := 0 // doublings of the time limit of a call
 	for {
 		select {
 		case <-m.ctx.Done():
@@ -145,10 +149,13 @@
 		case first := <-q.Items():
 			batch, size := collectBatch(first, q)
 			meshSent.Add(len(batch))
-			err := m.call(l, client, batch, size)
+			next, err := m.call(l, client, batch, size, slowdown)
+			slowdown = next
 			if err != nil {
 				meshFailed.Inc()
-				m.reportLoss(l)
+			}
+			if err != nil || q.Len() == 0 {
+				m.report(l, err != nil)
 			}
 			if m.ctx.Err() == nil {
 				m.failures.note(l, time.Now(), err)
@@ -187,12 +194,26 @@
 	return batch, size
 }
 
-func (m *Mesh) call(l lane, client jacinthplankv1connect.QuorumServiceClient, batch [][]byte, size int) error {
-	timeout := sendTimeout + time.Duration(size)*time.Second/minBytesPerSecond
-	ctx, cancel := context.WithTimeout(m.ctx, timeout)
+// timeLimit returns the time limit of a call with so many bytes.
+func timeLimit(size, slowdown int) time.Duration {
+	return sendTimeout + time.Duration(size)*time.Second/minBytesPerSecond<<slowdown
+}
+
+// call sends a batch and returns the doublings of the time limit of the next call. A call that
+// fails before its time limit, as one to a machine without power does, tells nothing of the link.
+func (m *Mesh) call(l lane, client jacinthplankv1connect.QuorumServiceClient, batch [][]byte, size, slowdown int) (next int, err error) {
+	ctx, cancel := context.WithTimeout(m.ctx, timeLimit(size, slowdown))
 	defer cancel()
-	_, err := client.Send(ctx, connect.NewRequest(&pb.SendRequest{From: m.from, To: l.name, Messages: batch}))
-	return err
+	started := time.Now()
+	_, err = client.Send(ctx, connect.NewRequest(&pb.SendRequest{From: m.from, To: l.name, Messages: batch}))
+	switch {
+	case err == nil && slowdown > 0 && time.Since(started) < timeLimit(size, slowdown-1)/2:
+		return slowdown - 1, nil
+	case l.isBulk && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return min(slowdown+1, maxSlowdown), err
+	default:
+		return slowdown, err
+	}
 }
 
 // Close stops all sender goroutines and waits for them.
--- a/control/mesh_lanes_test.go
+++ b/control/mesh_lanes_test.go
@@ -72,7 +72,11 @@
 	m := NewMesh("a", func(string) jacinthplankv1connect.QuorumServiceClient { return member }, nil)
 	defer m.Close()
 	var lost atomic.Int64
-	m.OnBulkLost = func(quorum.DiskIdentity) { lost.Add(1) }
+	m.OnBulk = func(_ quorum.DiskIdentity, isLost bool) {
+		if isLost {
+			lost.Add(1)
+		}
+	}
 	to := quorum.Member{Name: "b", Address: "b", Disk: "1"}
 	var messages [][]byte
 	for range 6 {
@@ -90,7 +94,11 @@
 	m := NewMesh("a", func(string) jacinthplankv1connect.QuorumServiceClient { return failingMember{} }, nil)
 	defer m.Close()
 	lost := make(chan quorum.DiskIdentity, 8)
-	m.OnBulkLost = func(disk quorum.DiskIdentity) { lost <- disk }
+	m.OnBulk = func(disk quorum.DiskIdentity, isLost bool) {
+		if isLost {
+			lost <- disk
+		}
+	}
 	to := quorum.Member{Name: "b", Address: "b", Disk: "1"}
 	m.Send(to, [][]byte{[]byte("V")})
 	m.SendBulk(to, [][]byte{[]byte("E")})
--- a/coord/quorum/core.go
+++ b/coord/quorum/core.go
@@ -27,6 +27,8 @@
 	MaxMessageBytes int // maximum bytes of entries in one message
 	MaxInFlight     int // maximum unacknowledged entries per member
 	BytesPerTick    int // bytes that a link carries at least; 0: any number
+	// ReportsDelivery is set if the transport reports what has arrived or was lost.
+	ReportsDelivery bool
 	TailLength      int // maximum entries retained before a snapshot, for lagging members
 	TailBytes       int // maximum bytes of the retained entries
 	Rand            *rand.Rand
@@ -112,6 +114,9 @@
 	lastPreVote      receivedRequest // the last request for a pre-vote that was handled
 	yields           int             // elections put off for other candidates since a leader was last heard
 
+	matched     uint64 // last entry known to be that of the leader of matchedTerm
+	matchedTerm uint64
+
 	leaderHeard uint64 // tick at which a leader, which may be this member, was last heard
 	attempts    int    // elections started since then
 	observer    voteObserver
--- a/coord/quorum/election.go
+++ b/coord/quorum/election.go
@@ -224,6 +224,7 @@
 	c.leaderState = leaderState{
 		firstReplyBy: c.now + uint64(c.config.ElectionTicks+c.replyAllowance()),
 		termStart:    c.log.lastIndex() + 1,
+		lastProgress: c.now,
 		progress:     map[DiskIdentity]*progress{},
 	}
 	c.append(Entry{Index: c.log.lastIndex() + 1, Term: c.hardState.Term, Kind: EntryEmpty})
--- a/coord/quorum/node_core.go
+++ b/coord/quorum/node_core.go
@@ -46,8 +46,8 @@
 			n.startRead(r)
 		case fn := <-n.coreCalls:
 			fn()
-		case disk := <-n.losses:
-			n.core.ReportLost(disk)
+		case r := <-n.reports:
+			n.handleReport(r)
 		case <-n.diskResults.signal:
 		}
 		n.handleDiskResults()
--- a/coord/quorum/node_send.go
+++ b/coord/quorum/node_send.go
@@ -74,12 +74,26 @@
 	n.options.Transport.Send(to, batch)
 }
 
-// ReportLost tells that entries or a part of a snapshot that were sent to a member may not have
-// arrived. They are sent again once the member replies.
-func (n *Node) ReportLost(disk DiskIdentity) {
-	// Without this report, the time in which they should have been acknowledged tells it, too.
+// deliveryReport tells what became of the bulk messages to a member.
+type deliveryReport struct {
+	disk   DiskIdentity
+	isLost bool
+}
+
+// ReportBulk tells that entries or a part of a snapshot that were sent to a member may not have
+// arrived, or that all of them have. They are sent again once the member replies, or if it doesn't
+// acknowledge them soon.
+func (n *Node) ReportBulk(disk DiskIdentity, isLost bool) {
 	select {
-	case n.losses <- disk:
-	default:
+	case n.reports <- deliveryReport{disk, isLost}:
+	default: // the time that messages take tells it, too
+	}
+}
+
+func (n *Node) handleReport(r deliveryReport) {
+	if r.isLost {
+		n.core.ReportLost(r.disk)
+		return
 	}
+	n.core.ReportDelivered(r.disk)
 }
--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -34,7 +34,7 @@
 	minLinkBytes      = 1 << 20   // bytes per second that a member is expected to receive
 	proposalQueueSize = 1024      // proposals queued to be appended
 	messageQueueSize  = 4096      // received messages queued for the core
-	lossQueueSize     = 64        // reports of lost messages queued for the core
+	reportQueueSize   = 64        // reports of the transport queued for the core
 	maxUnsynced       = 64        // number of unsynced batches at which further proposals stay queued
 	defaultLogBytes   = 16 << 20
 	defaultTailLength = 2048 // maximum entries retained before a snapshot
@@ -67,7 +67,8 @@
 
 // BulkTransport is a Transport that doesn't let votes, heartbeats and replies wait behind bulk
 // messages, which hold entries of the log or a part of a snapshot. Both kinds may overtake each
-// other; bulk messages to one member stay in order as far as possible.
+// other; bulk messages to one member stay in order as far as possible. It calls Node.ReportBulk when
+// they may not have arrived, and when none is on its way any more.
 type BulkTransport interface {
 	Transport
 	// SendBulk sends bulk messages, as Send does others.
@@ -207,6 +208,7 @@
 }
 
 func (o Options) coreConfig(self DiskIdentity, random *mathrand.Rand) CoreConfig {
+	_, reports := o.Transport.(BulkTransport)
 	return CoreConfig{
 		Self:            self,
 		HeartbeatTicks:  o.ticks(HeartbeatInterval),
@@ -214,6 +216,7 @@
 		JitterTicks:     o.ticks(ElectionJitter),
 		MaxMessageBytes: MaxMessageBytes,
 		MaxInFlight:     maxInFlight,
+		ReportsDelivery: reports,
 		BytesPerTick:    int(minLinkBytes * o.Tick.Seconds()),
 		TailLength:      defaultTailLength,
 		TailBytes:       o.tail().bytes,
--- a/coord/quorum/replication.go
+++ b/coord/quorum/replication.go
@@ -12,6 +12,8 @@
 	heartbeatTicks int    // ticks since the last heartbeat
 	pendingReads   []pendingRead
 
+	lastProgress uint64 // tick at which a voter last acknowledged entries, or all were committed
+
 	transfer      DiskIdentity // target of the leadership transfer; empty if none
 	transferTicks int          // ticks since the transfer was requested
 }
@@ -27,6 +29,18 @@
 	snapshotting                      // sending a snapshot
 )
 
+const (
+	// stalledFactor is the time, as a multiple of the election timeout, without an acknowledgement
+	// after which a leader with entries that wait for one steps down.
+	stalledFactor = 6
+	// stalledWaitFactor prolongs its next election timeout, so that another member is elected.
+	stalledWaitFactor = 2
+)
+
+// unreportedFactor is the multiple of the expected time after which a message is taken for lost
+// though the transport, which reports that, has not done so.
+const unreportedFactor = 20
+
 // progress is the leader's view of another member's log.
 type progress struct {
 	state        progressState
@@ -39,6 +53,7 @@
 	inFlight      []sentEntries // messages with entries not acknowledged yet, oldest first; empty unless replicating
 	inFlightBytes int           // bytes of their entries
 	lostAt        uint64        // tick at which the transport reported a loss, 0 without one since the last probe
+	arrivedAt     uint64        // tick at which it reported that all has arrived, 0 while something is on its way
 
 	snapshot       *Snapshot // snapshot being sent; nil if none
 	snapshotOffset int       // bytes of the snapshot received by the member
@@ -98,6 +113,11 @@
 		c.becomeFollower(c.hardState.Term, "")
 		return
 	}
+	if c.isStalled() {
+		c.becomeFollower(c.hardState.Term, "")
+		c.timeout += stalledWaitFactor * c.config.ElectionTicks
+		return
+	}
 	c.tickTransfer()
 	c.leaderState.heartbeatTicks++
 	if c.leaderState.heartbeatTicks >= c.config.HeartbeatTicks {
@@ -106,6 +126,18 @@
 	}
 }
 
+// isStalled reports whether no voter has acknowledged entries for long though some wait to be
+// committed: heartbeats of this leader pass, its entries don't. Another one may be able to lead.
+func (c *Core) isStalled() bool {
+	if c.commit >= c.log.lastIndex() || len(c.Configuration().Voters) == 1 {
+		c.leaderState.lastProgress = c.now
+		return false
+	}
+	waiting := dataBytes(c.log.slice(c.commit+1, c.log.lastIndex(), c.config.MaxMessageBytes))
+	allowed := stalledFactor*uint64(c.config.ElectionTicks) + c.arrivalTicks(waiting) + uint64(replyAllowanceFactor*c.syncTicks)
+	return c.now-c.leaderState.lastProgress > allowed
+}
+
 // hasActiveQuorum reports whether a majority of the voters has replied within the
 // election timeout, or may still be about to reply to a new leader.
 func (c *Core) hasActiveQuorum() bool {
@@ -140,16 +172,25 @@
 // replied so much later that they should have arrived. Sent again while they are on their way, or
 // to a member that is down, they would only fill the link.
 func (c *Core) hasLost(p *progress) bool {
+	var sent, allowed uint64
 	switch {
 	case p.lostAt != 0 && p.lastResponse > p.lostAt:
 		return true
 	case p.state == snapshotting:
-		return p.lastResponse > p.lastChunkSent+c.arrivalTicks(p.chunkBytes)
+		sent, allowed = p.lastChunkSent, c.arrivalTicks(p.chunkBytes)
 	case p.state == replicating && len(p.inFlight) > 0:
-		return p.lastResponse > p.inFlight[0].sent+c.arrivalTicks(p.inFlightBytes)
+		sent, allowed = p.inFlight[0].sent, c.arrivalTicks(p.inFlightBytes)
 	default:
 		return false
 	}
+	switch {
+	case !c.config.ReportsDelivery:
+	case p.arrivedAt > 0:
+		sent = p.arrivedAt
+	default:
+		allowed *= unreportedFactor
+	}
+	return p.lastResponse > sent+allowed
 }
 
 // arrivalTicks returns the time within which so many bytes arrive and are acknowledged.
@@ -210,6 +251,7 @@
 		c.sendAppend(to, p, Message{Index: prev, LogTerm: term, Entries: entries})
 		p.next += uint64(len(entries))
 		size := dataBytes(entries)
+		p.arrivedAt = 0
 		p.inFlight = append(p.inFlight, sentEntries{prev + 1, p.next - 1, size, c.now})
 		p.inFlightBytes += size
 	}
@@ -256,6 +298,13 @@
 	p.inFlight, p.inFlightBytes, p.lostAt = nil, 0, 0
 }
 
+// ReportDelivered tells that all entries or chunks that were sent to a member have arrived.
+func (c *Core) ReportDelivered(disk DiskIdentity) {
+	if p := c.leaderState.progress[disk]; p != nil {
+		p.arrivedAt = c.now
+	}
+}
+
 // ReportLost tells that entries or a chunk that were sent to a member may not have arrived. They
 // are sent again once the member replies.
 func (c *Core) ReportLost(disk DiskIdentity) {
@@ -298,6 +347,9 @@
 		logsDiverged.Inc()
 		return
 	}
+	if _, isVoter := c.Configuration().Voter(from); isVoter && m.Match > p.match {
+		c.leaderState.lastProgress = c.now
+	}
 	p.acknowledge(m.Match)
 	isMatched := m.Match+1 >= p.next || m.Index == p.next-1
 	switch {
--- a/coord/quorum/step.go
+++ b/coord/quorum/step.go
@@ -136,13 +136,18 @@
 	}
 	c.appendMissing(entries)
 	last := prev + uint64(len(entries))
+	if c.matchedTerm != m.Term {
+		c.matchedTerm, c.matched = m.Term, 0
+	}
+	c.matched = max(c.matched, last)
 	c.commit = max(c.commit, min(m.Commit, last))
 	if len(m.Entries) > 0 {
 		reply.Match = last
 		c.sendAfterSync(reply)
 		return
 	}
-	reply.Match = min(prev, c.synced)
+	// Entries that the same leader sent before, also if its heartbeat refers to an earlier one.
+	reply.Match = min(c.matched, c.synced)
 	c.send(reply)
 }
 
--- a/coord/quorum/transfer.go
+++ b/coord/quorum/transfer.go
@@ -19,10 +19,10 @@
 	if c.snapshot == nil {
 		return
 	}
-	if p.snapshot == nil || p.snapshot.Index <= p.match {
+	if p.snapshot == nil || p.snapshot.Index <= p.match || p.snapshotOffset == 0 {
 		p.snapshot, p.snapshotOffset = c.snapshot, 0
 	}
-	p.state, p.lastChunkSent = snapshotting, c.now
+	p.state, p.lastChunkSent, p.arrivedAt = snapshotting, c.now, 0
 	c.sendSnapshotChunk(to, p)
 }
 
@@ -49,7 +49,7 @@
 	if !isCurrent || m.Match >= uint64(len(p.snapshot.Data)) || int(m.Match) == p.snapshotOffset {
 		return
 	}
-	p.snapshotOffset, p.lastChunkSent = int(m.Match), c.now
+	p.snapshotOffset, p.lastChunkSent, p.arrivedAt = int(m.Match), c.now, 0
 	c.sendSnapshotChunk(m.From, p)
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -129,7 +129,7 @@
 		return jacinthplankv1connect.NewQuorumServiceClient(m.client, "http://"+address, messageLimit)
 	}, o.Log)
 	m.quorum = newQuorumManager(m)
-	m.transport.OnBulkLost = m.quorum.reportLost
+	m.transport.OnBulk = m.quorum.reportBulk
 	m.gossip = gossip.New(gossip.Options{
 		Self: membership.Record{
 			Name: o.Name, Address: o.Address, FailureDomain: o.FailureDomain,
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -112,10 +112,10 @@
 	}
 }
 
-// reportLost tells the member that entries sent to another one may not have arrived.
-func (c *quorumManager) reportLost(disk quorum.DiskIdentity) {
+// reportBulk tells the member what became of the entries sent to another one.
+func (c *quorumManager) reportBulk(disk quorum.DiskIdentity, isLost bool) {
 	if node := c.currentNode(); node != nil {
-		node.ReportLost(disk)
+		node.ReportBulk(disk, isLost)
 	}
 }
 
