control, mesh: losses are reported for each disk; the last report of an address counts

A loss of entries to the lost disk of an entry was reported for its new disk, which has the same name and address. A disk that returned at another address while the clock of its entry was behind was never reached there.

TestLossIsReportedForEachDisk and TestDiskIsFoundAfterItsClockWentBack failed before.

--- a/control/mesh.go
+++ b/control/mesh.go
@@ -62,15 +62,20 @@
 	senders sync.WaitGroup
 
 	mu     sync.Mutex
-	queues map[lane]*ring.Ring[[]byte]
-	disks  map[lane]quorum.DiskIdentity // that something was last sent to
+	queues map[lane]*ring.Ring[outgoing]
 	closed bool
 }
 
+// outgoing is a queued message. The new disk of an entry has the name and address of the lost one.
+type outgoing struct {
+	disk quorum.DiskIdentity
+	data []byte
+}
+
 // NewMesh returns the mesh of the member named from. dial creates the client of
 // the member at an address. log may be nil.
 func NewMesh(from string, dial func(address string) jacinthplankv1connect.QuorumServiceClient, log *slog.Logger) *Mesh {
-	m := &Mesh{from: from, dial: dial, failures: newCallFailures(log), idleTime: senderIdleTime, queues: map[lane]*ring.Ring[[]byte]{}, disks: map[lane]quorum.DiskIdentity{}}
+	m := &Mesh{from: from, dial: dial, failures: newCallFailures(log), idleTime: senderIdleTime, queues: map[lane]*ring.Ring[outgoing]{}}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	return m
 }
@@ -86,7 +91,7 @@
 	dropped := m.enqueue(l, to.Disk, messages)
 	meshDropped.Add(int(dropped))
 	if dropped > 0 {
-		m.report(l, true)
+		m.report(l, to.Disk, true)
 	}
 }
 
@@ -99,33 +104,28 @@
 	if q == nil {
 		return 0
 	}
-	m.disks[l] = disk
 	before := q.Dropped()
 	for _, message := range messages {
-		q.Put(message)
+		q.Put(outgoing{disk, message})
 	}
 	return q.Dropped() - before
 }
 
-// report reports on the bulk messages of a lane.
-func (m *Mesh) report(l lane, isLost bool) {
-	if !l.isBulk || m.OnBulk == nil {
-		return
+// report reports on the bulk messages to a disk.
+func (m *Mesh) report(l lane, disk quorum.DiskIdentity, isLost bool) {
+	if l.isBulk && m.OnBulk != nil {
+		m.OnBulk(disk, isLost)
 	}
-	m.mu.Lock()
-	disk := m.disks[l]
-	m.mu.Unlock()
-	m.OnBulk(disk, isLost)
 }
 
 // queue returns a send queue of a member. It returns nil for a new one once the mesh is closed.
 // The caller holds the lock.
-func (m *Mesh) queue(l lane) *ring.Ring[[]byte] {
+func (m *Mesh) queue(l lane) *ring.Ring[outgoing] {
 	q, ok := m.queues[l]
 	if ok || m.closed {
 		return q
 	}
-	q = ring.New[[]byte](sendQueueCapacity, ring.DropOldest)
+	q = ring.New[outgoing](sendQueueCapacity, ring.DropOldest)
 	m.queues[l] = q
 	client := m.dial(l.address)
 	m.senders.Go(func() { m.sendLoop(l, q, client) })
@@ -133,7 +133,7 @@
 }
 
 // sendLoop sends the messages of one queue in batches until none come any more.
-func (m *Mesh) sendLoop(l lane, q *ring.Ring[[]byte], client jacinthplankv1connect.QuorumServiceClient) {
+func (m *Mesh) sendLoop(l lane, q *ring.Ring[outgoing], client jacinthplankv1connect.QuorumServiceClient) {
 	idle := time.NewTimer(m.idleTime)
 	defer idle.Stop()
 	slowdown := 0 // doublings of the time limit of a call
@@ -154,8 +154,10 @@
 			if err != nil {
 				meshFailed.Inc()
 			}
-			if err != nil || q.Len() == 0 {
-				m.report(l, err != nil)
+			for _, message := range batch {
+				if err != nil || q.Len() == 0 {
+					m.report(l, message.disk, err != nil)
+				}
 			}
 			if m.ctx.Err() == nil {
 				m.failures.note(l, time.Now(), err)
@@ -166,27 +168,26 @@
 }
 
 // endIdle removes a queue, unless a message was added meanwhile, and reports whether it did.
-func (m *Mesh) endIdle(l lane, q *ring.Ring[[]byte]) bool {
+func (m *Mesh) endIdle(l lane, q *ring.Ring[outgoing]) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if q.Len() > 0 {
 		return false
 	}
 	delete(m.queues, l)
-	delete(m.disks, l)
 	m.failures.forget(l)
 	return true
 }
 
 // collectBatch returns first and the messages queued behind it, and their size. It stops once
 // the batch has reached maxBatchBytes.
-func collectBatch(first []byte, q *ring.Ring[[]byte]) (batch [][]byte, size int) {
-	batch, size = [][]byte{first}, len(first)
+func collectBatch(first outgoing, q *ring.Ring[outgoing]) (batch []outgoing, size int) {
+	batch, size = []outgoing{first}, len(first.data)
 	for size < maxBatchBytes {
 		select {
 		case next := <-q.Items():
 			batch = append(batch, next)
-			size += len(next)
+			size += len(next.data)
 		default:
 			return batch, size
 		}
@@ -201,11 +202,15 @@
 
 // call sends a batch and returns the doublings of the time limit of the next call. A call that
 // fails before its time limit, as one to a machine without power does, tells nothing of the link.
-func (m *Mesh) call(l lane, client jacinthplankv1connect.QuorumServiceClient, batch [][]byte, size, slowdown int) (next int, err error) {
+func (m *Mesh) call(l lane, client jacinthplankv1connect.QuorumServiceClient, batch []outgoing, size, slowdown int) (next int, err error) {
+	messages := make([][]byte, len(batch))
+	for i, message := range batch {
+		messages[i] = message.data
+	}
 	ctx, cancel := context.WithTimeout(m.ctx, timeLimit(size, slowdown))
 	defer cancel()
 	started := time.Now()
-	_, err = client.Send(ctx, connect.NewRequest(&pb.SendRequest{From: m.from, To: l.name, Messages: batch}))
+	_, err = client.Send(ctx, connect.NewRequest(&pb.SendRequest{From: m.from, To: l.name, Messages: messages}))
 	switch {
 	case err == nil && slowdown > 0 && time.Since(started) < timeLimit(size, slowdown-1)/2:
 		return slowdown - 1, nil
--- a/coord/quorum/node_disk.go
+++ b/coord/quorum/node_disk.go
@@ -74,10 +74,8 @@
 			}
 			count, size = count+1, size+taskSize
 		}
-		if !slices.ContainsFunc(group, hasHardState) {
-			if err := n.makeRoom(size); err != nil {
-				return err
-			}
+		if err := n.makeRoom(size, !slices.ContainsFunc(group, hasHardState)); err != nil {
+			return err
 		}
 		if err := n.writeTogether(group[:count]); err != nil {
 			return err
@@ -99,8 +97,8 @@
 
 // makeRoom keeps the log from growing beyond its limit by entries of size bytes: the disk has
 // to hold a copy of the log during the next rotation, and the next start has to read it. It
-// waits for the snapshot in progress and compacts the log. Votes and terms don't wait.
-func (n *Node) makeRoom(size int) error {
+// waits for the snapshot in progress, if mayWait is set, and compacts the log.
+func (n *Node) makeRoom(size int, mayWait bool) error {
 	if n.storage.log.Size()+int64(size) <= int64(maxLogShare*n.options.LogBytes) {
 		return nil
 	}
@@ -108,7 +106,7 @@
 		return n.storage.rotate(n.storage.snapshotIndex)
 	}
 	w := n.snapshotWrite.Load()
-	if w == nil || size == 0 {
+	if w == nil || size == 0 || !mayWait {
 		return nil
 	}
 	logHoldBacks.Inc()
--- a/mesh/disk_addresses.go
+++ b/mesh/disk_addresses.go
@@ -15,29 +15,22 @@
 // changed. It is safe for concurrent use.
 type diskAddresses struct {
 	mu     sync.RWMutex
-	byDisk map[quorum.DiskIdentity]diskAddress
+	byDisk map[quorum.DiskIdentity]string
 }
 
-type diskAddress struct {
-	address     string
-	incarnation uint64 // of the entry that reported it
-}
-
-// note records what an entry reports of itself.
+// note records what an entry reports of itself. The last report counts: the clock of an entry that
+// started again may be behind, so its incarnation tells nothing.
 func (d *diskAddresses) note(f facts) {
 	if f.Disk == "" || f.Address == "" {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	known, ok := d.byDisk[f.Disk]
-	if ok && known.incarnation >= f.Incarnation {
-		return
-	}
-	if d.byDisk == nil || (!ok && len(d.byDisk) >= maxDiskAddresses) {
-		d.byDisk = map[quorum.DiskIdentity]diskAddress{} // entries report their disks again with each sync
+	_, known := d.byDisk[f.Disk]
+	if d.byDisk == nil || (!known && len(d.byDisk) >= maxDiskAddresses) {
+		d.byDisk = map[quorum.DiskIdentity]string{} // entries report their disks again with each sync
 	}
-	d.byDisk[f.Disk] = diskAddress{f.Address, f.Incarnation}
+	d.byDisk[f.Disk] = f.Address
 }
 
 // current returns a member with the address that its disk has now, if an entry has reported it.
@@ -45,7 +38,7 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	if known, ok := d.byDisk[m.Disk]; ok {
-		m.Address = known.address
+		m.Address = known
 	}
 	return m
 }
