--- a/coord/quorum/cluster_test.go
+++ b/coord/quorum/cluster_test.go
@@ -18,12 +18,13 @@
 // methods drive all events, and check looks for violations of the algorithm's
 // guarantees after each event.
 type simulation struct {
-	reporter  fatalReporter
-	random    *rand.Rand
-	members   []*simulatedMember // one live member for each name
-	inFlight  []inFlightMessage
-	cutLinks  map[[2]int]bool
-	diskCount int
+	bytesPerTick int // of CoreConfig
+	reporter     fatalReporter
+	random       *rand.Rand
+	members      []*simulatedMember // one live member for each name
+	inFlight     []inFlightMessage
+	cutLinks     map[[2]int]bool
+	diskCount    int
 
 	committed      map[uint64]Entry        // by index; entries that any member considered committed
 	termLeaders    map[uint64]DiskIdentity // leader by term, for election safety
@@ -94,7 +95,7 @@
 	m.bootstrap = newBootstrap(self, initial, storage.promise)
 	m.core = NewCore(CoreConfig{
 		Self: storage.identity, HeartbeatTicks: 2, ElectionTicks: 10, JitterTicks: 10,
-		MaxMessageBytes: 64, MaxInFlight: 8, TailLength: simulatedTail.entries, TailBytes: simulatedTail.bytes, Rand: s.random,
+		MaxMessageBytes: 64, MaxInFlight: 8, BytesPerTick: s.bytesPerTick, TailLength: simulatedTail.entries, TailBytes: simulatedTail.bytes, Rand: s.random,
 	}, saved)
 	if saved.Snapshot != nil {
 		m.applied = saved.Snapshot.Index
--- a/coord/quorum/core_rapid_test.go
+++ b/coord/quorum/core_rapid_test.go
@@ -18,6 +18,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.SampledFrom([]int{3, 3, 3, 5}).Draw(t, "size")
 		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), size)
+		s.setBytesPerTick(rapid.SampledFrom([]int{0, 4, 64}).Draw(t, "bytes per tick"))
 		s.bootstrap()
 		s.settle(rapid.IntRange(0, 40).Draw(t, "quiet ticks"))
 		member := rapid.IntRange(0, size-1)
@@ -50,8 +51,9 @@
 					s.replaceDisk(i, nil)
 				}
 			},
-			"repair": func(*rapid.T) { s.repair() },
-			"quiet":  func(t *rapid.T) { s.settle(rapid.IntRange(1, 30).Draw(t, "ticks")) },
+			"report loss": func(t *rapid.T) { s.reportLoss(member.Draw(t, "from"), member.Draw(t, "to")) },
+			"repair":      func(*rapid.T) { s.repair() },
+			"quiet":       func(t *rapid.T) { s.settle(rapid.IntRange(1, 30).Draw(t, "ticks")) },
 		}
 		t.Repeat(actions)
 
@@ -125,3 +127,16 @@
 		s.handleReady(from)
 	}
 }
+
+// setBytesPerTick sets the rate of links that members count on, also those that start later.
+func (s *simulation) setBytesPerTick(bytesPerTick int) {
+	s.bytesPerTick = bytesPerTick
+	for _, m := range s.members {
+		m.core.config.BytesPerTick = bytesPerTick
+	}
+}
+
+// reportLoss reports to a member that messages to another one may be lost, whether they are or not.
+func (s *simulation) reportLoss(from, to int) {
+	s.members[from].core.ReportLost(s.members[to].core.config.Self)
+}
--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -25,6 +25,7 @@
 	syncs         atomic.Int64 // sync calls served
 	documentBytes atomic.Int64 // sent in responses with documents
 	announced     atomic.Int64 // bytes of sync requests received
+	syncDelay     atomic.Int64 // nanoseconds before a sync is served
 	stop          context.CancelFunc
 	server        *http.Server
 }
@@ -47,6 +48,7 @@
 	case procedureSync:
 		e.syncs.Add(1)
 		e.announced.Add(r.ContentLength)
+		time.Sleep(time.Duration(e.syncDelay.Load()))
 	case procedureDocument:
 		w = countingWriter{w, &e.documentBytes}
 	}
