--- a/control/mesh.go
+++ b/control/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -14,16 +15,18 @@
 	"github.com/jacinthplank/jacinthplank/ring"
 )
 
-// Limits of the send queues of one member and of one call to it.
+// Limits of a send queue of one member and of one call to it.
 const (
 	sendQueueCapacity = 128 // messages
-	maxBatchBytes     = 1 << 20
-	sendTimeout       = time.Second
-	// bulkBytesPerSecond extends the time limit of a call by the time that its bytes take on a
-	// slow link: a call that is given up too soon is sent again, and again too slow.
-	bulkBytesPerSecond = 1 << 20
-	// senderIdleTime is after how long the goroutine of a queue that stays empty ends. Members
-	// that are replaced get no more messages.
+	// maxBatchBytes lets a batch with one more message of 1 MiB arrive within the election
+	// timeout over a link of 20 Mbit/s: each one shows that the leader is there.
+	maxBatchBytes = 256 << 10
+	sendTimeout   = time.Second
+	// minBytesPerSecond prolongs calls with large messages, up to a command of 8 MiB: over a
+	// link of 20 Mbit/s it takes longer than sendTimeout, each time that it is sent again.
+	minBytesPerSecond = 1 << 20
+	// senderIdleTime is the time without messages after which a sender ends: members that are
+	// replaced come back with other addresses and disks.
 	senderIdleTime = time.Minute
 )
 
@@ -33,16 +36,24 @@
 	meshDropped = metrics.NewCounter("jacinthplank_control_mesh_messages_dropped_total")
 )
 
-// Mesh is the transport between the members of the quorum. Each peer has two send queues with a
-// goroutine each: votes, heartbeats and replies don't wait behind entries and snapshots, which
-// take long on a slow link. It implements quorum.BulkTransport.
+// lane is a send queue of a member. A call at a time is made for each. Entries and snapshots have
+// their own: votes, heartbeats and replies don't wait for a batch that takes seconds over a slow link.
+type lane struct {
+	name, address string // of the member
+	isBulk        bool
+}
+
+// Mesh is the transport between the members of the quorum, with send queues and
+// sender goroutines per peer. It implements quorum.BulkTransport.
 type Mesh struct {
-	// OnBulkLost, if set, is called when a bulk message to a member may not have arrived. It must
+	// OnBulkLost, if set, is called when a bulk message to a disk may not have arrived. It must
 	// not block and is set before the first message is sent.
-	OnBulkLost func(to quorum.Member)
+	OnBulkLost func(disk quorum.DiskIdentity)
 
-	from string
-	dial func(address string) jacinthplankv1connect.QuorumServiceClient
+	from     string
+	dial     func(address string) jacinthplankv1connect.QuorumServiceClient
+	failures *callFailures
+	idleTime time.Duration
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -50,50 +61,61 @@
 
 	mu     sync.Mutex
 	queues map[lane]*ring.Ring[[]byte]
+	disks  map[lane]quorum.DiskIdentity // that something was last sent to
 	closed bool
 }
 
-// lane is one of the two ways to a member.
-type lane struct {
-	to     quorum.Member
-	isBulk bool
-}
-
 // NewMesh returns the mesh of the member named from. dial creates the client of
-// the member at an address.
-func NewMesh(from string, dial func(address string) jacinthplankv1connect.QuorumServiceClient) *Mesh {
-	m := &Mesh{from: from, dial: dial, queues: map[lane]*ring.Ring[[]byte]{}}
+// the member at an address. log may be nil.
+func NewMesh(from string, dial func(address string) jacinthplankv1connect.QuorumServiceClient, log *slog.Logger) *Mesh {
+	m := &Mesh{from: from, dial: dial, failures: newCallFailures(log), idleTime: senderIdleTime, queues: map[lane]*ring.Ring[[]byte]{}, disks: map[lane]quorum.DiskIdentity{}}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	return m
 }
 
 // Send implements quorum.Transport.
-func (m *Mesh) Send(to quorum.Member, messages [][]byte) { m.put(lane{to, false}, messages) }
+func (m *Mesh) Send(to quorum.Member, messages [][]byte) { m.put(to, false, messages) }
 
 // SendBulk implements quorum.BulkTransport.
-func (m *Mesh) SendBulk(to quorum.Member, messages [][]byte) { m.put(lane{to, true}, messages) }
+func (m *Mesh) SendBulk(to quorum.Member, messages [][]byte) { m.put(to, true, messages) }
 
-func (m *Mesh) put(l lane, messages [][]byte) {
-	// The lock is held so that the sender doesn't end between the look-up and the message.
+func (m *Mesh) put(to quorum.Member, isBulk bool, messages [][]byte) {
+	l := lane{name: to.Name, address: to.Address, isBulk: isBulk}
+	dropped := m.enqueue(l, to.Disk, messages)
+	meshDropped.Add(int(dropped))
+	if dropped > 0 {
+		m.reportLoss(l)
+	}
+}
+
+// enqueue returns how many messages were dropped. The lock is held meanwhile, so that the sender
+// doesn't end between the look-up of its queue and the message.
+func (m *Mesh) enqueue(l lane, disk quorum.DiskIdentity, messages [][]byte) (dropped uint64) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	q := m.queue(l)
 	if q == nil {
-		m.mu.Unlock()
-		return
+		return 0
 	}
+	m.disks[l] = disk
 	before := q.Dropped()
 	for _, message := range messages {
 		q.Put(message)
 	}
-	dropped := q.Dropped() - before
-	m.mu.Unlock()
-	meshDropped.Add(int(dropped))
-	if dropped > 0 {
-		m.reportLoss(l)
+	return q.Dropped() - before
+}
+
+func (m *Mesh) reportLoss(l lane) {
+	if !l.isBulk || m.OnBulkLost == nil {
+		return
 	}
+	m.mu.Lock()
+	disk := m.disks[l]
+	m.mu.Unlock()
+	m.OnBulkLost(disk)
 }
 
-// queue returns the send queue of a lane. It returns nil for a new one once the mesh is closed.
+// queue returns a send queue of a member. It returns nil for a new one once the mesh is closed.
 // The caller holds the lock.
 func (m *Mesh) queue(l lane) *ring.Ring[[]byte] {
 	q, ok := m.queues[l]
@@ -102,51 +124,54 @@
 	}
 	q = ring.New[[]byte](sendQueueCapacity, ring.DropOldest)
 	m.queues[l] = q
-	client := m.dial(l.to.Address)
+	client := m.dial(l.address)
 	m.senders.Go(func() { m.sendLoop(l, q, client) })
 	return q
 }
 
-// sendLoop sends the queued messages of one lane in batches until it stays empty.
+// sendLoop sends the messages of one queue in batches until none come any more.
 func (m *Mesh) sendLoop(l lane, q *ring.Ring[[]byte], client jacinthplankv1connect.QuorumServiceClient) {
+	idle := time.NewTimer(m.idleTime)
+	defer idle.Stop()
 	for {
-		ctx, cancel := context.WithTimeout(m.ctx, senderIdleTime)
-		first, ok := q.Get(ctx)
-		cancel()
-		if !ok {
-			if m.end(l, q) {
+		select {
+		case <-m.ctx.Done():
+			return
+		case <-idle.C:
+			if m.endIdle(l, q) {
 				return
 			}
-			continue
-		}
-		batch, size := collectBatch(first, q)
-		meshSent.Add(len(batch))
-		if err := m.call(l.to, client, batch, size); err != nil {
-			meshFailed.Inc()
-			m.reportLoss(l)
+			idle.Reset(m.idleTime)
+		case first := <-q.Items():
+			batch, size := collectBatch(first, q)
+			meshSent.Add(len(batch))
+			err := m.call(l, client, batch, size)
+			if err != nil {
+				meshFailed.Inc()
+				m.reportLoss(l)
+			}
+			if m.ctx.Err() == nil {
+				m.failures.note(l, time.Now(), err)
+			}
+			idle.Reset(m.idleTime)
 		}
 	}
 }
 
-// end removes the queue of a sender that ends. It returns false if there are messages, unless
-// the mesh is closed.
-func (m *Mesh) end(l lane, q *ring.Ring[[]byte]) bool {
+// endIdle removes a queue, unless a message was added meanwhile, and reports whether it did.
+func (m *Mesh) endIdle(l lane, q *ring.Ring[[]byte]) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.ctx.Err() == nil && q.Len() > 0 {
+	if q.Len() > 0 {
 		return false
 	}
 	delete(m.queues, l)
+	delete(m.disks, l)
+	m.failures.forget(l)
 	return true
 }
 
-func (m *Mesh) reportLoss(l lane) {
-	if l.isBulk && m.OnBulkLost != nil {
-		m.OnBulkLost(l.to)
-	}
-}
-
-// collectBatch returns first and the messages queued behind it, and their bytes. It stops once
+// collectBatch returns first and the messages queued behind it, and their size. It stops once
 // the batch has reached maxBatchBytes.
 func collectBatch(first []byte, q *ring.Ring[[]byte]) (batch [][]byte, size int) {
 	batch, size = [][]byte{first}, len(first)
@@ -162,15 +187,11 @@
 	return batch, size
 }
 
-// sendTime returns the time limit of a call with so many bytes.
-func sendTime(size int) time.Duration {
-	return sendTimeout + time.Duration(size)*time.Second/bulkBytesPerSecond
-}
-
-func (m *Mesh) call(to quorum.Member, client jacinthplankv1connect.QuorumServiceClient, batch [][]byte, size int) error {
-	ctx, cancel := context.WithTimeout(m.ctx, sendTime(size))
+func (m *Mesh) call(l lane, client jacinthplankv1connect.QuorumServiceClient, batch [][]byte, size int) error {
+	timeout := sendTimeout + time.Duration(size)*time.Second/minBytesPerSecond
+	ctx, cancel := context.WithTimeout(m.ctx, timeout)
 	defer cancel()
-	_, err := client.Send(ctx, connect.NewRequest(&pb.SendRequest{From: m.from, To: to.Name, Messages: batch}))
+	_, err := client.Send(ctx, connect.NewRequest(&pb.SendRequest{From: m.from, To: l.name, Messages: batch}))
 	return err
 }
 
@@ -181,4 +202,5 @@
 	m.mu.Unlock()
 	m.cancel()
 	m.senders.Wait()
+	m.failures.close()
 }
--- a/control/mesh_lanes_test.go
+++ b/control/mesh_lanes_test.go
@@ -54,7 +54,7 @@
 func TestVotesDontWaitBehindEntries(t *testing.T) {
 	g := NewWithT(t)
 	member := &slowMember{bytesPerSecond: 1 << 20}
-	m := NewMesh("a", func(string) jacinthplankv1connect.QuorumServiceClient { return member })
+	m := NewMesh("a", func(string) jacinthplankv1connect.QuorumServiceClient { return member }, nil)
 	defer m.Close()
 	to := quorum.Member{Name: "b", Address: "b", Disk: "1"}
 	m.SendBulk(to, [][]byte{append([]byte("E"), make([]byte, 2<<20)...)})
@@ -69,10 +69,10 @@
 func TestLargeMessagesArriveOnSlowLinks(t *testing.T) {
 	g := NewWithT(t)
 	member := &slowMember{bytesPerSecond: 3 << 19}
-	m := NewMesh("a", func(string) jacinthplankv1connect.QuorumServiceClient { return member })
+	m := NewMesh("a", func(string) jacinthplankv1connect.QuorumServiceClient { return member }, nil)
 	defer m.Close()
 	var lost atomic.Int64
-	m.OnBulkLost = func(quorum.Member) { lost.Add(1) }
+	m.OnBulkLost = func(quorum.DiskIdentity) { lost.Add(1) }
 	to := quorum.Member{Name: "b", Address: "b", Disk: "1"}
 	var messages [][]byte
 	for range 6 {
@@ -87,14 +87,14 @@
 // which they should have been acknowledged has passed.
 func TestLossOfEntriesIsReported(t *testing.T) {
 	g := NewWithT(t)
-	m := NewMesh("a", func(string) jacinthplankv1connect.QuorumServiceClient { return failingMember{} })
+	m := NewMesh("a", func(string) jacinthplankv1connect.QuorumServiceClient { return failingMember{} }, nil)
 	defer m.Close()
-	lost := make(chan quorum.Member, 8)
-	m.OnBulkLost = func(to quorum.Member) { lost <- to }
+	lost := make(chan quorum.DiskIdentity, 8)
+	m.OnBulkLost = func(disk quorum.DiskIdentity) { lost <- disk }
 	to := quorum.Member{Name: "b", Address: "b", Disk: "1"}
 	m.Send(to, [][]byte{[]byte("V")})
 	m.SendBulk(to, [][]byte{[]byte("E")})
-	g.Eventually(lost).Should(Receive(Equal(to)))
+	g.Eventually(lost).Should(Receive(Equal(to.Disk)))
 	g.Consistently(lost).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
 }
 
