--- a/control/slow_links_test.go
+++ b/control/slow_links_test.go
@@ -106,13 +106,13 @@
 	for i, m := range members {
 		mesh := NewMesh(m.Name, func(address string) jacinthplankv1connect.QuorumServiceClient {
 			return slowLink{s, m.Name, address}
-		})
-		mesh.OnBulkLost = func(to quorum.Member) {
+		}, nil)
+		mesh.OnBulkLost = func(disk quorum.DiskIdentity) {
 			s.mu.Lock()
 			node := s.nodes[m.Name]
 			s.mu.Unlock()
 			if node != nil {
-				node.ReportLost(to.Disk)
+				node.ReportLost(disk)
 			}
 		}
 		node, err := quorum.Start(quorum.Options{
