--- a/control/slow_links_test.go
+++ b/control/slow_links_test.go
@@ -80,7 +80,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.lost[l.to]++
-		return ctx.Err()
+		return connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
 	}
 }
 
