--- a/control/slow_links_test.go
+++ b/control/slow_links_test.go
@@ -29,7 +29,7 @@
 	sent       map[string]int // bytes of large calls by receiver, those that were given up included
 	calls      map[string]int // large calls that arrived, by receiver
 	lost       map[string]int // large calls that were given up, by receiver
-
+	disks      map[string]*wal.MemoryFolder
 }
 
 type slowLink struct {
@@ -97,7 +97,7 @@
 	g := NewWithT(t)
 	s := &slowLinks{
 		bytesPerSecond: 100 << 20, nodes: map[string]*quorum.Node{}, down: map[string]bool{},
-		sent: map[string]int{}, calls: map[string]int{}, lost: map[string]int{},
+		sent: map[string]int{}, calls: map[string]int{}, lost: map[string]int{}, disks: map[string]*wal.MemoryFolder{},
 	}
 	var members []quorum.Member
 	for _, name := range []string{"a", "b", "c"} {
@@ -115,8 +115,10 @@
 				node.ReportLost(disk)
 			}
 		}
+		disk := wal.NewMemoryFolder()
+		s.disks[m.Name] = disk
 		node, err := quorum.Start(quorum.Options{
-			Name: m.Name, Address: m.Address, Members: members, Disk: wal.NewMemoryFolder(),
+			Name: m.Name, Address: m.Address, Members: members, Disk: disk,
 			StateMachine: state, Transport: mesh, Seed: uint64(i + 1), LogBytes: logBytes,
 		})
 		g.Expect(err).NotTo(HaveOccurred())
@@ -267,3 +269,34 @@
 		g.Expect(s.sent["c"]).To(BeNumerically("<=", size+(2<<20)))
 	})
 }
+
+// TestMemberWithSlowDiskIsSentEntriesOnce guards against entries that are sent again and again to
+// a member that has received them and still writes them.
+func TestMemberWithSlowDiskIsSentEntriesOnce(t *testing.T) {
+	const size, commands = 100_000, 60
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := startSlowQuorum(t, 10<<20, 1, 1000, 64<<20, largeState{})
+		time.Sleep(2 * time.Second)
+		s.disks["c"].SetFault(func(op, _ string) error {
+			if op == "sync" {
+				time.Sleep(5 * time.Second)
+			}
+			return nil
+		})
+		s.mu.Lock()
+		s.sent["c"] = 0
+		s.mu.Unlock()
+		started := time.Now()
+		for range commands {
+			_, err := s.nodes[s.leader(t)].Propose(t.Context(), make([]byte, size))
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(20 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		t.Logf("sent %d in %v, commands of %d", s.sent["c"], time.Since(started), commands*size)
+		g.Expect(s.sent["c"]).To(BeNumerically("<=", 2*commands*size))
+	})
+}
