--- a/control/slow_links_test.go
+++ b/control/slow_links_test.go
@@ -179,6 +179,9 @@
 		{500_000, 4, 1_000_000},
 		{500_000, 2, 2_000_000},
 		{1 << 20, 2, 4_000_000},
+		{2_500_000, 7, 1_183_348}, // configurations of the target size, a fifth of 100 Mbit/s
+		{1_000_000, 7, 1_183_348},
+		{800_000, 7, 1_183_348},
 	} {
 		t.Run(fmt.Sprintf("%d_commands_of_%d_bytes_at_%d_per_second", c.commands, c.size, c.bytesPerSecond), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
