--- a/mesh/disk_addresses.go
+++ b/mesh/disk_addresses.go
@@ -10,27 +10,42 @@
 // others.
 const maxDiskAddresses = 256
 
+// maxOutdatedReports is how many reports of an earlier incarnation are taken for late ones.
+const maxOutdatedReports = 2
+
 // diskAddresses are the addresses at which entries run members now, by disk. The quorum's
 // configuration has that of the time when a member was added, and without a leader it can't be
 // changed. It is safe for concurrent use.
 type diskAddresses struct {
 	mu     sync.RWMutex
-	byDisk map[quorum.DiskIdentity]string
+	byDisk map[quorum.DiskIdentity]diskAddress
 }
 
-// note records what an entry reports of itself. The last report counts: the clock of an entry that
-// started again may be behind, so its incarnation tells nothing.
+// note records what an entry reports of itself. Of reports with different addresses the later
+// incarnation counts, unless the earlier one reports again and again: the clock of an entry
+// that started again may be behind.
 func (d *diskAddresses) note(f facts) {
 	if f.Disk == "" || f.Address == "" {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	_, known := d.byDisk[f.Disk]
-	if d.byDisk == nil || (!known && len(d.byDisk) >= maxDiskAddresses) {
-		d.byDisk = map[quorum.DiskIdentity]string{} // entries report their disks again with each sync
+	known, ok := d.byDisk[f.Disk]
+	if ok && f.Incarnation < known.incarnation && known.outdated < maxOutdatedReports {
+		known.outdated++
+		d.byDisk[f.Disk] = known
+		return
+	}
+	if d.byDisk == nil || (!ok && len(d.byDisk) >= maxDiskAddresses) {
+		d.byDisk = map[quorum.DiskIdentity]diskAddress{} // entries report their disks again with each sync
 	}
-	d.byDisk[f.Disk] = f.Address
+	d.byDisk[f.Disk] = diskAddress{address: f.Address, incarnation: f.Incarnation}
+}
+
+type diskAddress struct {
+	address     string
+	incarnation uint64 // of the entry that reported it
+	outdated    int    // reports of earlier incarnations since
 }
 
 // current returns a member with the address that its disk has now, if an entry has reported it.
@@ -38,7 +53,7 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	if known, ok := d.byDisk[m.Disk]; ok {
-		m.Address = known
+		m.Address = known.address
 	}
 	return m
 }
