--- a/coord/quorum/node_test.go
+++ b/coord/quorum/node_test.go
@@ -152,14 +152,16 @@
 	return c
 }
 
-func (c *cluster) start(name string) {
+func (c *cluster) start(name string) { c.startWith(name, link{c.network, name}) }
+
+func (c *cluster) startWith(name string, transport quorum.Transport) {
 	machine := &register{}
 	c.network.mu.Lock()
 	c.machines[name] = machine
 	c.network.mu.Unlock()
 	o := c.options
 	o.Name, o.Address, o.Members = name, "addr-"+name, c.members
-	o.Disk, o.StateMachine, o.Transport = c.disks[name], machine, link{c.network, name}
+	o.Disk, o.StateMachine, o.Transport = c.disks[name], machine, transport
 	o.Seed = c.options.Seed + uint64(name[1])
 	node, err := quorum.Start(o)
 	c.g.Expect(err).NotTo(HaveOccurred())
