--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -27,7 +27,7 @@
 )
 
 // logBytes are the bytes of log after which a member takes a snapshot. The platform's
-// disks have 64 MB; they have to hold three times as much and two snapshots.
+// disks have 64 MB; they have to hold three and a half times as much and two snapshots.
 const logBytes = 8 << 20
 
 // quorumManager is the duty that manages this entry's part in the quorum that stores
