--- a/coord/quorum/node_power_test.go
+++ b/coord/quorum/node_power_test.go
@@ -31,6 +31,8 @@
 	network *network
 	members []quorum.Member
 
+	isFounded bool // a disk that is blank now can't found a quorum
+
 	mu           sync.Mutex
 	acknowledged []string
 }
@@ -62,7 +64,7 @@
 		}
 		m := p.members[i]
 		node, err := quorum.Start(quorum.Options{
-			Name: m.Name, Address: m.Address, Members: p.members, Disk: p.disks[i].open(p.g), StateMachine: machine,
+			Name: m.Name, Address: m.Address, Members: p.contacts(), Repair: true, Disk: p.disks[i].open(p.g), StateMachine: machine,
 			Transport: link{p.network, m.Name}, Seed: p.random.Uint64() | 1, LogBytes: 600,
 		})
 		if interrupted && errors.Is(err, errNoPower) {
@@ -80,6 +82,32 @@
 	}
 }
 
+// contacts returns the members that a disk outside of the quorum announces itself to. The one
+// with the first name may found a quorum: later it is none of them.
+func (p *powerRun) contacts() []quorum.Member {
+	if !p.isFounded {
+		return p.members
+	}
+	return append([]quorum.Member{{Name: ""}}, p.members...)
+}
+
+// awaitVoters waits until the voters are the disks that the members have now.
+func (p *powerRun) awaitVoters() {
+	nodes := p.nodes()
+	p.g.Eventually(func() bool {
+		for _, n := range nodes {
+			s := n.Status()
+			isVoter := func(n *quorum.Node) bool {
+				return slices.ContainsFunc(s.Voters, func(v quorum.Member) bool { return v.Disk == n.Status().DiskIdentity })
+			}
+			if len(s.Voters) != len(nodes) || !s.HasQuorum || slices.ContainsFunc(nodes, func(n *quorum.Node) bool { return !isVoter(n) }) {
+				return false
+			}
+		}
+		return true
+	}).WithTimeout(20*time.Second).WithPolling(20*time.Millisecond).Should(BeTrue(), "all disks vote")
+}
+
 func (p *powerRun) startAll() []*register {
 	machines := make([]*register, len(p.members))
 	for i, m := range p.members {
@@ -156,19 +184,24 @@
 // during the next starts.
 func TestPowerLossOfAllMembers(t *testing.T) {
 	for name, folder := range map[string]string{"in-memory disks": "", "directories": t.TempDir()} {
-		t.Run(name, func(t *testing.T) { losePowerRepeatedly(t, folder) })
+		t.Run(name, func(t *testing.T) { losePowerRepeatedly(t, 3, 0, folder) })
 	}
 }
 
-func losePowerRepeatedly(t *testing.T, folder string) {
+// TestPowerLossWithTwoLostDisks guards against a quorum of six that elects no leader after two
+// disks are lost while all other members lose power.
+func TestPowerLossWithTwoLostDisks(t *testing.T) { losePowerRepeatedly(t, 6, 2, "") }
+
+func losePowerRepeatedly(t *testing.T, size, lostDisks int, folder string) {
 	g := NewWithT(t)
-	p := newPowerRun(g, *powerSeed, 3, folder)
+	p := newPowerRun(g, *powerSeed, size, folder)
 	for round := range *powerRounds {
 		machines := p.startAll()
 		commands := p.awaitState(machines)
 		for _, command := range p.acknowledged {
 			g.Expect(slices.Contains(commands, command)).To(BeTrue(), "%s is in force in round %d", command, round)
 		}
+		p.awaitVoters()
 		for _, disk := range p.disks {
 			disk.failAfter(20 + p.random.Int64N(400))
 		}
@@ -186,6 +219,10 @@
 		for _, disk := range p.disks {
 			disk.losePower(g, p.random)
 		}
+		for _, i := range p.random.Perm(size)[:lostDisks] {
+			p.disks[i] = newPowerDisk(p.disks[i].path)
+		}
+		p.isFounded = true
 	}
 	t.Logf("%d commands acknowledged", len(p.acknowledged))
 }
