--- a/coord/quorum/flow_control_test.go
+++ b/coord/quorum/flow_control_test.go
@@ -82,6 +82,26 @@
 	return size
 }
 
+// TestLearnerThatLacksLargeEntriesIsNotPromoted guards against a voter that is busy for seconds
+// with the entries that it lacks, while the disk that it replaces doesn't vote any more.
+func TestLearnerThatLacksLargeEntriesIsNotPromoted(t *testing.T) {
+	g, s, leader := newSettledCluster(t)
+	core := s.members[leader].core
+	behind := (leader + 1) % 3
+	s.isolate(behind)
+	for range 4 {
+		s.propose(leader, strings.Repeat("x", maxPromotionLagBytes/2))
+		s.deliverOthers(behind)
+	}
+	disk := s.members[behind].core.config.Self
+	p := core.leaderState.progress[disk]
+	p.state = replicating
+	g.Expect(core.Commit() - p.match).To(BeNumerically("<=", maxPromotionLag))
+	g.Expect(core.isCaughtUp(disk)).To(BeFalse())
+	p.match = core.Commit() - 2
+	g.Expect(core.isCaughtUp(disk)).To(BeTrue())
+}
+
 // TestHeartbeatMayOvertakeEntries guards against a leader that takes entries for lost because a
 // heartbeat, which is small, arrived before them, and sends them again.
 func TestHeartbeatMayOvertakeEntries(t *testing.T) {
@@ -142,3 +162,29 @@
 		})
 	}
 }
+
+// TestSyncedEntriesAreKnownAfterALostReply guards against a commit that waits for the next change:
+// the reply to a message with entries is lost, and the replies to heartbeats that follow tell
+// nothing of the entries that the member had not synced before.
+func TestSyncedEntriesAreKnownAfterALostReply(t *testing.T) {
+	g, s, leader := newSettledCluster(t)
+	other := (leader + 1) % 3
+	core, member := s.members[leader].core, s.members[other].core
+	p := core.leaderState.progress[member.config.Self]
+	s.propose(leader, "late")
+	s.deliverAll(false) // no disk syncs
+	s.tick(leader)
+	p.probe() // as after an election
+	p.next = core.LastIndex() + 1
+	for range 2 * core.config.HeartbeatTicks {
+		s.tick(leader)
+		s.deliverAll(false)
+	}
+	g.Expect(p.match).To(BeNumerically("<", core.LastIndex()))
+	s.members[other].unsynced[0].AfterSync = nil // the reply
+	for range 2 * core.config.HeartbeatTicks {
+		s.deliverAll(true)
+		s.tick(leader)
+	}
+	g.Expect(p.match).To(Equal(core.LastIndex()))
+}
--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -40,6 +40,7 @@
 	proposals    chan *proposal
 	readRequests chan *readRequest
 	coreCalls    chan func()
+	losses       chan DiskIdentity // members to which bulk messages were lost
 	diskTasks    *mailbox[diskTask]
 	diskResults  *mailbox[diskResult]
 	applyTasks   *mailbox[applyTask]
@@ -59,9 +60,12 @@
 
 // Start starts a member on its disk. It fails with a *wal.CorruptError, which
 // gives file and offset, when acknowledged data on the disk is missing or damaged.
-// Such a disk must be emptied, which makes it a new member.
+// Such a disk must be emptied, which makes it a new member. Options.Disk is closed on failure.
 func Start(o Options) (*Node, error) {
 	if err := o.check(); err != nil {
+		if o.Disk != nil {
+			_ = o.Disk.Close()
+		}
 		return nil, err
 	}
 	o = o.withDefaults()
@@ -114,6 +118,7 @@
 		proposals:        make(chan *proposal, proposalQueueSize),
 		readRequests:     make(chan *readRequest, proposalQueueSize),
 		coreCalls:        make(chan func()),
+		losses:           make(chan DiskIdentity, lossQueueSize),
 		diskTasks:        newMailbox[diskTask](),
 		diskResults:      newMailbox[diskResult](),
 		applyTasks:       newMailbox[applyTask](),
--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -34,6 +34,7 @@
 	minLinkBytes      = 1 << 20   // bytes per second that a member is expected to receive
 	proposalQueueSize = 1024      // proposals queued to be appended
 	messageQueueSize  = 4096      // received messages queued for the core
+	lossQueueSize     = 64        // reports of lost messages queued for the core
 	maxUnsynced       = 64        // number of unsynced batches at which further proposals stay queued
 	defaultLogBytes   = 16 << 20
 	defaultTailLength = 2048 // maximum entries retained before a snapshot
@@ -64,6 +65,15 @@
 	Send(to Member, msgs [][]byte)
 }
 
+// BulkTransport is a Transport that doesn't let votes, heartbeats and replies wait behind bulk
+// messages, which hold entries of the log or a part of a snapshot. Both kinds may overtake each
+// other; bulk messages to one member stay in order as far as possible.
+type BulkTransport interface {
+	Transport
+	// SendBulk sends bulk messages, as Send does others.
+	SendBulk(to Member, msgs [][]byte)
+}
+
 // Options are the settings of a Node.
 type Options struct {
 	Name    string // name of this member
--- a/coord/quorum/replication.go
+++ b/coord/quorum/replication.go
@@ -48,9 +48,9 @@
 
 // sentEntries are the entries of one message.
 type sentEntries struct {
-	last  uint64
-	bytes int
-	sent  uint64 // tick
+	first, last uint64
+	bytes       int
+	sent        uint64 // tick
 }
 
 // Propose appends commands to the leader's log and returns the index of the
@@ -161,12 +161,13 @@
 	return uint64(ticks)
 }
 
-// sendHeartbeat sends an Append without entries. To a member that is sent entries it refers to the
-// last one acknowledged: the transport may deliver it before entries that were sent earlier.
+// sendHeartbeat sends an Append without entries. It refers to the entry before those on their way:
+// the transport may deliver it before them. The reply reveals whether the member has synced
+// that entry, should the reply to a message with entries have been lost.
 func (c *Core) sendHeartbeat(to DiskIdentity, p *progress) {
 	prev := p.next - 1
-	if p.state == replicating {
-		prev = p.match
+	if len(p.inFlight) > 0 {
+		prev = p.inFlight[0].first - 1
 	}
 	term, ok := c.log.term(prev)
 	if !ok || p.state == snapshotting {
@@ -209,7 +210,7 @@
 		c.sendAppend(to, p, Message{Index: prev, LogTerm: term, Entries: entries})
 		p.next += uint64(len(entries))
 		size := dataBytes(entries)
-		p.inFlight = append(p.inFlight, sentEntries{p.next - 1, size, c.now})
+		p.inFlight = append(p.inFlight, sentEntries{prev + 1, p.next - 1, size, c.now})
 		p.inFlightBytes += size
 	}
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -127,8 +127,9 @@
 	}
 	m.transport = control.NewMesh(o.Name, func(address string) jacinthplankv1connect.QuorumServiceClient {
 		return jacinthplankv1connect.NewQuorumServiceClient(m.client, "http://"+address, messageLimit)
-	})
+	}, o.Log)
 	m.quorum = newQuorumManager(m)
+	m.transport.OnBulkLost = m.quorum.reportLost
 	m.gossip = gossip.New(gossip.Options{
 		Self: membership.Record{
 			Name: o.Name, Address: o.Address, FailureDomain: o.FailureDomain,
--- a/mesh/quorum_disk.go
+++ b/mesh/quorum_disk.go
@@ -36,9 +36,8 @@
 // DiskHealth is the state of an entry's disk and the reason for it.
 type DiskHealth struct {
 	State DiskState
-	Err   error     // of the last start or of the running member; nil while it runs
-	Kept  error     // why a refused disk was not emptied at the last attempt; nil before the first
-	Since time.Time // when the disk entered the state
+	Err   error // of the last start or of the running member; nil while it runs
+	Kept  error // why a refused disk was not emptied at the last attempt; nil before the first
 }
 
 func (h DiskHealth) isSameAs(other DiskHealth) bool {
@@ -68,17 +67,17 @@
 	c.mu.Lock()
 	before := c.disk
 	now := time.Now()
-	h.Since = now
-	if before.State == h.State {
-		h.Since = before.Since
+	if before.State != h.State {
+		c.diskSince = now
 	}
 	c.disk = h
+	since := c.diskSince
 	c.mu.Unlock()
 	if before.isSameAs(h) {
 		return
 	}
 	setDiskGauges(h.State)
-	c.logDisk(h, before.State, now)
+	c.logDisk(h, before.State, now.Sub(since))
 }
 
 func setDiskGauges(current DiskState) {
@@ -107,7 +106,7 @@
 	o := c.mesh.options
 	node, err := quorum.Start(quorum.Options{
 		Name: o.Name, Address: o.Address, Members: contacts, Disk: folder,
-		StateMachine: c.state, Transport: c.mesh.transport, Logger: c.log, Repair: true, FoundByMajority: true,
+		StateMachine: c.state, Transport: diskTransport{c.mesh.transport, &c.addresses}, Logger: c.log, Repair: true, FoundByMajority: true,
 		PreferAsLeader: func(m quorum.Member) bool { return c.mesh.acceptsRequests(m.Name) },
 		LogBytes:       c.logBytes,
 		OnRecovered:    c.mesh.noteRecovered,
@@ -123,6 +122,7 @@
 	c.mu.Lock()
 	c.node, c.contacts = node, contacts
 	c.mu.Unlock()
+	c.addresses.note(facts{Disk: node.Status().DiskIdentity, Address: o.Address, Incarnation: c.mesh.incarnation})
 	c.setDiskHealth(DiskHealth{State: DiskRunning})
 	c.log.Info("quorum member started", "step", "mesh.core", "disk", node.Status().DiskIdentity, "members", len(contacts))
 	return true
--- a/mesh/quorum_manager.go
+++ b/mesh/quorum_manager.go
@@ -56,6 +56,8 @@
 	stopped       bool
 	lastLeader    string
 	disk          DiskHealth
+	addresses     diskAddresses
+	diskSince     time.Time // when the disk entered its state
 	startingSince time.Time // of the start of the member in progress, zero without one
 	discarded     bool      // this process has emptied the disk, which therefore can't found a quorum
 	refusals      recovery.Refusals
@@ -64,8 +66,8 @@
 func newQuorumManager(m *Mesh) *quorumManager {
 	setDiskGauges(DiskNone)
 	return &quorumManager{
-		mesh: m, log: m.log, state: newQuorumState(), openFolder: wal.OpenFolder, logBytes: logBytes,
-		disk: DiskHealth{State: DiskNone, Since: time.Now()},
+		mesh: m, log: m.log, state: newQuorumState(), openFolder: openDiskFolder, logBytes: logBytes,
+		disk: DiskHealth{State: DiskNone}, diskSince: time.Now(),
 	}
 }
 
@@ -110,6 +112,13 @@
 	}
 }
 
+// reportLost tells the member that entries sent to another one may not have arrived.
+func (c *quorumManager) reportLost(disk quorum.DiskIdentity) {
+	if node := c.currentNode(); node != nil {
+		node.ReportLost(disk)
+	}
+}
+
 func (c *quorumManager) currentNode() *quorum.Node {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -253,7 +262,7 @@
 		voters = slices.Clone(c.knownVoters())
 	}
 	for i, v := range voters {
-		voters[i] = quorum.Member{Name: v.Name, Address: v.Address}
+		voters[i] = quorum.Member{Name: v.Name, Address: c.addresses.current(v).Address}
 	}
 	slices.SortFunc(voters, func(a, b quorum.Member) int {
 		return cmp.Or(strings.Compare(a.Name, b.Name), strings.Compare(a.Address, b.Address))
@@ -267,7 +276,7 @@
 	node, f := c.node, facts{Founders: c.founders}
 	c.mu.Unlock()
 	if node != nil {
-		s := node.Status()
+		s := c.addresses.currentStatus(node.Status())
 		f.Disk, f.Voters = s.DiskIdentity, s.Voters
 		if s.HasQuorum {
 			f.Leader, f.LeaderTerm = s.LeaderAddress, s.Term
