--- a/mesh/silent_connections_test.go
+++ b/mesh/silent_connections_test.go
@@ -73,14 +73,17 @@
 
 // newQuorumStub serves a member on a real socket.
 func newQuorumStub(t *testing.T) *quorumStub {
-	stub := &quorumStub{}
-	mux := http.NewServeMux()
-	mux.Handle(jacinthplankv1connect.NewQuorumServiceHandler(stub))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	stub.address = l.Addr().String()
+	return serveQuorumStub(t, l)
+}
+
+func serveQuorumStub(t *testing.T, l net.Listener) *quorumStub {
+	stub := &quorumStub{address: l.Addr().String()}
+	mux := http.NewServeMux()
+	mux.Handle(jacinthplankv1connect.NewQuorumServiceHandler(stub))
 	server := NewHTTPServer(mux)
 	go func() { _ = server.Serve(l) }()      // ends with the test
 	t.Cleanup(func() { _ = server.Close() }) // nothing is written
