--- a/coord/wal/powerloss/folder_test.go
+++ b/coord/wal/powerloss/folder_test.go
@@ -142,6 +142,16 @@
 			allLost,
 			map[string]string{"a": "synced"},
 		},
+		"a removal is kept": {
+			func(g Gomega, folder wal.Folder, _ wal.File) { g.Expect(folder.Remove("a")).To(Succeed()) },
+			allKept,
+			map[string]string{},
+		},
+		"a rename is kept": {
+			func(g Gomega, folder wal.Folder, _ wal.File) { g.Expect(folder.Rename("a", "b")).To(Succeed()) },
+			allKept,
+			map[string]string{"b": "synced"},
+		},
 		"a removal stays once the folder was synced": {
 			func(g Gomega, folder wal.Folder, _ wal.File) {
 				g.Expect(folder.Remove("a")).To(Succeed())
@@ -245,6 +255,28 @@
 	}
 }
 
+// TestKillBeforeNameChange guards against a folder that has other names than its record after a kill
+// without a loss of power.
+func TestKillBeforeNameChange(t *testing.T) {
+	g := NewWithT(t)
+	path := t.TempDir()
+	folder := open(t, path)
+	for _, name := range []string{"created", "removed", "renamed"} {
+		f, err := folder.Create(name)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(write(f, name)).To(Succeed())
+		g.Expect(f.Sync()).To(Succeed())
+	}
+	g.Expect(folder.Remove("removed")).To(Succeed())
+	g.Expect(folder.Rename("renamed", "new")).To(Succeed())
+	g.Expect(folder.Close()).To(Succeed())
+
+	g.Expect(os.Remove(filepath.Join(path, "created"))).To(Succeed())
+	g.Expect(os.WriteFile(filepath.Join(path, "removed"), nil, 0o600)).To(Succeed())
+	g.Expect(os.Rename(filepath.Join(path, "new"), filepath.Join(path, "renamed"))).To(Succeed())
+	g.Expect(content(t, path)).To(Equal(map[string]string{"created": "created", "new": "renamed"}))
+}
+
 // TestLogSurvivesLossesOfPower guards against a record that makes package wal lose a batch, over
 // rotations, kills and losses of power in turn.
 func TestLogSurvivesLossesOfPower(t *testing.T) {
