--- a/control/control.go
+++ b/control/control.go
@@ -60,10 +60,10 @@
 	started := time.Now()
 	m := &Member{options: o}
 	m.machine = state.New(o.Name, func() time.Duration { return time.Since(started) })
-	m.mesh = NewMesh(o.Name, m.quorumClient)
-	m.mesh.OnBulkLost = func(to quorum.Member) {
+	m.mesh = NewMesh(o.Name, m.quorumClient, o.Log)
+	m.mesh.OnBulkLost = func(disk quorum.DiskIdentity) {
 		if node := m.started.Load(); node != nil {
-			node.ReportLost(to.Disk)
+			node.ReportLost(disk)
 		}
 	}
 	node, err := quorum.Start(quorum.Options{
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -127,7 +127,7 @@
 	}
 	m.transport = control.NewMesh(o.Name, func(address string) jacinthplankv1connect.QuorumServiceClient {
 		return jacinthplankv1connect.NewQuorumServiceClient(m.client, "http://"+address, messageLimit)
-	})
+	}, o.Log)
 	m.quorum = newQuorumManager(m)
 	m.transport.OnBulkLost = m.quorum.reportLost
 	m.gossip = gossip.New(gossip.Options{
@@ -249,6 +249,9 @@
 	}
 	if p.address != c.After.Address || p.incarnation != c.After.Incarnation {
 		p.syncedSeq, p.nextSync, p.failures = 0, time.Time{}, 0
+		if p.facts.Incarnation < c.After.Incarnation {
+			p.facts.Disk = "" // it was reported by an earlier process, and may have been lost since
+		}
 	}
 	p.address, p.incarnation, p.state = c.After.Address, c.After.Incarnation, c.After.State
 	if m.document.Number == 0 {
