--- a/coord/wal/frame.go
+++ b/coord/wal/frame.go
@@ -47,6 +47,17 @@
 	return fmt.Sprintf("wal: %s is corrupt at offset %d: %s", e.File, e.Offset, e.Reason)
 }
 
+// frameHeader returns what precedes the payload of a frame.
+func frameHeader(position framePosition, kind frameKind, payload []byte) []byte {
+	header := binary.LittleEndian.AppendUint32(nil, frameMagic)
+	header = binary.LittleEndian.AppendUint32(header, uint32(len(payload)))
+	header = binary.LittleEndian.AppendUint32(header, 0)
+	header = append(header, byte(kind))
+	sum := crc32.Update(checksum(position, header), castagnoli, payload)
+	binary.LittleEndian.PutUint32(header[checksumOffset:], sum)
+	return header
+}
+
 func appendFrame(dst []byte, position framePosition, kind frameKind, payload []byte) []byte {
 	start := len(dst)
 	dst = binary.LittleEndian.AppendUint32(dst, frameMagic)
--- a/coord/wal/log.go
+++ b/coord/wal/log.go
@@ -190,7 +190,11 @@
 	if err := l.write(kindHeader, []byte{formatVersion}); err != nil {
 		return err
 	}
-	if err := l.write(kindBatch, first); err != nil {
+	// In two writes: a copy of the whole log would double the memory of a start.
+	if err := l.writeBytes(frameHeader(l.position(l.size), kindBatch, first)); err != nil {
+		return err
+	}
+	if err := l.writeBytes(first); err != nil {
 		return err
 	}
 	return trace.Wrap(l.file.Sync())
@@ -205,11 +209,14 @@
 }
 
 func (l *Log) write(kind frameKind, payload []byte) error {
-	frame := appendFrame(nil, l.position(l.size), kind, payload)
-	n, err := l.file.Write(frame)
+	return l.writeBytes(appendFrame(nil, l.position(l.size), kind, payload))
+}
+
+func (l *Log) writeBytes(data []byte) error {
+	n, err := l.file.Write(data)
 	l.size += int64(n)
 	bytesTotal.Add(n)
-	if err == nil && n < len(frame) {
+	if err == nil && n < len(data) {
 		err = errors.New("short write")
 	}
 	return trace.Wrap(err)
