--- a/coord/wal/log.go
+++ b/coord/wal/log.go
@@ -190,7 +190,7 @@
 	if err := l.write(kindHeader, []byte{formatVersion}); err != nil {
 		return err
 	}
-	// In two writes: a copy of the whole log would double the memory of a start.
+	// In two writes: a copy of the whole log would add to the memory of a start.
 	if err := l.writeBytes(frameHeader(l.position(l.size), kindBatch, first)); err != nil {
 		return err
 	}
