--- a/coord/recovery/model_fleet_faults_test.go
+++ b/coord/recovery/model_fleet_faults_test.go
@@ -129,10 +129,10 @@
 	healed := m.duration(6 * time.Second)
 	var back sync.WaitGroup
 	for _, e := range lost {
-		later := m.duration(6 * time.Second)
+		later, place := m.duration(6*time.Second), slices.Index(m.places, e)
 		back.Go(func() {
 			time.Sleep(later)
-			next := m.restart(slices.Index(m.places, e))
+			next := m.restart(place)
 			if later < healed {
 				m.mu.Lock()
 				next.side = e.side
@@ -172,19 +172,21 @@
 // loses power meanwhile.
 func (m *model) stopInTurn() {
 	order := m.chosen(4)
-	other := slices.Index(m.places, order[3])
+	places := make([]int, len(order))
+	for i, e := range order {
+		places[i] = slices.Index(m.places, e)
+	}
 	var ended sync.WaitGroup
 	ended.Go(func() {
 		time.Sleep(m.duration(6 * time.Second))
 		order[3].kill(true)
 		time.Sleep(m.duration(3 * time.Second))
-		m.restart(other)
+		m.restart(places[3])
 	})
-	for _, e := range order[:3] {
-		place := slices.Index(m.places, e)
+	for i, e := range order[:3] {
 		e.leave()
 		time.Sleep(m.duration(time.Second))
-		m.restart(place)
+		m.restart(places[i])
 		time.Sleep(2 * time.Second)
 	}
 	ended.Wait()
