--- a/coord/recovery/model_fleet_faults_test.go
+++ b/coord/recovery/model_fleet_faults_test.go
@@ -113,6 +113,15 @@
 	}
 }
 
+// placesOf returns the places of entries, which may be restarted in parallel afterwards.
+func (m *model) placesOf(entries []*entry) []int {
+	places := make([]int, len(entries))
+	for i, e := range entries {
+		places[i] = slices.Index(m.places, e)
+	}
+	return places
+}
+
 // splitAndLose splits the fleet in halves and empties two disks at any moment of that. They are
 // back before or after its end.
 func (m *model) splitAndLose() {
@@ -127,12 +136,13 @@
 		time.Sleep(m.duration(time.Second))
 	}
 	healed := m.duration(6 * time.Second)
+	places := m.placesOf(lost)
 	var back sync.WaitGroup
-	for _, e := range lost {
-		later, place := m.duration(6*time.Second), slices.Index(m.places, e)
+	for i, e := range lost {
+		later := m.duration(6 * time.Second)
 		back.Go(func() {
 			time.Sleep(later)
-			next := m.restart(place)
+			next := m.restart(places[i])
 			if later < healed {
 				m.mu.Lock()
 				next.side = e.side
@@ -172,10 +182,7 @@
 // loses power meanwhile.
 func (m *model) stopInTurn() {
 	order := m.chosen(4)
-	places := make([]int, len(order))
-	for i, e := range order {
-		places[i] = slices.Index(m.places, e)
-	}
+	places := m.placesOf(order)
 	var ended sync.WaitGroup
 	ended.Go(func() {
 		time.Sleep(m.duration(6 * time.Second))
