mesh: the test of the leader's state waits for the last voter's configuration

Cause, in the test: it ended the two others as soon as the last member had heard the leader. The first message of a leader is a heartbeat; the entry with the configuration of the founding comes after it. A member that loses both others in between has no configuration, is no voter of any, and rightly asks for no votes.

The test now expects within 10 s that this member has the configuration with all three voters, and checks the same as before from then on.

--- a/mesh/leader_observer_test.go
+++ b/mesh/leader_observer_test.go
@@ -115,6 +115,9 @@
 		g.Eventually(e.LeaderState).WithTimeout(10 * time.Second).Should(MatchRegexp(`^follower in term \d+ of leader ` + name + `$`))
 		follower = e
 	}
+	// A member hears the leader before it has the configuration that names it as a voter, and asks
+	// for no votes until then.
+	g.Eventually(func() int { return len(follower.quorum.currentNode().Status().Voters) }).WithTimeout(10 * time.Second).Should(Equal(testMembers))
 	for _, e := range f.entries[:testMembers] {
 		if e != follower {
 			e.end()
