recovery: a voter that replies is not removed as one that has left

Cause: that an entry has left is known from its last announcement, which outlives a short restart by up to a sync. The planner then removed a voter that was back, before its successor was promoted: two voters of three, of which the next loss ended the quorum.

Change: a voter whose entry has left is gone after 1 s without a reply, not at once. The model checks that no voter is removed that replied within the last second, and its log has the members' steps in virtual time. The planner's case of a voter that has left and still replies expected the removal; it is now two cases, one that keeps it and one with the silence.

--- a/coord/recovery/model_checks_test.go
+++ b/coord/recovery/model_checks_test.go
@@ -12,6 +12,9 @@
 	"github.com/jacinthplank/jacinthplank/coord/quorum"
 )
 
+// removedAfter is the silence of a voter before which it may still live.
+const removedAfter = time.Second
+
 // noteLeader checks that a term has one leader.
 func (m *model) noteLeader(s quorum.Status) {
 	m.mu.Lock()
@@ -23,6 +26,16 @@
 	}
 }
 
+// checkRemoval checks that no voter is removed that still replies to the leader: with one fewer
+// that live, a loss that is tolerated may end the quorum.
+func (m *model) checkRemoval(s quorum.Status, change quorum.Change) {
+	silence := s.Progress[change.Member.Disk].Silence
+	isVoter := slices.Contains(s.Voters, change.Member)
+	if change.Kind == quorum.Remove && isVoter && silence < removedAfter {
+		m.t.Errorf("%v: the voter %s is removed, which replied %v ago", time.Since(m.begun), change.Member.Name, silence)
+	}
+}
+
 // leader returns the running leader with a quorum, nil if there is none.
 func (m *model) leader() (*entry, quorum.Status) {
 	for _, e := range m.running() {
--- a/coord/recovery/model_test.go
+++ b/coord/recovery/model_test.go
@@ -40,6 +40,7 @@
 	acked   uint64            // highest number acknowledged
 	leaders map[uint64]quorum.DiskIdentity
 	log     []string
+	begun   time.Time
 
 	payload   int  // bytes of each change and of the state
 	logBytes  int  // after which a member takes a snapshot
@@ -89,7 +90,7 @@
 func newModelWith(t *testing.T, seed uint64, size, tolerated, payload, logBytes int) *model {
 	m := &model{
 		t: t, tolerated: tolerated, callTimeout: time.Second, payload: payload, logBytes: logBytes, random: rand.New(rand.NewPCG(seed, 1)),
-		entries: map[string]*entry{}, leaders: map[uint64]quorum.DiskIdentity{},
+		entries: map[string]*entry{}, leaders: map[uint64]quorum.DiskIdentity{}, begun: time.Now(),
 	}
 	for range size {
 		m.places = append(m.places, m.newEntry())
@@ -262,7 +263,7 @@
 	}
 	node, err := quorum.Start(quorum.Options{
 		Name: e.name, Address: e.address, Members: e.contacts, Disk: e.folder, StateMachine: e.machine,
-		Transport: e, Repair: true, FoundByMajority: true, LogBytes: e.model.logBytes, Seed: uint64(e.model.intN(1 << 30)),
+		Logger: e.memberLog(), Transport: e, Repair: true, FoundByMajority: true, LogBytes: e.model.logBytes, Seed: uint64(e.model.intN(1 << 30)),
 	})
 	e.refusals.Observe(err)
 	if err != nil {
@@ -355,6 +356,7 @@
 	if len(changes) == 0 {
 		return
 	}
+	e.model.checkRemoval(s, changes[0])
 	select {
 	case e.changing <- struct{}{}:
 	default:
@@ -366,6 +368,7 @@
 			ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 			err := node.ChangeMember(ctx, change)
 			cancel()
+			e.memberLog().Info("planned change", "change", change.Kind, "member", change.Member.Name, "disk", change.Member.Disk, "error", err)
 			if err != nil {
 				return
 			}
--- a/coord/recovery/plan.go
+++ b/coord/recovery/plan.go
@@ -17,7 +17,7 @@
 	// LearnerSettleTime is how long a new member receives the log before it may replace a
 	// member that is gone.
 	LearnerSettleTime = time.Second
-	replyTimeout      = time.Second // silence up to which a learner is taken for running
+	replyTimeout      = time.Second // silence up to which a member is taken for running
 )
 
 // Disk is the disk of an entry that the leader's process knows.
@@ -56,7 +56,7 @@
 		if _, known := p.learnerSeen[l.Disk]; !known {
 			p.learnerSeen[l.Disk] = now
 		}
-		if isGone(l, s, disks) {
+		if disks[l.Name].Left || s.Progress[l.Disk].Silence > GoneTimeout {
 			return []quorum.Change{{Kind: quorum.Remove, Member: l}}
 		}
 	}
@@ -81,10 +81,13 @@
 	return nil
 }
 
-// isGone reports whether a member has left, or has not replied to this leader for
-// GoneTimeout.
-func isGone(m quorum.Member, s quorum.Status, disks map[string]Disk) bool {
-	return disks[m.Name].Left || s.Progress[m.Disk].Silence > GoneTimeout
+// isGone reports whether a voter has not replied to this leader for GoneTimeout, or for
+// replyTimeout after its entry has left. That an entry has left may be out of date: after a short
+// restart its voter replies before the leader hears of it. The removal of a voter that lives
+// leaves one fewer that may be lost until its successor votes.
+func isGone(v quorum.Member, s quorum.Status, disks map[string]Disk) bool {
+	silence := s.Progress[v.Disk].Silence
+	return silence > GoneTimeout || (disks[v.Name].Left && silence > replyTimeout)
 }
 
 // settledLearner returns a learner that may vote: it replies, is caught up and has
--- a/coord/recovery/plan_test.go
+++ b/coord/recovery/plan_test.go
@@ -76,6 +76,8 @@
 	learning.Progress[replacing("c").Disk] = quorum.MemberProgress{}
 	alone := leaderStatus(abc, []quorum.Member{replacing("c")}, "c")
 	alone.Progress[replacing("c").Disk] = quorum.MemberProgress{}
+	stopped := leaderStatus(abc, d)
+	stopped.Progress["disk-c"] = quorum.MemberProgress{Silence: replyTimeout + time.Millisecond, CaughtUp: true}
 	type change struct {
 		kind quorum.ChangeKind
 		name string
@@ -93,7 +95,9 @@
 		{"a learner waits while all voters are present", leaderStatus(abc, d), knownDisks("b", "c", "d"), settled, nil, 1},
 		{"a settled learner replaces a silent voter", leaderStatus(abc, d, "c"), knownDisks("b", "c", "d"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}, 1},
 		{"a settled learner replaces a silent voter whose entry is unknown", leaderStatus(abc, d, "c"), knownDisks("b", "d"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}, 1},
-		{"a settled learner replaces a voter that has left", leaderStatus(abc, d), hasLeft(knownDisks("b", "d"), "c"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}, 1},
+		{"a voter that replies stays though its entry has left", leaderStatus(abc, d), hasLeft(knownDisks("b", "d"), "c"), settled, nil, 1},
+		{"a voter that was silent for a moment stays", stopped, knownDisks("b", "c", "d"), settled, nil, 1},
+		{"a settled learner replaces a voter that has left and is silent", stopped, hasLeft(knownDisks("b", "d"), "c"), settled, []change{{quorum.Remove, "c"}, {quorum.Promote, "d"}}, 1},
 		{"a voter that replies stays though its entry is unknown", leaderStatus(abc, d), knownDisks("b", "d"), settled, nil, 1},
 		{"an unsettled learner does not replace a gone voter", leaderStatus(abc, d, "c"), knownDisks("b", "d"), fresh, nil, 1},
 		{"a learner that is not caught up does not replace a gone voter", behind, knownDisks("b", "d"), settled, nil, 1},
