--- a/mesh/document_recovery_test.go
+++ b/mesh/document_recovery_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -18,9 +19,19 @@
 	f := newTestFleetWithDisks(t, testMembers+1, []*faultyDisk{{}, {}, {}})
 	leader := f.awaitLeader(g)
 	const newest = 8
-	for number := uint64(1); number <= newest; number++ {
+	for number := uint64(1); number < newest; number++ {
 		f.put(g, leader, document.Document{Number: number, Body: noise(number, 1<<15)})
 	}
+	// The log that a member starts with is replaced once a snapshot is on its disk.
+	g.Eventually(filepath.Join(f.folders[0], "log-0000000000000001")).WithTimeout(recoveryTimeout).ShouldNot(BeAnExistingFile())
+	f.endAll()
+	// A change that is sent again takes two entries of the log, so their number doesn't tell which
+	// one a snapshot holds. None that holds the newest one is taken with a large log.
+	f.logBytes = logBytes
+	for i := range f.entries {
+		f.startAgain(g, i)
+	}
+	f.put(g, f.awaitLeader(g), document.Document{Number: newest, Body: noise(newest, 1<<15)})
 	f.endAll()
 	f.startAgain(g, 0)
 	f.startAgain(g, testMembers)
--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -63,6 +64,8 @@
 	folders map[int]string // of the entries with a disk, which keep them over a restart
 	founded bool           // entries that start now don't start the fleet for the first time
 	disks   []*faultyDisk  // of the first entries; empty for sound ones
+	// logBytes are those after which a member on one of disks takes a snapshot; 0 for 128 KiB.
+	logBytes int
 }
 
 // testMembers is the number of entries with a disk, which come first.
@@ -108,7 +111,7 @@
 	o.DataFolder = f.folders[i]
 	e := &testEntry{Mesh: New(o)}
 	if i < len(f.disks) {
-		e.quorum.openFolder, e.quorum.logBytes = f.disks[i].open, 1<<17
+		e.quorum.openFolder, e.quorum.logBytes = f.disks[i].open, cmp.Or(f.logBytes, 1<<17)
 	}
 	e.server = NewHTTPServer(e)
 	go func() { _ = e.server.Serve(l) }() // ends with the entry
