mesh: a change of members that met another one is tried again at once

Cause: the quorum's repair and the planner of an entry make changes independently, one at a time. A planned change that met one of the repair was refused and planned again up to 500 ms later, of the 4 s in which a lost voter is replaced; if that was the promotion after a removal, the quorum had one voter fewer for as long.

Change: it is planned again with the next tick, 100 ms later, and logged once. The model does the same.

--- a/coord/recovery/model_test.go
+++ b/coord/recovery/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -370,6 +371,7 @@
 			cancel()
 			e.memberLog().Info("planned change", "change", change.Kind, "member", change.Member.Name, "disk", change.Member.Disk, "error", err)
 			if err != nil {
+				e.changed.Store(errors.Is(err, quorum.ErrChangePending))
 				return
 			}
 		}
--- a/mesh/member_reconciler.go
+++ b/mesh/member_reconciler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,7 @@
 	changing chan struct{} // holds a value while a change is in progress
 	planner  recovery.Planner
 	observer memberObserver
+	waits    bool // the last change was refused while another one was not committed; used while changing is held
 }
 
 func newMemberReconciler(c *quorumManager) *memberReconciler {
@@ -66,8 +68,15 @@
 		changeCtx, cancel := context.WithTimeout(ctx, changeTimeout)
 		err := node.ChangeMember(changeCtx, change)
 		cancel()
-		k.observer.logChange(node.Status(), change, reasons[i], err)
+		// The quorum's repair makes changes as well. They are committed long before the next
+		// interval, which would be a part of the time in which a lost voter has to be replaced.
+		waited := k.waits
+		k.waits = errors.Is(err, quorum.ErrChangePending)
+		if !waited || !k.waits {
+			k.observer.logChange(node.Status(), change, reasons[i], err)
+		}
 		if err != nil {
+			k.changed.Store(k.waits)
 			return
 		}
 	}
