--- a/control/mesh_lanes_test.go
+++ b/control/mesh_lanes_test.go
@@ -111,3 +111,30 @@
 func (failingMember) Send(context.Context, *connect.Request[pb.SendRequest]) (*connect.Response[pb.SendResponse], error) {
 	return nil, connect.NewError(connect.CodeUnavailable, nil)
 }
+
+// TestBatchIsReportedOnce guards against a burst of reports, one for each message of a batch of small
+// entries: the core takes them one by one while it sends to other members.
+func TestBatchIsReportedOnce(t *testing.T) {
+	for name, err := range map[string]error{"lost": context.DeadlineExceeded, "delivered": nil} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var calls, messages, reports atomic.Int64
+			m := newStubMesh(t, nil, func(_ context.Context, r *pb.SendRequest) error {
+				calls.Add(1)
+				time.Sleep(10 * time.Millisecond) // the others are queued meanwhile
+				messages.Add(int64(len(r.GetMessages())))
+				return err
+			})
+			m.OnBulk = func(quorum.DiskIdentity, bool) { reports.Add(1) }
+			to := quorum.Member{Name: "b", Address: "b", Disk: "1"}
+			const all = 100
+			for range all {
+				m.SendBulk(to, [][]byte{[]byte("E")})
+			}
+			g.Eventually(messages.Load).Should(BeEquivalentTo(all))
+			m.Close()
+			g.Expect(reports.Load()).To(BeNumerically(">", 0))
+			g.Expect(reports.Load()).To(BeNumerically("<=", calls.Load()))
+		})
+	}
+}
