quorum, control: a report on lost entries is never dropped

The transport made one report for each message of a call, the queue to the core held 64 and dropped what came then. A call with 100 small entries to one member filled it, and the report that another member's entries were lost was dropped. Nothing is sent to that member until the time for messages without a report has passed, 20 times what they should take, 10 s and more; it is not caught up within the 4 s after which the next disk may be lost.

Reports now wait in a mailbox without a limit of its own, and there is one for each disk of a call.

--- a/control/mesh.go
+++ b/control/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -111,6 +112,15 @@
 	return q.Dropped() - before
 }
 
+// reportBatch reports on the messages of one call, once for each disk.
+func (m *Mesh) reportBatch(l lane, batch []outgoing, isLost bool) {
+	for i, message := range batch {
+		if !slices.ContainsFunc(batch[:i], func(o outgoing) bool { return o.disk == message.disk }) {
+			m.report(l, message.disk, isLost)
+		}
+	}
+}
+
 // report reports on the bulk messages to a disk.
 func (m *Mesh) report(l lane, disk quorum.DiskIdentity, isLost bool) {
 	if l.isBulk && m.OnBulk != nil {
@@ -154,10 +164,8 @@
 			if err != nil {
 				meshFailed.Inc()
 			}
-			for _, message := range batch {
-				if err != nil || q.Len() == 0 {
-					m.report(l, message.disk, err != nil)
-				}
+			if err != nil || q.Len() == 0 {
+				m.reportBatch(l, batch, err != nil)
 			}
 			if m.ctx.Err() == nil {
 				m.failures.note(l, time.Now(), err)
--- a/coord/quorum/node.go
+++ b/coord/quorum/node.go
@@ -40,7 +40,7 @@
 	proposals    chan *proposal
 	readRequests chan *readRequest
 	coreCalls    chan func()
-	reports      chan deliveryReport
+	reports      *mailbox[deliveryReport]
 	diskTasks    *mailbox[diskTask]
 	diskResults  *mailbox[diskResult]
 	applyTasks   *mailbox[applyTask]
@@ -118,7 +118,7 @@
 		proposals:        make(chan *proposal, proposalQueueSize),
 		readRequests:     make(chan *readRequest, proposalQueueSize),
 		coreCalls:        make(chan func()),
-		reports:          make(chan deliveryReport, reportQueueSize),
+		reports:          newMailbox[deliveryReport](),
 		diskTasks:        newMailbox[diskTask](),
 		diskResults:      newMailbox[diskResult](),
 		applyTasks:       newMailbox[applyTask](),
--- a/coord/quorum/node_core.go
+++ b/coord/quorum/node_core.go
@@ -46,8 +46,8 @@
 			n.startRead(r)
 		case fn := <-n.coreCalls:
 			fn()
-		case r := <-n.reports:
-			n.handleReport(r)
+		case <-n.reports.signal:
+			n.handleReports()
 		case <-n.diskResults.signal:
 		}
 		n.handleDiskResults()
--- a/coord/quorum/node_send.go
+++ b/coord/quorum/node_send.go
@@ -82,18 +82,18 @@
 
 // ReportBulk tells that entries or a part of a snapshot that were sent to a member may not have
 // arrived, or that all of them have. They are sent again once the member replies, or if it doesn't
-// acknowledge them soon.
+// acknowledge them soon. It doesn't block. The transport makes at most one report for each disk
+// of a call, and for each message that it drops: a report that is lost costs the member many seconds.
 func (n *Node) ReportBulk(disk DiskIdentity, isLost bool) {
-	select {
-	case n.reports <- deliveryReport{disk, isLost}:
-	default: // the time that messages take tells it, too
-	}
+	n.reports.put(deliveryReport{disk, isLost})
 }
 
-func (n *Node) handleReport(r deliveryReport) {
-	if r.isLost {
-		n.core.ReportLost(r.disk)
-		return
+func (n *Node) handleReports() {
+	for _, r := range n.reports.takeAll() {
+		if r.isLost {
+			n.core.ReportLost(r.disk)
+		} else {
+			n.core.ReportDelivered(r.disk)
+		}
 	}
-	n.core.ReportDelivered(r.disk)
 }
--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -34,7 +34,6 @@
 	minLinkBytes      = 1 << 20   // bytes per second that a member is expected to receive
 	proposalQueueSize = 1024      // proposals queued to be appended
 	messageQueueSize  = 4096      // received messages queued for the core
-	reportQueueSize   = 64        // reports of the transport queued for the core
 	maxUnsynced       = 64        // number of unsynced batches at which further proposals stay queued
 	defaultLogBytes   = 16 << 20
 	defaultTailLength = 2048 // maximum entries retained before a snapshot
