quorum: a learner that lags may become a voter of an odd number

Callers see no leader for good after two more losses: the old disk of a lost voter has been removed, four voters are counted, and two of them are lost. The two that remain ask for votes, the new disk and the sixth one, which live, are learners.

Cause: the removal and the promotion each wait until the new disk is caught up. Between them a change or two of some 100 KB are committed, and with the bound of 256 KiB the promotion is refused, for as long as the new disk lags by two changes.

--- a/coord/quorum/membership.go
+++ b/coord/quorum/membership.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	if change.Kind == Promote && !c.isCaughtUp(change.Member.Disk) {
+	if change.Kind == Promote && !c.mayPromote(change.Member.Disk) {
 		return 0, 0, ErrNotCaughtUp
 	}
 	index = c.log.lastIndex() + 1
@@ -32,6 +32,15 @@
 	return index, c.hardState.Term, nil
 }
 
+// mayPromote reports whether a learner may become a voter. One that lags may if the voters are of an
+// even number: the majority stays as large as it is, so that no other voter is needed for it, and
+// with one voter more another one may be lost.
+func (c *Core) mayPromote(disk DiskIdentity) bool {
+	p := c.leaderState.progress[disk]
+	isEven := len(c.Configuration().Voters)%2 == 0
+	return c.isCaughtUp(disk) || isEven && p != nil && p.match > 0 && p.match >= c.log.baseIndex && !c.isUnresponsive(disk)
+}
+
 // isCaughtUp reports whether a member has synced the committed entries, except for a few.
 func (c *Core) isCaughtUp(disk DiskIdentity) bool {
 	p := c.leaderState.progress[disk]
--- a/coord/quorum/repair.go
+++ b/coord/quorum/repair.go
@@ -49,10 +49,10 @@
 		return Change{}, false
 	case c.isUnresponsive(learner.Disk):
 		return Change{Kind: Remove, Member: learner}, c.isNameResponsive(learner.Name)
+	case !isVoter:
+		return Change{Kind: Promote, Member: learner}, c.mayPromote(learner.Disk)
 	case !c.isCaughtUp(learner.Disk):
 		return Change{}, false
-	case !isVoter:
-		return Change{Kind: Promote, Member: learner}, true
 	default:
 		return Change{Kind: Remove, Member: replaced}, c.isUnresponsive(replaced.Disk)
 	}
