quorum: a repair doesn't start anew with each leader

Callers see no leader for good after two more losses, while the lost disk's entry has been back for longer than a loss counts: connections that go silent, or a leader that hands over, count as no loss, but each new leader waited for two election timeouts until the lost disk was silent to itself, before it added the new disk, and again before it removed the lost one.

A new disk that announces itself under the name of a member, or has caught up in its place, shows that the entry runs without the old one. So the silence counts only if the old one has replied to this leader. Two processes of one name behave as before once both have replied.

--- a/coord/quorum/repair.go
+++ b/coord/quorum/repair.go
@@ -1,6 +1,10 @@
 package quorum
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"slices"
+
+	"github.com/VictoriaMetrics/metrics"
+)
 
 var repairSteps = metrics.NewCounter("jacinthplank_quorum_repair_steps_total")
 
@@ -54,15 +58,18 @@
 	case !c.isCaughtUp(learner.Disk):
 		return Change{}, false
 	default:
-		return Change{Kind: Remove, Member: replaced}, c.isUnresponsive(replaced.Disk)
+		return Change{Kind: Remove, Member: replaced}, c.isGone(replaced.Disk)
 	}
 }
 
-// replacedBy returns the disk that newMember replaces: the disk of an
-// unresponsive member with the same name.
+// replacedBy returns the disk that newMember replaces: the disk of a member with the
+// same name that is gone.
 func (c *Core) replacedBy(newMember Member) (DiskIdentity, bool) {
 	_, isMember := c.Configuration().Member(newMember.Disk)
-	if isMember || c.isNameResponsive(newMember.Name) {
+	isPresent := slices.ContainsFunc(c.Configuration().Members(), func(m Member) bool {
+		return m.Name == newMember.Name && !c.isGone(m.Disk)
+	})
+	if isMember || isPresent {
 		return "", false
 	}
 	for _, m := range c.Configuration().Members() {
@@ -90,6 +97,14 @@
 	return disk != c.config.Self && c.silentTicks(disk) > uint64(2*c.config.ElectionTicks)
 }
 
+// isGone reports whether a member whose entry is known to run with another disk is gone. A new
+// leader doesn't wait for the silence of one that has not replied to it: each change of leader would
+// prolong the repair.
+func (c *Core) isGone(disk DiskIdentity) bool {
+	p := c.leaderState.progress[disk]
+	return c.isUnresponsive(disk) || (disk != c.config.Self && p != nil && !p.hasReplied)
+}
+
 // silentTicks returns the ticks since a member's last reply to this leader, 0 for a disk
 // that is not a member.
 func (c *Core) silentTicks(disk DiskIdentity) uint64 {
--- a/coord/quorum/replication.go
+++ b/coord/quorum/replication.go
@@ -33,6 +33,7 @@
 	next         uint64 // index of the next entry to send
 	paused       bool   // a probe is awaiting its reply
 	lastResponse uint64 // tick of the last reply
+	hasReplied   bool   // to this leader
 	round        uint64 // last heartbeat round confirmed by the member
 
 	inFlight      []sentEntries // messages with entries not acknowledged yet, oldest first; empty unless replicating
@@ -205,7 +206,7 @@
 	if p == nil {
 		return
 	}
-	p.lastResponse = c.now
+	p.lastResponse, p.hasReplied = c.now, true
 	p.round = max(p.round, m.Round)
 	if m.Reject {
 		c.stepAppendRejected(p, m)
--- a/coord/quorum/transfer.go
+++ b/coord/quorum/transfer.go
@@ -44,7 +44,7 @@
 	if c.role != Leader || p == nil {
 		return
 	}
-	p.lastResponse = c.now
+	p.lastResponse, p.hasReplied = c.now, true
 	isCurrent := p.state == snapshotting && p.snapshot.Index == m.Index
 	if !isCurrent || m.Match >= uint64(len(p.snapshot.Data)) || int(m.Match) == p.snapshotOffset {
 		return
