recovery: test of two losses while a new disk learns

A lost disk stays the sixth voter until its successor is caught up, as Planner.Plan removes a voter beyond the wanted number only while there is no learner. Then the loss of two more leaves three of six. Without it the five others bear that loss, however long the successor learns.

--- a/coord/recovery/model_handover_test.go
+++ b/coord/recovery/model_handover_test.go
@@ -24,23 +24,71 @@
 	}
 }
 
-func (m *model) losePairAfterHandovers(interval time.Duration) {
+// TestModelLosesPairWhileSuccessorLearns is the same with one leader, and a new disk that learns for
+// longer than a loss counts. It guards against a lost disk that remains the sixth voter meanwhile,
+// though the five others bear the loss of two without it.
+func TestModelLosesPairWhileSuccessorLearns(t *testing.T) {
+	for seed := *modelFirstSeed; seed < *modelFirstSeed+(*modelSeeds+4)/5; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const payload, logBytes = 1000, 100 << 10
+				m := newModelWith(t, seed, 6, 2, payload, logBytes)
+				m.play(func() {
+					first := m.emptyFollower()
+					m.starve(m.places[first].address)
+					m.restart(first)
+					time.Sleep(lossCounts)
+					m.losePair(first)
+				})
+			})
+		})
+	}
+}
+
+// starvedMessage is the size above which an address that is starved gets no messages.
+const starvedMessage = 400
+
+func (m *model) starve(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.starved = address
+}
+
+func (m *model) isStarved(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return address == m.starved
+}
+
+// emptyFollower empties the disk of an entry that doesn't lead, and returns its place.
+func (m *model) emptyFollower() (place int) {
 	leader, _ := m.leader()
-	first := 0
-	for m.places[first] == leader {
-		first++
+	for m.places[place] == leader {
+		place++
 	}
-	m.logf("%s emptied, handed over each %v;", m.places[first].name, interval)
-	m.places[first].kill(false)
-	m.places[first].folder = wal.NewMemoryFolder()
+	m.logf("%s emptied;", m.places[place].name)
+	m.places[place].kill(false)
+	m.places[place].folder = wal.NewMemoryFolder()
+	return place
+}
+
+func (m *model) losePairAfterHandovers(interval time.Duration) {
+	first := m.emptyFollower()
+	m.logf("handed over each %v;", interval)
 	m.restart(first)
 	for end := time.Now().Add(lossCounts); time.Now().Before(end); time.Sleep(interval) {
 		if leader, _ := m.leader(); leader != nil {
 			leader.currentNode().TransferLeadership()
 		}
 	}
+	m.losePair(first)
+}
+
+// losePair empties the disks of the leader and of another entry than the first one, and expects a
+// leader before they return.
+func (m *model) losePair(first int) {
 	var pair []int
-	leader, _ = m.leader()
+	leader, _ := m.leader()
 	for i, e := range m.places {
 		if i != first && e == leader {
 			pair = append(pair, i)
@@ -57,6 +105,7 @@
 		m.places[i].folder = wal.NewMemoryFolder()
 	}
 	m.awaitLeader()
+	m.starve("")
 	for _, i := range pair {
 		m.restart(i)
 	}
--- a/coord/recovery/model_test.go
+++ b/coord/recovery/model_test.go
@@ -39,6 +39,7 @@
 	starts  int               // of processes so far
 	acked   uint64            // highest number acknowledged
 	leaders map[uint64]quorum.DiskIdentity
+	starved string // address that gets no messages above starvedMessage
 	log     []string
 
 	payload   int  // bytes of each change and of the state
@@ -147,6 +148,9 @@
 	m := e.model
 	e.awaitServed()
 	for _, message := range messages {
+		if len(message) > starvedMessage && m.isStarved(to.Address) {
+			continue
+		}
 		queued, isSent := e.useLink(len(message))
 		if !isSent {
 			continue
