mesh: announcements made during a sync go with the next one

Cause: an endpoint's call that takes it out of service sent all pending updates to every peer at once, also while the same updates were on their way for other calls. When 100 endpoints drained together, the traffic grew with the square of their number. Change: each peer has an outbox. One sync with it is in progress for all calls; what is announced meanwhile goes with the next one, and each call waits until its own announcement was answered or given up after two attempts. A second sync starts beside one without an answer after 200 ms, so that a lost packet or a silent connection costs the others no whole timeout; there is no third. A call whose context ends returns, and its announcement is still delivered. Tests of peers that hang, answer late, refuse, restart, and of 26 and 60 entries run on a fake clock.

--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -27,6 +27,7 @@
 	announced     atomic.Int64 // bytes of sync requests received
 	syncDelay     atomic.Int64 // nanoseconds before a sync is served
 	stop          context.CancelFunc
+	duties        sync.WaitGroup
 	server        *http.Server
 }
 
@@ -90,7 +91,10 @@
 	t.Cleanup(func() {
 		var wg sync.WaitGroup
 		for _, e := range f.entries {
-			wg.Go(e.end)
+			wg.Go(func() {
+				e.end()
+				e.duties.Wait() // they write to the entry's disk, which is removed
+			})
 		}
 		wg.Wait()
 	})
@@ -115,7 +119,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
 	for _, d := range e.Duties() {
-		go func() { _ = d.Serve(ctx) }() // ends with the entry
+		e.duties.Go(func() { _ = d.Serve(ctx) }) // ends with the entry
 	}
 	return e
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -114,6 +114,7 @@
 	due          bool // to be synced before its turn
 	failures     int
 	nextSync     time.Time // no periodic sync before this time, after failures
+	outbox       outbox
 }
 
 // New returns a mesh without peers, with the endpoints stored on its disk.
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,7 +19,6 @@
 	maxSyncsPerInterval = 10                     // peers called in one interval, which makes 25 calls a second
 	syncTimeout         = 700 * time.Millisecond
 	maxSyncBackoff      = 2 * time.Second // between attempts to reach an entry that does not answer
-	changeSyncAttempts  = 2
 )
 
 var (
@@ -129,7 +127,7 @@
 }
 
 func (m *Mesh) syncPeer(ctx context.Context, p *peer) {
-	err := m.sync(ctx, p)
+	_, err := m.sync(ctx, p)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p.syncing = false
@@ -140,8 +138,9 @@
 	p.nextSync = time.Now().Add(backoff)
 }
 
-// sync sends a peer the updates that it lacks and applies the facts in its response.
-func (m *Mesh) sync(ctx context.Context, p *peer) error {
+// sync sends a peer the updates that it lacks and applies the facts in its response. It returns
+// this entry's updateSeq up to which it sent them.
+func (m *Mesh) sync(ctx context.Context, p *peer) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	m.mu.Lock()
@@ -152,14 +151,14 @@
 	if err != nil {
 		syncsFailed.Inc()
 		m.recordFailure(p, err)
-		return err
+		return seq, err
 	}
 	m.mu.Lock()
 	m.recordResponse(p, resp.From, seq)
 	m.mu.Unlock()
 	m.handleFacts(resp.From)
 	m.pullIfDifferent(resp.From)
-	return nil
+	return seq, nil
 }
 
 func (m *Mesh) recordFailure(p *peer, err error) {
@@ -185,6 +184,7 @@
 		p.syncedSeq = max(p.syncedSeq, seq)
 	}
 	p.facts = f
+	p.outbox.confirm(seq)
 }
 
 // pendingUpdates returns the request with the updates that a peer lacks of endpoints
@@ -298,7 +298,10 @@
 		m.passOnSoon()
 		return result
 	}
-	m.syncAll(ctx)
+	select {
+	case <-m.deliverToAll().done:
+	case <-ctx.Done():
+	}
 	return result
 }
 
@@ -324,25 +327,6 @@
 	})
 }
 
-// syncAll sends the updates to every peer and waits for the responses. A peer that
-// does not answer gets them with a later periodic sync.
-func (m *Mesh) syncAll(ctx context.Context) {
-	m.mu.Lock()
-	peers := m.activePeers(time.Now())
-	m.mu.Unlock()
-	var wg sync.WaitGroup
-	for _, p := range peers {
-		wg.Go(func() {
-			for range changeSyncAttempts {
-				if m.sync(ctx, p) == nil || ctx.Err() != nil {
-					return
-				}
-			}
-		})
-	}
-	wg.Wait()
-}
-
 // Endpoint returns the latest announcement of an endpoint, and false if it is unknown.
 func (m *Mesh) Endpoint(id string) (announce.Record, bool) {
 	m.mu.Lock()
@@ -376,6 +360,6 @@
 	m.log.Info("endpoint states that it leaves", "step", "mesh.leaving", "endpoint", h.ID, "service", h.Service,
 		"address", h.Address, "born", h.StartedAtMs)
 	m.endpointsChanged(1)
-	go m.syncAll(context.Background())
+	m.deliverToAll()
 	return true
 }
