wal: a failed sync of a new folder's parent is an error

Cause: the error was dropped, so a disk was used although a loss of power could take its whole folder. A later attempt finds the folder and syncs nothing. Change: the error is returned and the new, empty folders are removed, so that the next attempt syncs again. Parents that can't be synced at all, without permission to read or on a file system that doesn't sync folders, remain no error.

Measured: go test -race ./wal/... in coord passed.

--- a/coord/wal/folder.go
+++ b/coord/wal/folder.go
@@ -73,21 +73,39 @@
 	return &directory{path: path, lock: lock}, nil
 }
 
-// createFolders creates a directory and its missing parents and makes their names durable. A
-// parent that can't be synced, such as one without permission to read it, is no error.
+// createFolders creates a directory and its missing parents and makes their names durable.
 func createFolders(path string, syncFolder func(path string) error) error {
-	var parents []string
+	var created []string // the deepest first
 	for p := filepath.Clean(path); ; p = filepath.Dir(p) {
 		if _, err := os.Stat(p); !errors.Is(err, fs.ErrNotExist) {
 			break
 		}
-		parents = append(parents, filepath.Dir(p))
+		created = append(created, p)
 	}
 	if err := os.MkdirAll(path, folderMode); err != nil {
 		return trace.Wrap(err)
 	}
-	for _, p := range parents {
-		_ = syncFolder(p)
+	for _, p := range created {
+		if err := syncFolder(filepath.Dir(p)); err != nil && !isUnsyncable(err) {
+			// The next attempt must find them missing, or it would not sync their parents.
+			return trace.NewAggregate(err, removeFolders(created))
+		}
+	}
+	return nil
+}
+
+// isUnsyncable reports whether a folder can't be synced at all: it may not be read, or its file
+// system doesn't sync folders. Their names are then as durable as that file system makes them,
+// which is better than no disk.
+func isUnsyncable(err error) bool {
+	return errors.Is(err, fs.ErrPermission) || errors.Is(err, errors.ErrUnsupported) || errors.Is(err, syscall.EINVAL)
+}
+
+func removeFolders(paths []string) error {
+	for _, p := range paths {
+		if err := os.Remove(p); err != nil {
+			return trace.Wrap(err)
+		}
 	}
 	return nil
 }
