recovery: a lost voter beyond the wanted number is removed at once

Cause: the planner removed a lost voter beyond the wanted number (the sixth, where two disks may be lost at once) only while there was no learner. While its new disk learnt, which takes as long as the links need, it stayed a voter. Without it the five others bear the loss of two.

Now it is removed when it is gone, before a learner is added or has caught up.

--- a/coord/recovery/plan.go
+++ b/coord/recovery/plan.go
@@ -71,14 +71,11 @@
 		return []quorum.Change{promote}
 	case settled && lost:
 		return []quorum.Change{remove, promote}
-	}
-	if add := newLearner(s, members, disks); add != nil {
-		return add
-	}
-	if lost && len(s.Learners) == 0 && len(s.Voters) > p.wantedVoters() {
+	case lost && len(s.Voters) > p.wantedVoters():
+		// Without it the others bear the next loss, however long a new disk takes to learn.
 		return []quorum.Change{remove}
 	}
-	return nil
+	return newLearner(s, members, disks)
 }
 
 // isGone reports whether a voter has not replied to this leader for GoneTimeout, or for
