--- a/coord/quorum/replication.go
+++ b/coord/quorum/replication.go
@@ -12,7 +12,7 @@
 	heartbeatTicks int    // ticks since the last heartbeat
 	pendingReads   []pendingRead
 
-	lastProgress uint64 // tick at which a voter last acknowledged entries, or all were committed
+	lastProgress uint64 // tick at which a voter last acknowledged entries or a chunk, or all were committed
 
 	transfer      DiskIdentity // target of the leadership transfer; empty if none
 	transferTicks int          // ticks since the transfer was requested
--- a/coord/quorum/transfer.go
+++ b/coord/quorum/transfer.go
@@ -49,6 +49,9 @@
 	if !isCurrent || m.Match >= uint64(len(p.snapshot.Data)) || int(m.Match) == p.snapshotOffset {
 		return
 	}
+	if _, isVoter := c.Configuration().Voter(m.From); isVoter {
+		c.leaderState.lastProgress = c.now
+	}
 	p.snapshotOffset, p.lastChunkSent, p.arrivedAt = int(m.Match), c.now, 0
 	c.sendSnapshotChunk(m.From, p)
 }
