quorum: a leader waits for a large entry that a voter lacks

Callers see no change accepted on slow links: the voter that is needed for the majority, as two others are lost, lacks a committed entry of some MB. The leader allowed for the bytes of the entries that wait for the majority, not for those that this voter is sent before them, and stepped down after 3.5 s; the next one sent it from its start. A command of 8 MB takes 8 s over the 1 MB/s that members count on.

The time now allows for what is on its way to a voter. On TestLeaderStaysWhileLargeEntryArrives, bytes as slow as members count on, ends without a commit after five elections, now with the first leader.

--- a/coord/quorum/flow_control.go
+++ b/coord/quorum/flow_control.go
@@ -122,6 +122,12 @@
 		return false
 	}
 	waiting := dataBytes(c.log.slice(c.commit+1, c.log.lastIndex(), c.config.MaxMessageBytes))
+	for _, voter := range c.Configuration().Voters {
+		p := c.leaderState.progress[voter.Disk]
+		if p != nil && c.now-p.lastResponse <= uint64(c.config.ElectionTicks) {
+			waiting = max(waiting, p.inFlightBytes) // of entries before them, which it lacks
+		}
+	}
 	allowed := stalledFactor*uint64(c.config.ElectionTicks) + c.arrivalTicks(waiting) + uint64(replyAllowanceFactor*c.syncTicks)
 	return c.now-c.leaderState.lastProgress > allowed
 }
