--- a/coord/quorum/flow_control.go
+++ b/coord/quorum/flow_control.go
@@ -113,14 +113,21 @@
 	}
 }
 
-// isStalled reports whether no voter has acknowledged entries for long though some wait to be
-// committed: heartbeats of this leader pass, its entries don't. Another one may be able to lead.
+// isStalled reports whether no voter has acknowledged entries or a part of a snapshot for long though
+// entries wait to be committed: heartbeats of this leader pass, its entries don't. Another one may be
+// able to lead.
 func (c *Core) isStalled() bool {
 	if c.commit >= c.log.lastIndex() || len(c.Configuration().Voters) == 1 {
 		c.leaderState.lastProgress = c.now
 		return false
 	}
 	waiting := dataBytes(c.log.slice(c.commit+1, c.log.lastIndex(), c.config.MaxMessageBytes))
+	for _, voter := range c.Configuration().Voters {
+		p := c.leaderState.progress[voter.Disk]
+		if p != nil && c.now-p.lastResponse <= uint64(c.config.ElectionTicks) {
+			waiting = max(waiting, p.inFlightBytes) // of entries before them, which it lacks
+		}
+	}
 	allowed := stalledFactor*uint64(c.config.ElectionTicks) + c.arrivalTicks(waiting) + uint64(replyAllowanceFactor*c.syncTicks)
 	return c.now-c.leaderState.lastProgress > allowed
 }
