gateway: the next answer is ended only after the memory of the last is free

Callers lose a second answer where ending one is enough: while the memory of an entry is used up and an answer needs more, the entry ends the answer whose caller has read nothing for longest, and may end another one 20 ms later.

The answer that was ended let the next one be ended when it was removed from the watched ones, before the reader of its endpoint had stopped and its memory was released. A log of both in TestAnswerWhoseCallerReadNothingForLongestIsEnded shows it: in each of three failures an answer was ended while one was being closed, which took 33 to 158 ms there and under 1 ms otherwise. The suspected cause, a second answer that reads ahead between the count of the free memory and its reservation, is not seen: the memory of one answer is far more than that.

The entry now remembers the answer that it ended until its memory is released.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -68,6 +68,7 @@
 		a.buffer.stop()
 	}
 	a.slow.budget.Release(a.held.Swap(0))
+	a.slow.released(a)
 }
 
 // hold reserves memory until close.
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -58,7 +58,7 @@
 
 	mu      sync.Mutex
 	answers map[*answer]struct{}
-	ending  *answer // ended, and not yet gone
+	ending  *answer // ended, and has not yet given back its memory
 }
 
 func newSlowCallers(budget *memory.Budget, log *slog.Logger) *slowCallers {
@@ -111,6 +111,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.answers, a)
+}
+
+// released lets the next answer be ended, after a has given back its memory. A reader ahead
+// that is slow to stop holds the memory some time after remove.
+func (s *slowCallers) released(a *answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.ending == a {
 		s.ending = nil
 	}
@@ -137,7 +144,7 @@
 }
 
 // endSlowest ends the answer whose caller has read nothing for longest, of those that hold
-// memory. The next one is ended only when that is gone.
+// memory. The next one is ended only when that memory is given back.
 func (s *slowCallers) endSlowest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
