recovery: the model's transport with a lane for bulk messages reports losses, as the product's does

Cause: TestModelWithLargeState played the product's two lanes, but without their reports, so the core took for lost only what was not acknowledged for the election timeout and its bytes at 1 MiB/s. Removal and promotion take 5 to 110 ms, so the order of the repair and its intervals are not where the time goes.

Change: with lanes, bulk messages go through SendBulk, and the end of each call is reported: lost at a random time up to its limit, or arrived. The core's own path for that was not played before. The cases without lanes stay as they are.

--- a/coord/recovery/model_test.go
+++ b/coord/recovery/model_test.go
@@ -65,11 +65,12 @@
 	isFirstStart  bool
 	machine       *machine
 	cancel        context.CancelFunc
-	done          chan struct{}    // closed when the process has ended
-	side          int              // of a cut that the process is on, 0 without one; guarded by model.mu
-	linkFree      time.Time        // when all that was sent so far has left; guarded by model.mu
-	process       int              // number of the process, higher than those of the entry before it
-	views         map[string]*view // of other entries, by name; guarded by model.mu
+	done          chan struct{}               // closed when the process has ended
+	side          int                         // of a cut that the process is on, 0 without one; guarded by model.mu
+	linkFree      time.Time                   // when all that was sent so far has left; guarded by model.mu
+	onTheWay      map[quorum.DiskIdentity]int // bulk messages whose calls have not ended, by disk; guarded by model.mu
+	process       int                         // number of the process, higher than those of the entry before it
+	views         map[string]*view            // of other entries, by name; guarded by model.mu
 
 	mu       sync.Mutex
 	node     *quorum.Node
@@ -146,31 +147,38 @@
 // Send implements quorum.Transport: messages are late, out of order, sometimes lost or
 // delivered twice.
 func (e *entry) Send(to quorum.Member, messages [][]byte) {
-	m := e.model
 	e.awaitServed()
 	for _, message := range messages {
-		queued, isSent := e.useLink(len(message))
-		if !isSent {
-			continue
+		if queued, isSent := e.useLink(len(message)); isSent {
+			e.deliver(to, message, queued)
 		}
-		copies := 1
-		switch m.intN(100) {
-		case 0:
-			copies = 0
-		case 1:
-			copies = 2
+	}
+}
+
+// deliver delivers a message after it has left, and returns when the first copy arrives, false if it is lost.
+func (e *entry) deliver(to quorum.Member, message []byte, queued time.Duration) (arrives time.Duration, isDelivered bool) {
+	m := e.model
+	copies := 1
+	switch m.intN(100) {
+	case 0:
+		copies = 0
+	case 1:
+		copies = 2
+	}
+	for i := range copies {
+		late := queued + time.Duration(m.linkDelay.Load()) + time.Millisecond + m.duration(3*time.Millisecond)
+		if i == 0 || late < arrives {
+			arrives = late
 		}
-		for range copies {
-			late := queued + time.Duration(m.linkDelay.Load()) + time.Millisecond + m.duration(3*time.Millisecond)
-			time.AfterFunc(late, func() {
-				if target := m.reachable(e, to.Address); target != nil {
-					if node := target.currentNode(); node != nil {
-						node.Step(e.name, message)
-					}
+		time.AfterFunc(late, func() {
+			if target := m.reachable(e, to.Address); target != nil {
+				if node := target.currentNode(); node != nil {
+					node.Step(e.name, message)
 				}
-			})
-		}
+			}
+		})
 	}
+	return arrives, copies > 0
 }
 
 // reachable returns the running entry at an address, nil if there is none or a link is cut.
@@ -264,7 +272,7 @@
 	}
 	node, err := quorum.Start(quorum.Options{
 		Name: e.name, Address: e.address, Members: e.contacts, Disk: e.folder, StateMachine: e.machine,
-		Logger: e.memberLog(), Transport: e, Repair: true, FoundByMajority: true, LogBytes: e.model.logBytes, Seed: uint64(e.model.intN(1 << 30)),
+		Logger: e.memberLog(), Transport: e.transport(), Repair: true, FoundByMajority: true, LogBytes: e.model.logBytes, Seed: uint64(e.model.intN(1 << 30)),
 	})
 	e.refusals.Observe(err)
 	if err != nil {
