gateway: the rest of a refused body is read as long as any body may take

A caller whose body doesn't fit into memory sees a reset connection rather than its refusal (503, not run) if it sends the body for more than a second after that.

The rest of a refused body was read for 1 s, where a body that is taken has 5 s. Logged in TestRequestBodiesFitIntoMemory with -race beside eight busy processes: where a refusal's rest was not read, the read had timed out 1.8 to 3.7 s after the request had come, and the caller reported a reset.

Both have 5 s from the request's arrival now, within the request's deadline and the shutdown's. TestRefusedBodyIsReadAsLongAsAnyBody sends a refused body for 2.5 s: before, its connection was closed at part 79 of 100, 2 of 2; now 3 of 3 runs get 503 on a connection that stays open.

Without the eight 9 of 9 runs passed (load 45); beside them (load 56) 3 of 3 failed, as bodies don't arrive within these 5 s there, which gives 400 and then a reset.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -52,16 +52,10 @@
 	}
 }
 
-// discardTimeout is how long the rest of a refused body is read.
-const discardTimeout = time.Second
-
-// discardBody reads the rest of a body without holding it. A caller that is still sending
-// would see a reset connection rather than the refusal.
+// discardBody reads the rest of a body without holding it, within the time that any body has
+// to arrive. A caller that is still sending would see a reset connection rather than the refusal.
 func (f *inflightRequest) discardBody(control *http.ResponseController, rest io.Reader) {
-	err := control.SetReadDeadline(earlier(time.Now().Add(discardTimeout), f.deadline))
-	if err == nil {
-		_, err = io.Copy(io.Discard, rest)
-	}
+	_, err := io.Copy(io.Discard, rest)
 	if err == nil {
 		err = control.SetReadDeadline(time.Time{})
 	}
