--- a/coord/recovery/model_large_test.go
+++ b/coord/recovery/model_large_test.go
@@ -54,8 +54,7 @@
 		for seed := *modelFirstSeed; seed < *modelFirstSeed+(*modelSeeds+24)/25; seed++ {
 			t.Run(fmt.Sprintf("%d KB, %d Mbit a second, overtaken %v, seed %d", large.payload>>10, large.megabits, large.overtakes, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					m := newModelWith(t, seed, 6, 2, large.payload, 8<<20)
-					m.overtakes = large.overtakes
+					m := newModelWith(t, seed, 6, 2, large.payload, 8<<20, large.overtakes)
 					m.callTimeout, m.confirmedWithin = acknowledgedWithin, acknowledgedWithin
 					bandwidth := int64(large.megabits) * 1e6 / 8
 					m.bandwidth.Store(bandwidth)
--- a/coord/recovery/model_test.go
+++ b/coord/recovery/model_test.go
@@ -85,13 +85,13 @@
 }
 
 func newModel(t *testing.T, seed uint64, size, tolerated int) *model {
-	return newModelWith(t, seed, size, tolerated, 0, 1<<10)
+	return newModelWith(t, seed, size, tolerated, 0, 1<<10, false)
 }
 
 // newModelWith returns a model whose changes and states have payload bytes.
-func newModelWith(t *testing.T, seed uint64, size, tolerated, payload, logBytes int) *model {
+func newModelWith(t *testing.T, seed uint64, size, tolerated, payload, logBytes int, overtakes bool) *model {
 	m := &model{
-		t: t, tolerated: tolerated, callTimeout: time.Second, payload: payload, logBytes: logBytes, random: rand.New(rand.NewPCG(seed, 1)),
+		t: t, tolerated: tolerated, callTimeout: time.Second, payload: payload, logBytes: logBytes, overtakes: overtakes, random: rand.New(rand.NewPCG(seed, 1)),
 		entries: map[string]*entry{}, leaders: map[uint64]quorum.DiskIdentity{}, begun: time.Now(),
 	}
 	for range size {
