quorum: the state machine of the founding by ballots

It decides by single-decree consensus among the seeds' disks which disks are the first voters, as docs/design/core-recovery.md proposes, so that the loss of any of them while the quorum forms is borne.

--- a/coord/quorum/codec.go
+++ b/coord/quorum/codec.go
@@ -14,7 +14,7 @@
 		Term: m.Term, Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit,
 		Round: m.Round, Match: m.Match, Reject: m.Reject, Force: m.Force,
 		Entries: entriesToProto(m.Entries), Promise: string(m.Promise),
-		Offset: m.Offset, Total: m.Total,
+		Offset: m.Offset, Total: m.Total, Ballot: ballotToProto(m.Ballot), Founding: foundingToProto(m.Founding),
 	}
 	if m.Snapshot != nil {
 		out.Snapshot = snapshotToProto(m.Snapshot)
@@ -42,13 +42,17 @@
 			return Message{}, err
 		}
 	}
+	founding, err := foundingFromProto(in.GetFounding())
+	if err != nil {
+		return Message{}, err
+	}
 	m := Message{
 		Kind: MessageKind(in.GetKind()), Cluster: in.GetCluster(),
 		From: DiskIdentity(in.GetFrom()), To: DiskIdentity(in.GetTo()),
 		Term: in.GetTerm(), Index: in.GetIndex(), LogTerm: in.GetLogTerm(), Commit: in.GetCommit(),
 		Round: in.GetRound(), Match: in.GetMatch(), Reject: in.GetReject(), Force: in.GetForce(),
 		Entries: entries, Sender: memberFromProto(in.GetSender()), Promise: DiskIdentity(in.GetPromise()),
-		Offset: in.GetOffset(), Total: in.GetTotal(),
+		Offset: in.GetOffset(), Total: in.GetTotal(), Ballot: ballotFromProto(in.GetBallot()), Founding: founding,
 	}
 	if in.GetSnapshot() != nil {
 		m.Snapshot = snapshotFromProto(in.GetSnapshot())
--- a/coord/quorum/message.go
+++ b/coord/quorum/message.go
@@ -40,22 +40,28 @@
 
 // Kinds of messages.
 const (
-	PreVote         MessageKind = iota + 1 // asks whether the receiver would grant its vote in Term
-	PreVoteReply                           // granted unless Reject is set
-	Vote                                   // requests a vote in Term
-	VoteReply                              // granted unless Reject is set
-	Append                                 // entries after Index and LogTerm; a heartbeat if there are none
-	AppendReply                            // log matches the leader's and is synced up to Match; or Reject with a hint in Match and LogTerm
-	InstallSnapshot                        // a chunk of a snapshot, replacing compacted entries
-	TimeoutNow                             // start an election immediately
-	Hello                                  // a disk that is not a member announces itself
-	Promise                                // a blank disk promises to follow only this founder
-	SnapshotReply                          // Match bytes of the snapshot at Index have been received
+	PreVote          MessageKind = iota + 1 // asks whether the receiver would grant its vote in Term
+	PreVoteReply                            // granted unless Reject is set
+	Vote                                    // requests a vote in Term
+	VoteReply                               // granted unless Reject is set
+	Append                                  // entries after Index and LogTerm; a heartbeat if there are none
+	AppendReply                             // log matches the leader's and is synced up to Match; or Reject with a hint in Match and LogTerm
+	InstallSnapshot                         // a chunk of a snapshot, replacing compacted entries
+	TimeoutNow                              // start an election immediately
+	Hello                                   // a disk that is not a member announces itself
+	Promise                                 // a blank disk promises to follow only this founder
+	SnapshotReply                           // Match bytes of the snapshot at Index have been received
+	FoundingPrepare                         // asks an acceptor to promise to Ballot
+	FoundingPromise                         // promised to Ballot, or Reject; Founding is the acceptor's state
+	FoundingPropose                         // asks an acceptor to accept the configuration in Founding
+	FoundingAccepted                        // accepted what Ballot proposed
+	FoundingChosen                          // the configuration in Founding is chosen
 )
 
 var messageNames = [...]string{
 	"none", "pre_vote", "pre_vote_reply", "vote", "vote_reply", "append", "append_reply",
 	"install_snapshot", "timeout_now", "hello", "promise", "snapshot_reply",
+	"founding_prepare", "founding_promise", "founding_propose", "founding_accepted", "founding_chosen",
 }
 
 // String returns the name used in counters and logs.
@@ -72,7 +78,7 @@
 	Kind     MessageKind
 	Cluster  string
 	From     DiskIdentity
-	To       DiskIdentity // empty only in Hello
+	To       DiskIdentity // empty only in Hello and requests to acceptors
 	Term     uint64
 	Index    uint64 // index preceding Entries, or the last index of a candidate's log
 	LogTerm  uint64 // term of the entry at Index
@@ -85,6 +91,8 @@
 	Snapshot *Snapshot    // Data holds one chunk
 	Offset   uint64       // offset of the chunk in the snapshot, in bytes
 	Total    uint64       // size of the snapshot, in bytes
-	Sender   Member       // in Hello and Promise
+	Sender   Member       // in Hello, Promise and messages about the founding
 	Promise  DiskIdentity // in Promise: the founder
+	Ballot   Ballot
+	Founding foundingState
 }
