gateway: the test of delayed events waits until the entry is introduced

Cause, in the test: ensureAdopted marks the entry as adopted before it sends the lists, and the lists take along what was seen of links until then; the fake coordinator doesn't count links of lists. So two events that the test observed at once could go with the lists.

The test now waits until the coordinator has the lists, and checks the same from then on.

--- a/gateway/links_test.go
+++ b/gateway/links_test.go
@@ -39,11 +39,12 @@
 	p := newTestPlacer(f)
 	p.domain = "a"
 	p.setCoordinator("coordinator", false)
-	g.Eventually(func() bool {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return p.adopted
-	}).Should(BeTrue())
+	// The lists of the introduction would take along what is observed before they are sent.
+	g.Eventually(func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.adopted)
+	}).Should(Equal(1))
 	p.observeLink("b", spill.Sample{Streams: 1, Events: 1}, time.Now())
 	p.observeLink("b", spill.Sample{Events: 1}, time.Now())
 	g.Consistently(f.linkSamples, 5*reportDelay).Should(BeEmpty(), "sent with the next report")
