mesh: test fleets keep their addresses while their entries are down

Tests that end entries and start them again at their old addresses (restarts of all, series of losses, damaged disks) took these from the ephemeral range, and most listened again at once without a second try. Between the two, any process may get the address, and the test then fails with "address already in use".

The fleets now take their addresses from package loopback, as those of packages control, platform and processes do: outside of the ephemeral range, and locked for the test's process. The checks are the same.

--- a/mesh/announcements_test.go
+++ b/mesh/announcements_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"log/slog"
-	"net"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -80,9 +79,7 @@
 		g.Eventually(func() int { return len(e.ReadyEndpoints("s")) }, "10s", "10ms").Should(Equal(endpoints), "they are passed on within a second")
 	}
 	for range 5 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		g.Expect(err).NotTo(HaveOccurred())
-		e := f.start(len(f.entries), l)
+		e := f.start(len(f.entries), listen(t))
 		f.entries = append(f.entries, e)
 		g.Eventually(e.CaughtUp(), "10s", "1ms").Should(BeClosed())
 		g.Expect(e.ReadyEndpoints("s")).To(HaveLen(endpoints))
@@ -143,9 +140,7 @@
 	for range 3 {
 		var started []*testEntry
 		for range 4 {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			g.Expect(err).NotTo(HaveOccurred())
-			started = append(started, f.start(len(f.entries), l))
+			started = append(started, f.start(len(f.entries), listen(t)))
 			f.entries = append(f.entries, started[len(started)-1])
 		}
 		for _, e := range started {
--- a/mesh/damaged_disk_test.go
+++ b/mesh/damaged_disk_test.go
@@ -68,7 +68,7 @@
 
 			// The next loss leaves a majority that holds the document.
 			f.entries[0].end()
-			successor := f.replace(g, 0)
+			successor := f.replace(0)
 			f.expectVoters(g, 1, 2, successor)
 			g.Eventually(func() uint64 { return f.entries[successor].Document().Number }).WithTimeout(recoveryTimeout).Should(Equal(uint64(1)))
 		})
--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/jacinthplank/jacinthplank/announce"
 	"github.com/jacinthplank/jacinthplank/coord/document"
+	"github.com/jacinthplank/jacinthplank/internal/loopback"
 )
 
 // testEntry is an entry of a testFleet with the calls that it served.
@@ -69,6 +70,20 @@
 	logBytes int
 }
 
+// listen listens on an address that stays free for the test's process while nothing listens on it:
+// an entry that starts again needs the address that it had.
+func listen(t *testing.T) net.Listener {
+	address, err := loopback.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 // testMembers is the number of entries with a disk, which come first.
 const testMembers = 3
 
@@ -79,11 +94,7 @@
 	f := &testFleet{t: t, folders: map[int]string{}, disks: disks}
 	var listeners []net.Listener
 	for range size {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		listeners = append(listeners, l)
+		listeners = append(listeners, listen(t))
 	}
 	for _, l := range listeners[:min(size, testMembers)] {
 		f.seeds = append(f.seeds, l.Addr().String())
--- a/mesh/moved_disk_test.go
+++ b/mesh/moved_disk_test.go
@@ -13,11 +13,7 @@
 
 // move starts an entry again with its disk at another address.
 func (f *testFleet) move(i int) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	f.entries[i] = f.start(i, l)
+	f.entries[i] = f.start(i, listen(f.t))
 }
 
 // TestDiskThatReturnsAtAnotherAddressVotes guards against messages and votes that go to the
--- a/mesh/quorum_losses_test.go
+++ b/mesh/quorum_losses_test.go
@@ -69,12 +69,12 @@
 // may be lost in the same way.
 func (s *lossSeries) succeed(place int) {
 	s.pause(3 * time.Second)
-	s.disks[place] = s.replace(s.g, s.disks[place])
+	s.disks[place] = s.replace(s.disks[place])
 	if s.chance(3) {
 		s.pause(2 * time.Second)
 		s.kill(s.disks[place])
 		s.log("successor %d lost", s.disks[place])
-		s.disks[place] = s.replace(s.g, s.disks[place])
+		s.disks[place] = s.replace(s.disks[place])
 	}
 	if s.chance(3) {
 		s.pause(2 * time.Second)
--- a/mesh/quorum_recovery_test.go
+++ b/mesh/quorum_recovery_test.go
@@ -23,9 +23,8 @@
 
 // replace starts a new entry with an empty disk, a new name and a new address in place
 // of an entry that has ended, and returns its index.
-func (f *testFleet) replace(g *WithT, i int) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
+func (f *testFleet) replace(i int) int {
+	l := listen(f.t)
 	successor := len(f.entries)
 	f.folders[successor] = f.t.TempDir()
 	f.entries = append(f.entries, f.start(successor, l))
@@ -103,12 +102,12 @@
 	f.startAgain(g, 0)
 	f.startAgain(g, 1)
 	f.startAgain(g, 3)
-	successor := f.replace(g, 2)
+	successor := f.replace(2)
 	f.expectVoters(g, 0, 1, successor)
 
 	// The next loss leaves a majority that holds the document.
 	f.entries[0].end()
-	second := f.replace(g, 0)
+	second := f.replace(0)
 	f.expectVoters(g, 1, successor, second)
 	g.Eventually(func() uint64 { return f.entries[second].Document().Number }).WithTimeout(recoveryTimeout).Should(Equal(uint64(1)))
 }
@@ -152,7 +151,7 @@
 	time.Sleep(1500 * time.Millisecond)
 	f.entries[lost].end()
 	f.founded = true
-	successor := f.replace(g, lost)
+	successor := f.replace(lost)
 	f.expectVoters(g, 0, other, successor)
 }
 
@@ -180,7 +179,7 @@
 			f := newTestFleet(t, testMembers+1)
 			lost := lose(g, f)
 			f.founded = true
-			disks := []int{f.replace(g, lost)}
+			disks := []int{f.replace(lost)}
 			for i := range testMembers {
 				if i != lost {
 					disks = append(disks, i)
