gateway: the test of granted permits runs on virtual time

TestCoordinatorGrantsWithinLimit failed in one of two runs with -race at load 25 to 30: a second permit was granted where none is due. Cause, in the test: at 20 requests a second, another one may be granted after 50 ms, also if these pass because the test is scheduled late.

The test now runs in a synctest bubble with all checks and durations unchanged. Trial on a scratch copy that blocks its thread for 60 ms in each grant: the old test failed 20 of 20, the new one passed 20 of 20. The new one passed 100 of 100 with -race at load 33.

--- a/gateway/ratelimits_test.go
+++ b/gateway/ratelimits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -94,19 +95,21 @@
 }
 
 func TestCoordinatorGrantsWithinLimit(t *testing.T) {
-	g := NewWithT(t)
-	p := newTestPlacer(&fakeCoordinator{})
-	p.setCoordinator("", true)
-	request := &permitRequest{limitReport{Endpoint: "e-near", Limited: true, PerSecond: 20}}
-	first := p.grant(request)
-	g.Expect(first.Granted).To(BeZero(), "it has just learned of the limit")
-	g.Expect(first.Wait).To(BeNumerically("~", 50*time.Millisecond, 10*time.Millisecond))
-	time.Sleep(first.Wait + 5*time.Millisecond)
-	g.Expect(p.grant(request).Granted).To(Equal(1))
-	g.Expect(p.grant(request).Granted).To(BeZero())
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newTestPlacer(&fakeCoordinator{})
+		p.setCoordinator("", true)
+		request := &permitRequest{limitReport{Endpoint: "e-near", Limited: true, PerSecond: 20}}
+		first := p.grant(request)
+		g.Expect(first.Granted).To(BeZero(), "it has just learned of the limit")
+		g.Expect(first.Wait).To(BeNumerically("~", 50*time.Millisecond, 10*time.Millisecond))
+		time.Sleep(first.Wait + 5*time.Millisecond)
+		g.Expect(p.grant(request).Granted).To(Equal(1))
+		g.Expect(p.grant(request).Granted).To(BeZero())
 
-	// The engine's placements come out of the same rate.
-	d, err := p.place(t.Context(), schedule.Job{ID: "j", Service: "s", Prompt: 1000, Goal: 10 * time.Millisecond, Remaining: 30 * time.Millisecond})
-	g.Expect(err).ToNot(HaveOccurred())
-	g.Expect(d.Refused()).To(BeTrue(), "the only engine is at its limit")
+		// The engine's placements come out of the same rate.
+		d, err := p.place(t.Context(), schedule.Job{ID: "j", Service: "s", Prompt: 1000, Goal: 10 * time.Millisecond, Remaining: 30 * time.Millisecond})
+		g.Expect(err).ToNot(HaveOccurred())
+		g.Expect(d.Refused()).To(BeTrue(), "the only engine is at its limit")
+	})
 }
