gateway: the test of permits of the coordinator runs on virtual time

Found by a trial, not by a failed run: TestPermitsComeFromCoordinator expects that five refused requests within the coordinator's wait of 150 ms cause one call to it. Nothing kept these five within 150 ms on a busy machine.

The test now runs in a synctest bubble with all checks and durations unchanged. Trial on a scratch copy that blocks its thread for 60 ms in each takePermit: the old test failed 20 of 20, the new one passed 20 of 20. The new one passed 100 of 100 with -race at load 33, and fails without the product's record of the refusal.

--- a/gateway/ratelimits_test.go
+++ b/gateway/ratelimits_test.go
@@ -27,25 +27,27 @@
 }
 
 func TestPermitsComeFromCoordinator(t *testing.T) {
-	g := NewWithT(t)
-	f := &fakeCoordinator{granted: 2}
-	p := newLimitedPlacer(t, f, 100)
-	for range 4 {
-		ok, _ := p.takePermit(t.Context(), "e-near")
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := &fakeCoordinator{granted: 2}
+		p := newLimitedPlacer(t, f, 100)
+		for range 4 {
+			ok, _ := p.takePermit(t.Context(), "e-near")
+			g.Expect(ok).To(BeTrue())
+		}
+		g.Expect(f.permitCalls).To(Equal(2), "each call grants two requests")
+		ok, _ := p.takePermit(t.Context(), "without-limit")
 		g.Expect(ok).To(BeTrue())
-	}
-	g.Expect(f.permitCalls).To(Equal(2), "each call grants two requests")
-	ok, _ := p.takePermit(t.Context(), "without-limit")
-	g.Expect(ok).To(BeTrue())
-	g.Expect(f.permitCalls).To(Equal(2))
+		g.Expect(f.permitCalls).To(Equal(2))
 
-	f.update(func() { f.granted, f.permitWait = 0, 150*time.Millisecond })
-	for range 5 {
-		ok, wait := p.takePermit(t.Context(), "e-near")
-		g.Expect(ok).To(BeFalse())
-		g.Expect(wait).To(BeNumerically(">", 0))
-	}
-	g.Expect(f.permitCalls).To(Equal(3), "it isn't asked again before there is something to grant")
+		f.update(func() { f.granted, f.permitWait = 0, 150*time.Millisecond })
+		for range 5 {
+			ok, wait := p.takePermit(t.Context(), "e-near")
+			g.Expect(ok).To(BeFalse())
+			g.Expect(wait).To(BeNumerically(">", 0))
+		}
+		g.Expect(f.permitCalls).To(Equal(3), "it isn't asked again before there is something to grant")
+	})
 }
 
 // Guards against entries that send an endpoint its whole limit each once they can't reach
