gateway: the test of queued calls and pings runs on virtual time

Found by a trial, not by a failed run: in TestQueuedCallSurvivesPings, a call to the coordinator is repeated after 50 ms, with a ping. If the ping is not answered within another 50 ms, the job is placed locally, as it should be, and the test fails. So a goroutine that starts 50 ms late fails it.

The test now runs in a synctest bubble with the same checks; it ends once the repeated calls have ended.

--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -413,13 +413,16 @@
 
 // A coordinator that answers pings queues the job, so the entry goes on waiting.
 func TestQueuedCallSurvivesPings(t *testing.T) {
-	g := NewWithT(t)
-	f := &fakeCoordinator{queueing: 3 * pingDelay}
-	p := newTestPlacer(f)
-	p.setCoordinator("c:1", false)
-	d, err := p.place(t.Context(), testJob("j"))
-	g.Expect(err).ToNot(HaveOccurred())
-	g.Expect(d.Endpoint).To(Equal("e-far"))
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := &fakeCoordinator{queueing: 3 * pingDelay}
+		p := newTestPlacer(f)
+		p.setCoordinator("c:1", false)
+		d, err := p.place(t.Context(), testJob("j"))
+		g.Expect(err).ToNot(HaveOccurred())
+		g.Expect(d.Endpoint).To(Equal("e-far"))
+		time.Sleep(pingTimeout) // the hedged calls end
+	})
 }
 
 // An entry that starts with others knows no coordinator for a moment. What may wait does:
