--- a/gateway/ratelimits_test.go
+++ b/gateway/ratelimits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -26,25 +27,27 @@
 }
 
 func TestPermitsComeFromCoordinator(t *testing.T) {
-	g := NewWithT(t)
-	f := &fakeCoordinator{granted: 2}
-	p := newLimitedPlacer(t, f, 100)
-	for range 4 {
-		ok, _ := p.takePermit(t.Context(), "e-near")
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := &fakeCoordinator{granted: 2}
+		p := newLimitedPlacer(t, f, 100)
+		for range 4 {
+			ok, _ := p.takePermit(t.Context(), "e-near")
+			g.Expect(ok).To(BeTrue())
+		}
+		g.Expect(f.permitCalls).To(Equal(2), "each call grants two requests")
+		ok, _ := p.takePermit(t.Context(), "without-limit")
 		g.Expect(ok).To(BeTrue())
-	}
-	g.Expect(f.permitCalls).To(Equal(2), "each call grants two requests")
-	ok, _ := p.takePermit(t.Context(), "without-limit")
-	g.Expect(ok).To(BeTrue())
-	g.Expect(f.permitCalls).To(Equal(2))
+		g.Expect(f.permitCalls).To(Equal(2))
 
-	f.update(func() { f.granted, f.permitWait = 0, 150*time.Millisecond })
-	for range 5 {
-		ok, wait := p.takePermit(t.Context(), "e-near")
-		g.Expect(ok).To(BeFalse())
-		g.Expect(wait).To(BeNumerically(">", 0))
-	}
-	g.Expect(f.permitCalls).To(Equal(3), "it isn't asked again before there is something to grant")
+		f.update(func() { f.granted, f.permitWait = 0, 150*time.Millisecond })
+		for range 5 {
+			ok, wait := p.takePermit(t.Context(), "e-near")
+			g.Expect(ok).To(BeFalse())
+			g.Expect(wait).To(BeNumerically(">", 0))
+		}
+		g.Expect(f.permitCalls).To(Equal(3), "it isn't asked again before there is something to grant")
+	})
 }
 
 // Guards against entries that send an endpoint its whole limit each once they can't reach
@@ -94,19 +97,21 @@
 }
 
 func TestCoordinatorGrantsWithinLimit(t *testing.T) {
-	g := NewWithT(t)
-	p := newTestPlacer(&fakeCoordinator{})
-	p.setCoordinator("", true)
-	request := &permitRequest{limitReport{Endpoint: "e-near", Limited: true, PerSecond: 20}}
-	first := p.grant(request)
-	g.Expect(first.Granted).To(BeZero(), "it has just learned of the limit")
-	g.Expect(first.Wait).To(BeNumerically("~", 50*time.Millisecond, 10*time.Millisecond))
-	time.Sleep(first.Wait + 5*time.Millisecond)
-	g.Expect(p.grant(request).Granted).To(Equal(1))
-	g.Expect(p.grant(request).Granted).To(BeZero())
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newTestPlacer(&fakeCoordinator{})
+		p.setCoordinator("", true)
+		request := &permitRequest{limitReport{Endpoint: "e-near", Limited: true, PerSecond: 20}}
+		first := p.grant(request)
+		g.Expect(first.Granted).To(BeZero(), "it has just learned of the limit")
+		g.Expect(first.Wait).To(BeNumerically("~", 50*time.Millisecond, 10*time.Millisecond))
+		time.Sleep(first.Wait + 5*time.Millisecond)
+		g.Expect(p.grant(request).Granted).To(Equal(1))
+		g.Expect(p.grant(request).Granted).To(BeZero())
 
-	// The engine's placements come out of the same rate.
-	d, err := p.place(t.Context(), schedule.Job{ID: "j", Service: "s", Prompt: 1000, Goal: 10 * time.Millisecond, Remaining: 30 * time.Millisecond})
-	g.Expect(err).ToNot(HaveOccurred())
-	g.Expect(d.Refused()).To(BeTrue(), "the only engine is at its limit")
+		// The engine's placements come out of the same rate.
+		d, err := p.place(t.Context(), schedule.Job{ID: "j", Service: "s", Prompt: 1000, Goal: 10 * time.Millisecond, Remaining: 30 * time.Millisecond})
+		g.Expect(err).ToNot(HaveOccurred())
+		g.Expect(d.Refused()).To(BeTrue(), "the only engine is at its limit")
+	})
 }
