blame: what reports take on the way doesn't change the order of retries

The entry that judges took the time of arrival as the time to which the ages in a report are. A report that took 40 ms made the ends in it 40 ms late. A retry of the same request that another report told then seemed to be sent before the end that it follows, and wasn't counted. With three attempts that overlap in this way an occasion counts once, and three occasions are needed. The other way round, copies of a sound request that a failure domain took with it seemed to follow one another, and the request was blamed.

Evidence: five entries and three replicas beside eight busy processes (load 25 to 38), with the times that the judging entry worked out in its log: the first of two attempts of one entry was told 37 ms late and the second 0.3 ms, so that they overlapped; the two reports of another occasion came 50 ms late.

Each report carries a reading of the steady clock of its entry now. The difference to the clock of the judging entry is least for the fastest message of the last 10 to 20 s; by what it is more, a report was late, and its ages count from then. What remains is the time of the fastest message, which is the same for all reports of an entry. The fields are optional: reports of the version before are merged as before.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -123,11 +123,14 @@
 	judgeID  uint64    // id of the store of the judging entry; 0 if it is not known
 	digest   uint64    // of the verdicts of the judging entry
 	toldAt   time.Time // when the verdicts were last told or confirmed; zero on the judging entry
+
+	clockStart time.Time               // of the clock in reports of this entry; zero before the first
+	senders    map[uint64]*senderClock // by id of the store
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{id: rand.Uint64(), records: map[Key]*record{}, verdicts: map[Key]Verdict{}}
+	return &Store{id: rand.Uint64(), records: map[Key]*record{}, verdicts: map[Key]Verdict{}, senders: map[uint64]*senderClock{}}
 }
 
 // Judge makes this entry judge for all, from what it knows.
--- a/blame/exchange.go
+++ b/blame/exchange.go
@@ -45,6 +45,8 @@
 	Ends      []EndReport      `json:"ends,omitempty"`
 	Survivals []SurvivalReport `json:"survivals,omitempty"`
 	Verdicts  []VerdictReport  `json:"verdicts,omitempty"` // that it was told by the one that judged before
+	Sender    uint64           `json:"sender,omitempty"`   // identifies the store; 0 if the clock is not told
+	Clock     time.Duration    `json:"clock,omitempty"`    // steady clock of the sender, at which the ages were taken
 
 	agedAt time.Time // to which the ages are
 }
@@ -128,15 +130,17 @@
 	return out
 }
 
-// Merge adds what another entry tells the one that judges.
+// Merge adds what another entry tells the one that judges. A report that tells nothing is
+// merged as well, see Stamp.
 func (s *Store) Merge(r *Report, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sentAt := s.sentAt(r, now)
 	if r.IsEmpty() {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, e := range r.Ends {
-		at := now.Add(-e.Age)
+		at := sentAt.Add(-e.Age)
 		s.addEnd(announce.Run{ID: e.Endpoint, StartedAtMs: e.StartedAtMs}, e.Suspects, e.sentAt(at), at, now)
 	}
 	for _, report := range r.Verdicts {
@@ -149,7 +153,7 @@
 		}
 	}
 	for _, survival := range r.Survivals {
-		s.survive(survival.Key, now.Add(-max(survival.Age, 0)))
+		s.survive(survival.Key, sentAt.Add(-max(survival.Age, 0)))
 	}
 	s.judge(now)
 }
--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -309,8 +309,8 @@
 // sendReport sends a report and takes over the verdicts of the coordinator.
 func (p *placer) sendReport(ctx context.Context, address string, r *reportRequest) error {
 	r.Verdicts = p.blame.Digest()
-	r.Blame.Refresh(time.Now())
 	r.linkReport, r.callReport = p.takeLinkReport(), p.takeCallReport()
+	p.blame.Stamp(&r.Blame, time.Now())
 	response, err := p.client.report(ctx, address, r)
 	if err == nil {
 		p.followVerdicts(response.Verdicts, false)
@@ -340,6 +340,7 @@
 		request.Blame = p.blame.Report(time.Now())
 	}
 	request.Verdicts = p.blame.Digest()
+	p.blame.Stamp(&request.Blame, time.Now())
 	response, err := p.client.adopt(ctx, address, request)
 	if err != nil {
 		return err
--- a/gateway/ended_test.go
+++ b/gateway/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	if f.judge == nil {
 		return nil
 	}
+	f.told = append(f.told, r.Blame)
 	f.judge.Merge(&r.Blame, time.Now())
 	return f.judge.Tell(r.Verdicts, time.Now())
 }
@@ -62,6 +64,32 @@
 	g.Eventually(started.isBlamed).Should(BeTrue())
 }
 
+// Guards against retries whose order is lost on the way, as a message to the coordinator carries
+// no clock: it needs those without ends to know how long one takes.
+func TestEntriesTellTheirClock(t *testing.T) {
+	g := NewWithT(t)
+	f := &fakeCoordinator{judge: blame.NewStore()}
+	p := newTestPlacer(f)
+	p.setCoordinator("c:1", false)
+	told := func() []blame.Report {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return slices.Clone(f.told)
+	}
+	g.Eventually(told).Should(HaveLen(1))
+	p.resyncJobs(t.Context())
+	p.endUnder("e-1")
+	g.Eventually(told).Should(HaveLen(3))
+	var last time.Duration
+	for _, r := range told() {
+		g.Expect(r.Sender).To(Equal(told()[0].Sender))
+		g.Expect(r.Sender).NotTo(BeZero())
+		g.Expect(r.Clock).To(BeNumerically(">=", last))
+		last = r.Clock
+	}
+	g.Expect(last).To(BeNumerically(">", 0))
+}
+
 // Guards against ends and verdicts that are lost with the coordinator, or because none
 // answers when they happen.
 func TestBlameOutlivesTheCoordinator(t *testing.T) {
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -44,6 +44,7 @@
 	links map[string]spill.Sample // reported, by domain of the endpoints
 
 	judge *blame.Store // nil if the ends of endpoints are of no interest
+	told  []blame.Report
 }
 
 func (f *fakeCoordinator) place(ctx context.Context, address string, j schedule.Job) (schedule.Decision, error) {
