blame: reports that are joined out of order keep their ages

Callers could see a request that ends endpoints let through once more: a retry of it was told as sent before the end that it follows, and not counted.

An entry finds out in a goroutine for each end whether the endpoint still listens, and joins the report to those that wait to be sent. If a report was made earlier than those it is joined to, all ages were taken to be at its time, so the others became older by the difference.

Evidence: TestReportsAreJoinedInAnyOrder fails without the change: the end of the retry is 1 ms too early. Found by reading; not seen in a run of the processes.

Both reports are brought up to the later of the two times before they are joined.

--- a/blame/exchange.go
+++ b/blame/exchange.go
@@ -60,9 +60,11 @@
 	return out
 }
 
-// Append adds another report, which was made at the same time or later.
+// Append adds another report. Either may have been made first.
 func (r *Report) Append(o Report) {
-	r.Refresh(o.agedAt)
+	now := later(r.agedAt, o.agedAt)
+	r.Refresh(now)
+	o.Refresh(now)
 	r.Ends = append(r.Ends, o.Ends...)
 	r.Survivals = append(r.Survivals, o.Survivals...)
 }
--- a/blame/retries_test.go
+++ b/blame/retries_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/jacinthplank/jacinthplank/announce"
 )
 
 const another Key = "request 2"
@@ -114,3 +116,21 @@
 	g.Expect(next.blamedAt(2)).To(ConsistOf(same))
 	g.Expect(next.hasEvidence(same)).To(BeTrue())
 }
+
+// TestReportsAreJoinedInAnyOrder guards against a retry that seems to be sent before the end that it
+// follows, as the report on its own end was made later and joined to what waits first.
+func TestReportsAreJoinedInAnyOrder(t *testing.T) {
+	g := NewWithT(t)
+	entry, judge := NewStore(), NewStore()
+	second := entry.RecordEnd(announce.Run{ID: "b"}, []Key{same}, at(1.0021), at(1.0025), at(1.004))
+	first := entry.RecordEnd(announce.Run{ID: "a"}, []Key{same}, at(1.0010), at(1.0020), at(1.003))
+	var waiting Report
+	waiting.Append(second)
+	waiting.Append(first)
+	waiting.Refresh(at(1.010))
+	judge.Merge(&waiting, at(1.010))
+	g.Expect(judge.ends).To(HaveLen(2))
+	g.Expect(judge.ends[0].at).To(BeTemporally("==", at(1.0020)))
+	g.Expect(judge.ends[1].at).To(BeTemporally("==", at(1.0025)))
+	g.Expect(judge.countRetries(same, nil).occasions).To(Equal(2))
+}
