blame: a retry is told together with the end that it follows

Callers could see a request that ends endpoints let through once more: its retries overlapped at the entry that judges, by less than a millisecond, and weren't counted.

A retry of an entry follows within some 50 us, so it is enough if the report on it is faster than any message of that entry before. Of several entries that tell the end of one endpoint, the first to be heard was believed, which may have seen it last.

Whatever the last report took, the end and its retry are moved by the same time in it, so they stay in order.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -170,6 +170,9 @@
 		Endpoint: run.ID, StartedAtMs: run.StartedAtMs, Age: now.Sub(at), Lasted: at.Sub(sentAt), Suspects: keys,
 	}}}
 	for _, k := range keys {
+		if k.isRequest() {
+			report.Ends = append(report.Ends, s.earlierEnds(k, run, at, now)...)
+		}
 		if r := s.records[k]; r != nil && r.isProven() {
 			report.Survivals = append(report.Survivals, SurvivalReport{Key: k, Age: now.Sub(r.survivedAt)})
 		}
@@ -178,6 +181,28 @@
 	return report
 }
 
+// earlierEnds returns the ends under a request on the occasion of another one. They are told once
+// more with it: in one report, the times of a retry and of the end that it follows keep their
+// order. The caller holds the lock.
+func (s *Store) earlierEnds(k Key, run announce.Run, at, now time.Time) []EndReport {
+	r := s.records[k]
+	if r == nil {
+		return nil
+	}
+	var out []EndReport
+	for _, e := range r.ends {
+		if e.run == run || at.Sub(e.at) > occasionGap || e.at.Sub(at) > occasionGap {
+			continue
+		}
+		report := EndReport{Endpoint: e.run.ID, StartedAtMs: e.run.StartedAtMs, Age: now.Sub(e.at), Suspects: []Key{k}}
+		if sentAt := e.suspects[k]; !sentAt.IsZero() {
+			report.Lasted = max(e.at.Sub(sentAt), 1)
+		}
+		out = append(out, report)
+	}
+	return out
+}
+
 // RecordSurvival records that a request with the keys was answered, or for long enough to
 // show that it doesn't end its endpoint. It returns the keys under which endpoints have
 // ended since the last such answer that is known.
@@ -227,7 +252,8 @@
 	return b
 }
 
-// addEnd adds an end, or the keys to one that is known. The caller holds the lock.
+// addEnd adds an end, or the keys to one that is known. Of several times of an end, which entries
+// see and tell with different delays, the earliest is kept. The caller holds the lock.
 func (s *Store) addEnd(run announce.Run, keys []Key, sentAt, at, now time.Time) {
 	if at.After(now) {
 		at = now
@@ -243,6 +269,9 @@
 		s.ends = slices.Insert(s.ends, i, e)
 	}
 	e := s.ends[i]
+	if at.Before(e.at) && e.at.Sub(at) <= maxTransit {
+		s.moveEnd(e, at)
+	}
 	for _, k := range keys {
 		first, isKnown := e.suspects[k]
 		if isKnown && sentAt.Before(first) {
@@ -265,6 +294,15 @@
 	}
 }
 
+// moveEnd sets an earlier time of an end. The caller holds the lock.
+func (s *Store) moveEnd(e *end, at time.Time) {
+	e.at = at
+	slices.SortStableFunc(s.ends, byTime)
+	for k := range e.suspects {
+		slices.SortStableFunc(s.records[k].ends, byTime)
+	}
+}
+
 func byTime(a, b *end) int { return a.at.Compare(b.at) }
 
 func (s *Store) forgetOldest() {
--- a/blame/exchange.go
+++ b/blame/exchange.go
@@ -125,7 +125,7 @@
 	for sentAt, suspects := range keys {
 		report := EndReport{Endpoint: e.run.ID, StartedAtMs: e.run.StartedAtMs, Age: now.Sub(e.at), Suspects: suspects}
 		if !sentAt.IsZero() {
-			report.Lasted = e.at.Sub(sentAt)
+			report.Lasted = max(e.at.Sub(sentAt), 1) // the end may have been told by another entry, earlier
 		}
 		out = append(out, report)
 	}
--- a/blame/transit_test.go
+++ b/blame/transit_test.go
@@ -86,6 +86,27 @@
 	}
 }
 
+// TestRetriesOfOneEntryKeepTheirOrder guards against retries of one entry that seem to overlap, as
+// the report on the second was faster than any message before, or as another entry told the end
+// of the first later than its own did.
+func TestRetriesOfOneEntryKeepTheirOrder(t *testing.T) {
+	forEachDelay(t, func(g Gomega, first, second, third float64) {
+		judge, entry, other := NewStore(), NewStore(), NewStore()
+		judge.receive(g, []delayedReport{
+			entry.send(g, entry.recordStep(endsUnder(8, 0.0004, "a", same)), 8.0001, first),
+			entry.send(g, entry.recordStep(endsUnder(8.0005, 0.00049, "b", same)), 8.0006, second),
+			other.send(g, other.recordStep(endsUnder(8.0003, 0.01, "a", another)), 8.0004, third),
+		})
+		g.Expect(judge.countRetries(same, nil).occasions).To(Equal(2))
+
+		// An entry that judges next is told in the same form.
+		next := NewStore()
+		report := judge.Report(at(9))
+		next.Merge(&report, at(9))
+		g.Expect(next.countRetries(same, nil).occasions).To(Equal(2))
+	})
+}
+
 // TestSoundRequestIsNotBlamedWhateverReportsTake guards against a sound request that is blamed when
 // a failure domain is lost with several copies of it, as their reports took different times and
 // the copies seemed to be retries.
