blame: requests that ended different endpoints are blamed one by one

Callers could see a request that had been refused, since it ends endpoints, let through again four seconds later, and none be blamed from then on.

Of requests with equally many ends none is blamed, as a sound one may have been retried wherever the cause was. This was asked of all requests of the last half hour, also where they ended different endpoints: the second request with three ends cleared the first.

Evidence: five entries, three replicas, another request every four seconds that ends all three. The first was blamed, and no longer when the second had ended its three; none of the 72 others was blamed in 300 s, though three retries were counted of most. Both new cases of TestJudgeRetries fail without the change.

Equal numbers matter now among requests that are suspected of the same end. Ends of which it isn't known which of several requests caused them count against no other request.

--- a/blame/retries.go
+++ b/blame/retries.go
@@ -1,44 +1,72 @@
 package blame
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 )
 
+// retried is a request with what its retries ended.
+type retried struct {
+	key Key
+	count
+}
+
 // blameRetried blames the requests whose retries ended enough endpoints, those with the most
 // first. A sound request that was cut together with the cause may have been retried where
-// that one was: of requests with equally many ends none is blamed.
+// that one was: of requests with equally many ends, some of them the same, none is blamed.
 func (s *Store) blameRetried(explained map[*end]bool, blamed map[Key]bool, now time.Time) {
-	explained = maps.Clone(explained)
+	explained, settled := maps.Clone(explained), maps.Clone(blamed)
 	for {
-		key, c, isUnique := s.mostRetried(explained, blamed)
-		if c.occasions < judgeAfter || !isUnique {
+		most := s.mostRetried(explained, settled)
+		if len(most) == 0 {
 			return
 		}
-		blamed[key] = true
-		until := c.last.Add(blameTimeOf(c, s.records[key].isProven()))
-		s.set(Verdict{Key: key, Ends: c.occasions, LastEnd: c.last, Until: until, byRetries: true}, now)
-		s.explain(key, explained)
+		for _, r := range most {
+			settled[r.key] = true
+			if slices.ContainsFunc(most, func(o retried) bool { return o.key != r.key && s.shareEnds(r.key, o.key, explained) }) {
+				continue
+			}
+			blamed[r.key] = true
+			until := r.last.Add(blameTimeOf(r.count, s.records[r.key].isProven()))
+			s.set(Verdict{Key: r.key, Ends: r.occasions, LastEnd: r.last, Until: until, byRetries: true}, now)
+		}
+		for _, r := range most {
+			s.explain(r.key, explained) // also where it is not known which of them it was
+		}
 	}
 }
 
-// mostRetried returns the request whose retries ended the most endpoints, and whether no other
-// request has as many.
-func (s *Store) mostRetried(explained map[*end]bool, blamed map[Key]bool) (best Key, most count, isUnique bool) {
+// mostRetried returns the requests whose retries ended the most endpoints, but enough, in order
+// of their keys.
+func (s *Store) mostRetried(explained map[*end]bool, settled map[Key]bool) []retried {
+	var most []retried
+	enough := judgeAfter
 	for k, r := range s.records {
-		if !k.isRequest() || blamed[k] || len(r.ends) < max(judgeAfter, most.occasions) {
+		if !k.isRequest() || settled[k] || len(r.ends) < enough {
 			continue
 		}
 		c := s.countRetries(k, explained)
-		switch {
-		case c.occasions < max(judgeAfter, most.occasions) || !s.isBeyondChance(c, explained):
-		case c.occasions == most.occasions:
-			isUnique = false
-		default:
-			best, most, isUnique = k, c, true
+		if c.occasions < enough || !s.isBeyondChance(c, explained) {
+			continue
+		}
+		if c.occasions > enough {
+			most, enough = nil, c.occasions
 		}
+		most = append(most, retried{key: k, count: c})
 	}
-	return best, most, isUnique
+	slices.SortFunc(most, func(a, b retried) int { return cmp.Compare(a.key, b.key) })
+	return most
+}
+
+// shareEnds reports whether two keys are suspected of the same end, which nothing explains.
+func (s *Store) shareEnds(a, b Key, explained map[*end]bool) bool {
+	r := s.records[a]
+	return slices.ContainsFunc(r.ends, func(e *end) bool {
+		_, isSuspect := e.suspects[b]
+		return isSuspect && !explained[e] && e.at.After(r.survivedAt) && e.at.After(s.records[b].survivedAt)
+	})
 }
 
 // countRetries returns how many ends under a request are evidence against it: one for each
--- a/blame/retries_test.go
+++ b/blame/retries_test.go
@@ -59,6 +59,23 @@
 			},
 			nil,
 		},
+		{
+			"two requests end endpoints at different times",
+			[]step{
+				endsUnder(1, short, "a", same), endsUnder(1.001, short, "b", same), endsUnder(1.002, short, "c", same),
+				endsUnder(5, short, "a2", another), endsUnder(5.001, short, "b2", another), endsUnder(5.002, short, "c2", another),
+			},
+			[]Key{same, another},
+		},
+		{
+			"nobody knows which of two requests it was, and another one ends endpoints",
+			[]step{
+				endsUnder(1, short, "a", same, another), endsUnder(1.001, short, "b", same, another), endsUnder(1.002, short, "c", same, another, "request 4"),
+				endsUnder(1.003, short, "d", same, another, "request 4"), endsUnder(1.004, short, "e", same, another, "request 4"),
+				endsUnder(5, short, "a2", "request 3"), endsUnder(5.001, short, "b2", "request 3"), endsUnder(5.002, short, "c2", "request 3"),
+			},
+			[]Key{"request 3"},
+		},
 		{
 			"the cause comes again, beside other sound requests",
 			[]step{
