--- a/blame/exchange.go
+++ b/blame/exchange.go
@@ -45,6 +45,8 @@
 	Ends      []EndReport      `json:"ends,omitempty"`
 	Survivals []SurvivalReport `json:"survivals,omitempty"`
 	Verdicts  []VerdictReport  `json:"verdicts,omitempty"` // that it was told by the one that judged before
+	Sender    uint64           `json:"sender,omitempty"`   // identifies the store; 0 if the clock is not told
+	Clock     time.Duration    `json:"clock,omitempty"`    // steady clock of the sender, at which the ages were taken
 
 	agedAt time.Time // to which the ages are
 }
@@ -58,9 +60,11 @@
 	return out
 }
 
-// Append adds another report, which was made at the same time or later.
+// Append adds another report. Either may have been made first.
 func (r *Report) Append(o Report) {
-	r.Refresh(o.agedAt)
+	now := later(r.agedAt, o.agedAt)
+	r.Refresh(now)
+	o.Refresh(now)
 	r.Ends = append(r.Ends, o.Ends...)
 	r.Survivals = append(r.Survivals, o.Survivals...)
 }
@@ -121,22 +125,24 @@
 	for sentAt, suspects := range keys {
 		report := EndReport{Endpoint: e.run.ID, StartedAtMs: e.run.StartedAtMs, Age: now.Sub(e.at), Suspects: suspects}
 		if !sentAt.IsZero() {
-			report.Lasted = e.at.Sub(sentAt)
+			report.Lasted = max(e.at.Sub(sentAt), 1) // the end may have been told by another entry, earlier
 		}
 		out = append(out, report)
 	}
 	return out
 }
 
-// Merge adds what another entry tells the one that judges.
+// Merge adds what another entry tells the one that judges. A report that tells nothing is
+// merged as well, see Stamp.
 func (s *Store) Merge(r *Report, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sentAt := s.sentAt(r, now)
 	if r.IsEmpty() {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, e := range r.Ends {
-		at := now.Add(-e.Age)
+		at := sentAt.Add(-e.Age)
 		s.addEnd(announce.Run{ID: e.Endpoint, StartedAtMs: e.StartedAtMs}, e.Suspects, e.sentAt(at), at, now)
 	}
 	for _, report := range r.Verdicts {
@@ -149,7 +155,7 @@
 		}
 	}
 	for _, survival := range r.Survivals {
-		s.survive(survival.Key, now.Add(-max(survival.Age, 0)))
+		s.survive(survival.Key, sentAt.Add(-max(survival.Age, 0)))
 	}
 	s.judge(now)
 }
