quorum: a leader whose entries reach only a minority steps down

Any entry that a voter acknowledged counted as progress, so a leader whose heartbeats pass to all and whose entries pass to one voter of five stayed for as long as changes were proposed, though nothing was committed. Only what brings entries closer to being committed counts now: an acknowledgement of a voter that lacks the next one, or a higher commit.

TestLeaderWhoseEntriesReachMinorityStepsDown failed before ("the leader of term 2 stays", after 10 s) and passes.

--- a/coord/quorum/flow_control.go
+++ b/coord/quorum/flow_control.go
@@ -113,9 +113,9 @@
 	}
 }
 
-// isStalled reports whether no voter has acknowledged entries or a part of a snapshot for long though
-// entries wait to be committed: heartbeats of this leader pass, its entries don't. Another one may be
-// able to lead.
+// isStalled reports whether entries have waited for long to be committed, while no voter that lacks them
+// has acknowledged any or a part of a snapshot: heartbeats of this leader pass, its entries don't.
+// Another one may be able to lead.
 func (c *Core) isStalled() bool {
 	if c.commit >= c.log.lastIndex() || len(c.Configuration().Voters) == 1 {
 		c.leaderState.lastProgress = c.now
--- a/coord/quorum/replication.go
+++ b/coord/quorum/replication.go
@@ -12,7 +12,7 @@
 	heartbeatTicks int    // ticks since the last heartbeat
 	pendingReads   []pendingRead
 
-	lastProgress uint64 // tick at which a voter last acknowledged entries or a chunk, or all were committed
+	lastProgress uint64 // tick at which entries came closer to being committed, or none waited for that
 
 	transfer      DiskIdentity // target of the leadership transfer; empty if none
 	transferTicks int          // ticks since the transfer was requested
@@ -221,7 +221,7 @@
 		logsDiverged.Inc()
 		return
 	}
-	if _, isVoter := c.Configuration().Voter(from); isVoter && m.Match > p.match {
+	if _, isVoter := c.Configuration().Voter(from); isVoter && m.Match > p.match && c.lacksUncommitted(p) {
 		c.leaderState.lastProgress = c.now
 	}
 	p.acknowledge(m.Match)
@@ -237,6 +237,12 @@
 	c.completeTransfer(from, p)
 }
 
+// lacksUncommitted reports whether a member lacks the next entry that can be committed, which has to
+// be of the leader's own term. What it receives beyond that entry commits nothing.
+func (c *Core) lacksUncommitted(p *progress) bool {
+	return p.match < max(c.commit+1, c.leaderState.termStart)
+}
+
 // stepAppendRejected moves the next index back to where the logs may match.
 func (c *Core) stepAppendRejected(p *progress, m Message) {
 	isStale := m.Index < p.match || p.state == snapshotting || m.Index >= p.next
@@ -271,7 +277,7 @@
 	if index <= c.commit || !c.log.matches(index, c.hardState.Term) {
 		return
 	}
-	c.commit = index
+	c.commit, c.leaderState.lastProgress = index, c.now
 	c.updateEarlyReads()
 	c.stepDownIfRemoved()
 }
