gateway: the test of changed limits gives its callers 5 s for their headers

Found by a trial, not by a failed run: TestLimitChangeAppliesToNewConnections sets a limit of 100 ms for the headers of new connections and then expects that its own requests arrive within it, although it checks only the limits of bytes and of idle time. A test that is scheduled 100 ms late between connecting and sending failed.

The limit for headers is now 5 s; all checks and the idle limit of 100 ms are unchanged. As the idle connection has to be closed within 2 s, only the idle limit can close it.

--- a/gateway/caller_server_test.go
+++ b/gateway/caller_server_test.go
@@ -52,7 +52,7 @@
 	}
 	open := dial()
 	g.Expect(send(open, 12_000)).To(Equal(http.StatusNoContent))
-	server.setLimits(route.HeaderLimits{Bytes: 1000, Timeout: 100 * time.Millisecond, Idle: 100 * time.Millisecond})
+	server.setLimits(route.HeaderLimits{Bytes: 1000, Timeout: 5 * time.Second, Idle: 100 * time.Millisecond})
 	g.Expect(send(open, 12_000)).To(Equal(http.StatusNoContent))
 	g.Expect(send(dial(), 12_000)).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 	later := dial()
