forward: the test of canceled requests cancels when the request has arrived

Found by a trial, not by a failed run: TestCanceledContextClosesConnection canceled its request after 20 ms. On a busy machine the request may not have reached the endpoint by then, so that no connection was there to be closed and the test failed.

The endpoint of the test now cancels the request once it has read it; all checks are unchanged.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -284,15 +284,15 @@
 func TestCanceledContextClosesConnection(t *testing.T) {
 	g := NewWithT(t)
 	closed := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
 	_, target := startEndpoint(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		cancel() // the request has arrived
 		_, err := c.Read(make([]byte, 1))
 		if err != nil {
 			close(closed)
 		}
 		return false
 	})
-	ctx, cancel := context.WithCancel(t.Context())
-	time.AfterFunc(20*time.Millisecond, cancel)
 	_, err := NewClient(testDialect{}).Send(ctx, target, &Call{RequestID: "a", Method: "GET", URI: "/", Host: "h"})
 	g.Expect(outcome.From(err).Code).To(Equal(outcome.CodeCanceled))
 	g.Eventually(closed).Should(BeClosed())
