forward: the test of late responses waits until the duplicate is written

Found by a trial, not by a failed run: TestLateResponseNotUsedForNextRequest gave its endpoint 20 ms to write a second response after the first one. If the endpoint took longer, the connection was rightly reused and the test failed.

The test now waits until both responses are written, and 20 ms after that as before; all checks are unchanged. Trial with a pause of 50 ms between the two responses: the old test failed 20 of 20, the new one passed 20 of 20. The new one passed 200 of 200 with -race at load 35.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -148,9 +148,11 @@
 // request before the second request is sent.
 func TestLateResponseNotUsedForNextRequest(t *testing.T) {
 	g := NewWithT(t)
+	duplicated := make(chan struct{})
 	e, target := startEndpoint(t, func(n int64, r *http.Request, c net.Conn) bool {
 		id := r.Header.Get("X-Id")
 		if n == 1 {
+			defer close(duplicated)
 			return writeOK(c, id, "one") && writeOK(c, id, "two")
 		}
 		return writeOK(c, id, "own")
@@ -167,7 +169,8 @@
 		return string(body)
 	}
 	g.Expect(call("a")).To(Equal("one"))
-	time.Sleep(20 * time.Millisecond) // wait for the duplicate response
+	g.Eventually(duplicated, "5s").Should(BeClosed())
+	time.Sleep(20 * time.Millisecond) // until the duplicate response has arrived
 	g.Expect(call("b")).To(Equal("own"))
 	g.Expect(e.connections.Load()).To(Equal(int64(2)), "a connection with unread data must not be reused")
 }
