--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -148,9 +148,11 @@
 // request before the second request is sent.
 func TestLateResponseNotUsedForNextRequest(t *testing.T) {
 	g := NewWithT(t)
+	duplicated := make(chan struct{})
 	e, target := startEndpoint(t, func(n int64, r *http.Request, c net.Conn) bool {
 		id := r.Header.Get("X-Id")
 		if n == 1 {
+			defer close(duplicated)
 			return writeOK(c, id, "one") && writeOK(c, id, "two")
 		}
 		return writeOK(c, id, "own")
@@ -167,7 +169,8 @@
 		return string(body)
 	}
 	g.Expect(call("a")).To(Equal("one"))
-	time.Sleep(20 * time.Millisecond) // wait for the duplicate response
+	g.Eventually(duplicated, "5s").Should(BeClosed())
+	time.Sleep(20 * time.Millisecond) // until the duplicate response has arrived
 	g.Expect(call("b")).To(Equal("own"))
 	g.Expect(e.connections.Load()).To(Equal(int64(2)), "a connection with unread data must not be reused")
 }
@@ -284,15 +287,15 @@
 func TestCanceledContextClosesConnection(t *testing.T) {
 	g := NewWithT(t)
 	closed := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
 	_, target := startEndpoint(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		cancel() // the request has arrived
 		_, err := c.Read(make([]byte, 1))
 		if err != nil {
 			close(closed)
 		}
 		return false
 	})
-	ctx, cancel := context.WithCancel(t.Context())
-	time.AfterFunc(20*time.Millisecond, cancel)
 	_, err := NewClient(testDialect{}).Send(ctx, target, &Call{RequestID: "a", Method: "GET", URI: "/", Host: "h"})
 	g.Expect(outcome.From(err).Code).To(Equal(outcome.CodeCanceled))
 	g.Eventually(closed).Should(BeClosed())
