daemon: the test of a stream at a shutdown stops the server once the stream has begun

Found by reading. TestShutdownCutsNoStream stopped the server 200 ms after it began to connect. A caller that takes longer than that on a busy machine finds no listener any more, and the test fails though no stream was cut.

The test now stops the server as soon as the handler has the request. The stream then still lasts a second longer than idle connections are waited for, and the checks are the same.

--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -156,7 +156,15 @@
 			g := NewWithT(t)
 			s := startServer(t, g, name, idleTime+time.Second)
 			client := http2Client()
-			time.AfterFunc(shutdownDelay, s.stop)
+			go func() {
+				defer s.stop()
+				for t.Context().Err() == nil {
+					if _, handled := s.handled.Load("/stream"); handled {
+						return
+					}
+					time.Sleep(time.Millisecond)
+				}
+			}()
 			response, err := client.Get("http://" + s.address + "/stream")
 			g.Expect(err).NotTo(HaveOccurred(), "the request got no answer")
 			defer func() { _ = response.Body.Close() }()
