recovery: a lost voter is removed though the leader changes

A voter whose entry is removed for good, with a successor of another name, was taken for gone only after it had been silent to one leader for 2 s. Leaders that change more often kept it, and with two more lost disks 4 s after the successor's start three of six voters were left. A voter that has never replied to this leader and whose entry this process has not reached for 2 s is gone after 1 s now. An entry that was never heard isn't taken for silent: a leader that has just started would take all for it.

--- a/coord/quorum/node_core.go
+++ b/coord/quorum/node_core.go
@@ -337,8 +337,9 @@
 	out := map[DiskIdentity]MemberProgress{}
 	for _, disk := range n.core.peerDisks() {
 		out[disk] = MemberProgress{
-			Silence:  time.Duration(n.core.silentTicks(disk)) * n.options.Tick,
-			CaughtUp: n.core.isCaughtUp(disk),
+			Silence:    time.Duration(n.core.silentTicks(disk)) * n.options.Tick,
+			HasReplied: n.core.leaderState.progress[disk].hasReplied,
+			CaughtUp:   n.core.isCaughtUp(disk),
 		}
 	}
 	return out
--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -160,8 +160,9 @@
 
 // MemberProgress is the leader's view of another member.
 type MemberProgress struct {
-	Silence  time.Duration // since the member last replied to this leader, or since this leader's election
-	CaughtUp bool          // the member has synced the committed entries, except for a few
+	Silence    time.Duration // since the member last replied to this leader, or since this leader's election
+	HasReplied bool          // to this leader
+	CaughtUp   bool          // the member has synced the committed entries, except for a few
 }
 
 func (o Options) check() error {
--- a/coord/recovery/model_handover_test.go
+++ b/coord/recovery/model_handover_test.go
@@ -74,13 +74,8 @@
 
 func (m *model) losePairAfterHandovers(interval time.Duration) {
 	first := m.emptyFollower()
-	m.logf("handed over each %v;", interval)
 	m.restart(first)
-	for end := time.Now().Add(lossCounts); time.Now().Before(end); time.Sleep(interval) {
-		if leader, _ := m.leader(); leader != nil {
-			leader.currentNode().TransferLeadership()
-		}
-	}
+	m.handOver(interval)
 	m.losePair(first)
 }
 
--- a/coord/recovery/plan.go
+++ b/coord/recovery/plan.go
@@ -24,7 +24,7 @@
 type Disk struct {
 	Member quorum.Member // without Disk until the entry has reported it
 	Left   bool          // its entry has announced that it leaves
-	Silent bool          // no call with its entry has succeeded for GoneTimeout
+	Silent bool          // its entry was heard before, and no call with it has succeeded for GoneTimeout
 }
 
 // Planner plans the changes of a quorum's members. The zero value is ready for use.
@@ -79,12 +79,15 @@
 }
 
 // isGone reports whether a voter has not replied to this leader for GoneTimeout, or for
-// replyTimeout after its entry has left. That an entry has left may be out of date: after a short
+// replyTimeout in two cases: its entry has left, or it has never replied to this leader and its entry
+// is silent. The latter outlasts a change of leader: leaders that change more often than GoneTimeout
+// would keep a lost voter for good. That an entry has left may be out of date: after a short
 // restart its voter replies before the leader hears of it. The removal of a voter that lives
 // leaves one fewer that may be lost until its successor votes.
 func isGone(v quorum.Member, s quorum.Status, disks map[string]Disk) bool {
-	silence := s.Progress[v.Disk].Silence
-	return silence > GoneTimeout || (disks[v.Name].Left && silence > replyTimeout)
+	p, disk := s.Progress[v.Disk], disks[v.Name]
+	isExpected := disk.Left || (disk.Silent && !p.HasReplied)
+	return p.Silence > GoneTimeout || (isExpected && p.Silence > replyTimeout)
 }
 
 // settledLearner returns a learner that may vote: it replies, is caught up and has
--- a/coord/recovery/plan_test.go
+++ b/coord/recovery/plan_test.go
@@ -39,7 +39,7 @@
 		Progress: map[quorum.DiskIdentity]quorum.MemberProgress{},
 	}
 	for _, m := range slices.Concat(voters, learners) {
-		p := quorum.MemberProgress{CaughtUp: true}
+		p := quorum.MemberProgress{CaughtUp: true, HasReplied: true}
 		if slices.Contains(silent, m.Name) {
 			p.Silence = GoneTimeout + time.Millisecond
 		}
@@ -140,3 +140,35 @@
 	var p Planner
 	g.Expect(p.Plan(time.Unix(1, 0), s, view)).To(BeEmpty())
 }
+
+// TestVoterSilentToNewLeader guards against a lost voter that counts for as long as leaders change more
+// often than GoneTimeout, and against a voter that is removed as its reply to a new leader is late.
+func TestVoterSilentToNewLeader(t *testing.T) {
+	abcd := members("a", "b", "c", "d")
+	for _, test := range []struct {
+		name     string
+		progress quorum.MemberProgress
+		silent   bool
+		isGone   bool
+	}{
+		{"never replied, entry silent", quorum.MemberProgress{Silence: replyTimeout + time.Millisecond}, true, true},
+		{"its first reply may be late", quorum.MemberProgress{Silence: replyTimeout}, true, false},
+		{"entry answers", quorum.MemberProgress{Silence: replyTimeout + time.Millisecond}, false, false},
+		{"replied to this leader", quorum.MemberProgress{Silence: GoneTimeout, HasReplied: true}, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := leaderStatus(abcd, nil)
+			s.Progress["disk-c"] = test.progress
+			view := knownDisks("b", "c", "d")
+			view["c"] = Disk{Member: member("c"), Silent: test.silent}
+			var p Planner
+			changes := p.Plan(time.Unix(1, 0), s, view)
+			if !test.isGone {
+				g.Expect(changes).To(BeEmpty())
+				return
+			}
+			g.Expect(changes).To(Equal([]quorum.Change{{Kind: quorum.Remove, Member: member("c")}}))
+		})
+	}
+}
--- a/mesh/member_reconciler.go
+++ b/mesh/member_reconciler.go
@@ -128,7 +128,7 @@
 		if p != nil {
 			disk.Member.Disk = p.facts.Disk
 			disk.Left = r.State == membership.Left
-			disk.Silent = now.Sub(p.lastResponse) > recovery.GoneTimeout
+			disk.Silent = !p.lastResponse.IsZero() && now.Sub(p.lastResponse) > recovery.GoneTimeout
 			if p.facts.Disk == "" && !r.State.Gone() {
 				unknown = append(unknown, p)
 			}
