--- a/coord/quorum/founding.go
+++ b/coord/quorum/founding.go
@@ -142,9 +142,9 @@
 	}
 }
 
-// maxPatience limits by how much a disk whose ballots were overtaken waits longer for others. With
+// maxBackoffSteps limits by how much a disk whose ballots were overtaken waits longer for others. With
 // links so slow that ballots overtake each other, one of them gets the time that it needs.
-const maxPatience = 8
+const maxBackoffSteps = 8
 
 // leadSteps is by how many steps a ballot starts before the delay ends, so that the disks have
 // written their promises by then.
@@ -157,8 +157,8 @@
 	if f.other.ballot.isZero() {
 		return turn
 	}
-	patience := (max(rank, 1) + (rank+1)*min(max(f.overtaken-1, 0), maxPatience)) * f.timing.step
-	return max(turn, min(f.other.heard+patience, f.other.since+f.timing.wait+patience))
+	backoff := (max(rank, 1) + (rank+1)*min(max(f.overtaken-1, 0), maxBackoffSteps)) * f.timing.step
+	return max(turn, min(f.other.heard+backoff, f.other.since+f.timing.wait+backoff))
 }
 
 func (f *founding) startBallot() {
--- a/coord/quorum/founding_test.go
+++ b/coord/quorum/founding_test.go
@@ -163,19 +163,19 @@
 	g.Expect(disks["b"].state.accepted.Number).To(BeNumerically(">", 2))
 }
 
-// TestDeafProposerDoesNotKeepOthersFromFounding guards against a first start that never ends
-// because all leave the decision to a disk that hears nobody.
-func TestDeafProposerDoesNotKeepOthersFromFounding(t *testing.T) {
+// TestProposerWithoutRepliesDoesNotKeepOthersFromFounding guards against a first start that never ends
+// because all leave the decision to a disk that receives nothing.
+func TestProposerWithoutRepliesDoesNotKeepOthersFromFounding(t *testing.T) {
 	g := NewWithT(t)
 	disks := map[string]*founding{}
 	for _, a := range []string{"a", "b", "c"} {
 		disks[a] = foundingDisk(a, a+"1", "a", "b", "c")
 	}
-	deaf := disks["a"]
+	isolated := disks["a"]
 	delete(disks, "a")
 	for range foundingTicks.delay + 4*foundingTicks.wait {
-		deaf.tick()
-		_, out := deaf.take()
+		isolated.tick()
+		_, out := isolated.take()
 		for _, o := range out {
 			if to := disks[o.to.Address]; to != nil {
 				to.step(o.message)
--- a/mesh/member_reconciler.go
+++ b/mesh/member_reconciler.go
@@ -38,7 +38,7 @@
 	changing chan struct{} // holds a value while a change is in progress
 	planner  recovery.Planner
 	observer memberObserver
-	waits    bool // the last change was refused while another one was not committed; used while changing is held
+	refused  bool // the last change met one that was not committed yet; used while changing is held
 }
 
 func newMemberReconciler(c *quorumManager) *memberReconciler {
@@ -81,13 +81,13 @@
 		cancel()
 		// The quorum's repair makes changes as well. They are committed long before the next
 		// interval, which would be a part of the time in which a lost voter has to be replaced.
-		waited := k.waits
-		k.waits = errors.Is(err, quorum.ErrChangePending)
-		if !waited || !k.waits {
+		wasRefused := k.refused
+		k.refused = errors.Is(err, quorum.ErrChangePending)
+		if !wasRefused || !k.refused {
 			k.observer.logChange(node.Status(), change, reasons[i], err)
 		}
 		if err != nil {
-			k.changed.Store(k.waits)
+			k.changed.Store(k.refused)
 			return
 		}
 	}
