mesh: a late answer isn't taken for that of a new process

A call to an entry carries the updates that its process lacked when the call began. If the entry's restart became known during the call, the answer still counted: the new process was taken to have all updates, was sent only later ones, and an announcement counted as delivered to it. The facts of the earlier process, its disk among them, replaced what was forgotten with the restart. An answer to a call from before the restart confirms nothing now, and its facts are taken only if they are of a newer process.

TestLateAnswerIsNotThatOfNewProcess failed before (the new process was sent 1 of 12 announcements) and passes.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -106,6 +106,7 @@
 	address      string
 	incarnation  uint64
 	syncedSeq    uint64 // this entry's updateSeq up to which the peer has all updates
+	starts       int    // of its process or at another address, as far as they are known
 	facts        facts
 	lastResponse time.Time
 	state        membership.State
@@ -252,6 +253,7 @@
 	}
 	if p.address != c.After.Address || p.incarnation != c.After.Incarnation {
 		p.syncedSeq, p.nextSync, p.failures = 0, time.Time{}, 0
+		p.starts++
 		p.diskCalls, p.lastDiskCall = 0, time.Time{}
 		if p.facts.Incarnation < c.After.Incarnation {
 			p.facts.Disk = "" // it was reported by an earlier process, and may have been lost since
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -144,7 +144,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	m.mu.Lock()
-	req, seq, address := m.pendingUpdates(p, time.Now()), m.updateSeq, p.address
+	req, seq, address, starts := m.pendingUpdates(p, time.Now()), m.updateSeq, p.address, p.starts
 	m.mu.Unlock()
 	syncsTotal.Inc()
 	resp, err := call[syncRequest, syncResponse](ctx, m.client, address, procedureSync, req)
@@ -154,7 +154,7 @@
 		return seq, err
 	}
 	m.mu.Lock()
-	m.recordResponse(p, resp.From, seq)
+	m.recordResponse(p, resp.From, seq, starts)
 	m.mu.Unlock()
 	m.handleFacts(resp.From)
 	m.pullIfDifferent(resp.From)
@@ -170,16 +170,25 @@
 	}
 }
 
-// recordResponse records that a peer has the updates up to seq. The caller holds the lock.
-func (m *Mesh) recordResponse(p *peer, f facts, seq uint64) {
+// recordResponse records that a peer has the updates up to seq, by a response to a call that began
+// after so many starts. The caller holds the lock.
+func (m *Mesh) recordResponse(p *peer, f facts, seq uint64, starts int) {
 	if p.failures > 0 {
 		m.log.Info("entry answers again", "step", "mesh.sync", "peer", p.name, "failures", p.failures)
 	}
 	p.failures = 0
 	p.lastResponse = time.Now()
+	if p.starts != starts {
+		// It may be of the earlier process, and the updates that this one had were left out.
+		if f.Incarnation > p.facts.Incarnation {
+			p.facts = f
+		}
+		return
+	}
 	if p.facts.Incarnation != f.Incarnation && p.facts.Incarnation != 0 {
 		// The peer restarted during the call and has no updates yet.
 		p.syncedSeq = 0
+		p.starts++
 	} else {
 		p.syncedSeq = max(p.syncedSeq, seq)
 	}
