--- a/coord/quorum/core_test.go
+++ b/coord/quorum/core_test.go
@@ -274,70 +274,6 @@
 	}
 }
 
-func TestLaggingFollowerReceivesSnapshot(t *testing.T) {
-	g, s, leader := newSettledCluster(t)
-	behind := (leader + 1) % 3
-	s.isolate(behind)
-	for range 30 {
-		s.propose(leader, "x")
-		s.tick(leader)
-		s.deliverAll(true)
-	}
-	s.compact(leader)
-	base := s.members[leader].core.log.baseIndex
-	g.Expect(base).To(BeNumerically(">", s.members[behind].core.LastIndex()))
-	s.settle(40)
-	g.Expect(s.members[behind].applied).To(Equal(s.members[leader].applied))
-	s.crash(behind)
-	g.Expect(s.members[behind].core.Commit()).To(BeNumerically(">=", base))
-}
-
-// TestSnapshotTransferWithLostAndDuplicatedChunks also restarts the receiver during
-// the transfer. The simulation checks that a restored snapshot is one that was
-// taken.
-func TestSnapshotTransferWithLostAndDuplicatedChunks(t *testing.T) {
-	g, s, leader := newSettledCluster(t)
-	behind := (leader + 1) % 3
-	s.isolate(behind)
-	for range 30 {
-		s.propose(leader, "x")
-		s.tick(leader)
-		s.deliverAll(true)
-	}
-	s.compact(leader)
-	s.cutLinks = map[[2]int]bool{}
-	pieces, restarts := 0, 0
-	for step := 0; s.members[behind].applied < s.members[leader].applied && step < 5000; step++ {
-		if step%10 == 0 {
-			s.tick(leader)
-			s.syncAll()
-		}
-		if len(s.inFlight) == 0 {
-			continue
-		}
-		m, err := DecodeMessage(s.inFlight[0].data)
-		g.Expect(err).NotTo(HaveOccurred())
-		if m.Kind == InstallSnapshot {
-			pieces++
-		}
-		switch {
-		case m.Kind == InstallSnapshot && pieces%4 == 1:
-			s.inFlight = s.inFlight[1:]
-		case m.Kind == InstallSnapshot && pieces%4 == 2:
-			s.inFlight = append(s.inFlight, s.inFlight[0])
-			s.deliver(0)
-		case m.Kind == InstallSnapshot && pieces == 4 && restarts == 0:
-			restarts++
-			s.crash(behind)
-		default:
-			s.deliver(0)
-		}
-	}
-	g.Expect(s.members[behind].applied).To(Equal(s.members[leader].applied))
-	g.Expect(pieces).To(BeNumerically(">", 12))
-	g.Expect(restarts).To(Equal(1))
-}
-
 func TestLeadershipTransfer(t *testing.T) {
 	g, s, leader := newSettledCluster(t)
 	next := (leader + 1) % 3
@@ -381,73 +317,6 @@
 	g.Expect(s.members[1].applied).To(Equal(s.members[0].applied))
 }
 
-func TestBootstrapRequiresPromiseFromEveryDisk(t *testing.T) {
-	g := NewWithT(t)
-	first := []Member{{Name: "a"}, {Name: "b"}, {Name: "c"}}
-	disk := func(name, disk string) *bootstrap {
-		return newBootstrap(Member{Name: name, Disk: DiskIdentity(disk)}, first, "")
-	}
-	a1, a2, b, c := disk("a", "a1"), disk("a", "a2"), disk("b", "b1"), disk("c", "c1")
-	hello := func(f *bootstrap) Message { return f.helloMessages()[0].message }
-
-	fromB, ok := b.stepHello(hello(a1))
-	g.Expect(ok).To(BeTrue())
-	_, ok = a1.stepPromise(fromB.message)
-	g.Expect(ok).To(BeFalse(), "c has not promised")
-
-	_, ok = b.stepHello(hello(a2))
-	g.Expect(ok).To(BeFalse(), "b has promised to follow the founder's first disk")
-	_, ok = b.stepHello(hello(c))
-	g.Expect(ok).To(BeFalse(), "c is not the founder")
-	_, ok = a2.stepPromise(fromB.message)
-	g.Expect(ok).To(BeFalse(), "the promise is for another disk")
-
-	fromC, ok := c.stepHello(hello(a1))
-	g.Expect(ok).To(BeTrue())
-	configuration, ok := a1.stepPromise(fromC.message)
-	g.Expect(ok).To(BeTrue())
-	g.Expect(configuration.Voters).To(HaveLen(3))
-}
-
-// TestMajorityMayFound guards against a founder that leaves out members without a majority of
-// the promises, or counts those of others.
-func TestMajorityMayFound(t *testing.T) {
-	g := NewWithT(t)
-	first := []Member{{Name: "a"}, {Name: "b"}, {Name: "c"}}
-	a := newBootstrap(Member{Name: "a", Disk: "a1"}, first, "")
-	_, ok := a.majorityConfiguration()
-	g.Expect(ok).To(BeFalse())
-	a.stepPromise(Message{Kind: Promise, From: "d1", To: "a1", Promise: "a1", Sender: Member{Name: "d", Disk: "d1"}})
-	a.stepPromise(Message{Kind: Promise, From: "b1", To: "a2", Promise: "a2", Sender: Member{Name: "b", Disk: "b1"}})
-	_, ok = a.majorityConfiguration()
-	g.Expect(ok).To(BeFalse(), "d is no initial member, and b has promised to another disk")
-	a.stepPromise(Message{Kind: Promise, From: "b1", To: "a1", Promise: "a1", Sender: Member{Name: "b", Disk: "b1"}})
-	configuration, ok := a.majorityConfiguration()
-	g.Expect(ok).To(BeTrue())
-	g.Expect(configuration.Voters).To(HaveLen(2))
-
-	b := newBootstrap(Member{Name: "b", Disk: "b1"}, first, "")
-	b.promises = a.promises
-	_, ok = b.majorityConfiguration()
-	g.Expect(ok).To(BeFalse(), "b is not the founder")
-}
-
-// TestPromisedDiskFoundsNoQuorum guards against a second quorum: a disk that has promised to
-// follow a founder restarts with initial members of which it is the first.
-func TestPromisedDiskFoundsNoQuorum(t *testing.T) {
-	g := NewWithT(t)
-	b := newBootstrap(Member{Name: "b", Disk: "b1"}, []Member{{Name: "b"}}, "a1")
-	_, ok := b.initialConfiguration()
-	g.Expect(ok).To(BeFalse())
-
-	alone := newBootstrap(Member{Name: "b", Disk: "b1"}, nil, "")
-	_, ok = alone.initialConfiguration()
-	g.Expect(ok).To(BeFalse())
-	alone.setMembers([]Member{{Name: "b"}})
-	_, ok = alone.initialConfiguration()
-	g.Expect(ok).To(BeTrue())
-}
-
 func TestOpenStorageRejectsMissingFiles(t *testing.T) {
 	for _, missing := range []string{identityFile, "log-0000000000000001", snapshotPrefix} {
 		g := NewWithT(t)
@@ -465,27 +334,6 @@
 	}
 }
 
-func FuzzDecodeMessage(f *testing.F) {
-	data, _ := EncodeMessage(Message{
-		Kind: Append, From: "a", To: "b", Cluster: "c", Term: 2, Index: 1,
-		Entries: []Entry{{Index: 2, Term: 2, Kind: EntryCommand, Data: []byte("x")}},
-	})
-	f.Add(data)
-	f.Fuzz(func(t *testing.T, data []byte) {
-		m, err := DecodeMessage(data)
-		if err != nil {
-			return
-		}
-		// A message that can be decoded must not crash a member.
-		s := newSimulation(t, 1, 3)
-		s.bootstrap()
-		core := s.members[1].core
-		m.To, m.Cluster = core.config.Self, s.members[0].core.hardState.Cluster
-		core.Step(m)
-		core.Ready()
-	})
-}
-
 // TestStaleSyncDoesNotCoverReplacedEntries completes a write after its entries were
 // replaced by those of another leader and then by equal ones: it must not mark the
 // latest entries as synced.
