blame: a request found by its retries is refused for its time, though its ends are forgotten

Callers of a service saw its replicas end under a request that had been refused for minutes, once others had ended some 128 endpoints since.

Cause: a verdict by retries is dropped as soon as the ends that are known don't show it any more, since an end that is told later may have another cause. Only the latest 128 ends are known, so forgetting them cleared the request too.

A verdict whose first end is forgotten holds for its time now, as one by occasions does; an answer to the request still clears it.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -305,10 +305,16 @@
 
 func byTime(a, b *end) int { return a.at.Compare(b.at) }
 
+// forgetOldest forgets the oldest end. Verdicts that rest on it can't be judged again: they hold for
+// their time.
 func (s *Store) forgetOldest() {
 	oldest := s.ends[0]
 	s.ends = s.ends[1:]
 	for k := range oldest.suspects {
+		if v, isKnown := s.verdicts[k]; isKnown && v.byRetries {
+			v.byRetries = false
+			s.verdicts[k] = v
+		}
 		r := s.records[k]
 		if r.ends = slices.DeleteFunc(r.ends, func(e *end) bool { return e == oldest }); len(r.ends) == 0 {
 			delete(s.records, k)
--- a/blame/retries_test.go
+++ b/blame/retries_test.go
@@ -1,6 +1,7 @@
 package blame
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -151,3 +152,22 @@
 	g.Expect(judge.ends[1].at).To(BeTemporally("==", at(1.0025)))
 	g.Expect(judge.countRetries(same, nil).occasions).To(Equal(2))
 }
+
+// TestVerdictOutlastsItsEnds guards against a request that is let through again before its time, as
+// others have ended so many endpoints since that its own ends are forgotten.
+func TestVerdictOutlastsItsEnds(t *testing.T) {
+	g := NewWithT(t)
+	s := NewStore()
+	const requests, pause = maxEnds, 4.0
+	for n := range requests {
+		began := 1 + pause*float64(n)
+		for i := range 3 {
+			s.recordStep(endsUnder(began+float64(i)/1000, 0.0004, fmt.Sprintf("e-%d-%d", n, i), Key(fmt.Sprint(requestPrefix, n))))
+		}
+		oldest := max(0, n-int(blameTime.Seconds()/pause)+1)
+		g.Expect(s.blamedAt(began + 1)).To(HaveLen(n + 1 - oldest))
+	}
+	g.Expect(len(s.ends)).To(BeNumerically("<=", maxEnds))
+	s.RecordSurvival([]Key{Key(fmt.Sprint(requestPrefix, requests-1)), Key(fmt.Sprint(requestPrefix, requests-100))}, at(1+pause*requests))
+	g.Expect(s.blamedAt(1 + pause*requests)).To(HaveLen(requests - 2))
+}
