evacuation: a command after the last revision is refused

A command of another entry that names the highest revision there is, 2^64-1, changed the set and gave it revision 0: all entries kept the earlier set, as theirs was later, and the quorum's own set had gone back.

Such a command is now invalid and changes nothing.

--- a/coord/evacuation/evacuation.go
+++ b/coord/evacuation/evacuation.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 )
 
@@ -72,12 +73,12 @@
 	Changed   Verdict = "changed"
 	Unchanged Verdict = "unchanged" // the set was already as ordered
 	Stale     Verdict = "stale"     // the sender did not know the current set; nothing changed
-	Invalid   Verdict = "invalid"   // unknown action or no domain; nothing changed
+	Invalid   Verdict = "invalid"   // unknown action, no domain, or a revision that none can follow; nothing changed
 )
 
 // Apply returns the set after a command.
 func (s Set) Apply(c Command) (Set, Verdict) {
-	if c.Domain == "" || (c.Action != ActionBegin && c.Action != ActionFinish) {
+	if c.Domain == "" || (c.Action != ActionBegin && c.Action != ActionFinish) || c.Revision == math.MaxUint64 {
 		return s, Invalid
 	}
 	at, found := slices.BinarySearch(s.Domains, c.Domain)
