membership: records with numbers that no member exceeds are left out

A member refutes what others tell of it with the next higher incarnation or sequence. A record of a faulty writer with the highest number there is made it go back to 0, so that all others kept the faulty record, and the member as dead, until they forgot it.

Records with an incarnation or sequence above 2^63 are left out. Incarnations are times in microseconds, far below.

--- a/coord/membership/table.go
+++ b/coord/membership/table.go
@@ -26,6 +26,10 @@
 // maxRecords limits the number of records in one message.
 const maxRecords = 512
 
+// maxNumber is the highest incarnation or sequence that is received. A member exceeds what
+// others tell of it in order to refute it, which has to stay possible.
+const maxNumber = 1 << 63
+
 // refuteInterval is the minimum time between refutations of suspicions that have
 // no majority.
 const refuteInterval = 30 * time.Second
@@ -173,7 +177,9 @@
 		changes = t.merge(changes, r, m.From.Name, now)
 	}
 	p.seen = max(p.seen, m.Head)
-	t.records[m.From.Name].lastHeard = now
+	if e := t.records[m.From.Name]; e != nil { // it may be new and have a number out of range
+		e.lastHeard = now
+	}
 	t.lastReceived = now
 	return changes
 }
@@ -193,6 +199,9 @@
 
 // merge applies one received record to the table.
 func (t *Table) merge(changes []Change, r Record, source string, now time.Time) []Change {
+	if r.Incarnation > maxNumber || r.Sequence > maxNumber {
+		return changes
+	}
 	if r.Name == t.options.Self.Name {
 		return t.refute(changes, r, now)
 	}
