membership: suspects of another writer are sorted before they are merged

The union of two lists of suspects searches both as sorted ones. A record whose list another writer didn't sort, or in which a name was twice, was stored as it came, and each message with it added names again that were there: the list grew without bound, and every growth was a change that all members passed on.

Received lists are sorted and hold each name once.

FuzzReceive holds such a message as a seed, which failed before: six suspects (b, x, c, b, c, x) after two copies of a message that names three.

--- a/coord/membership/fuzz_test.go
+++ b/coord/membership/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,6 +29,7 @@
 		{From: membership.Record{Name: "b", Incarnation: 5}, Records: []membership.Record{{Name: "a", Incarnation: math.MaxUint64, State: membership.Dead}}},
 		{From: membership.Record{Name: "b", Incarnation: 5}, Records: []membership.Record{{Name: "a", Incarnation: 5, Sequence: math.MaxUint64, Suspects: []string{"b"}}}},
 		{From: membership.Record{Name: "b", Incarnation: math.MaxUint64, Sequence: math.MaxUint64}},
+		{From: membership.Record{Name: "b", Incarnation: 6, Suspects: []string{"x", "c", "b", "c"}}},
 	} {
 		data, err := json.Marshal(m)
 		if err != nil {
@@ -70,5 +72,10 @@
 		if len(a.Members()) > len(m.Records)+3 {
 			t.Fatalf("%d members of %d records", len(a.Members()), len(m.Records))
 		}
+		for _, r := range a.Members() {
+			if len(slices.Compact(slices.Sorted(slices.Values(r.Suspects)))) != len(r.Suspects) || !slices.IsSorted(r.Suspects) {
+				t.Errorf("suspects %q", r.Suspects)
+			}
+		}
 	})
 }
--- a/coord/membership/table.go
+++ b/coord/membership/table.go
@@ -202,6 +202,7 @@
 	if r.Incarnation > maxNumber || r.Sequence > maxNumber {
 		return changes
 	}
+	r.Suspects = slices.Compact(slices.Sorted(slices.Values(r.Suspects))) // as union expects of both lists
 	if r.Name == t.options.Self.Name {
 		return t.refute(changes, r, now)
 	}
