spill: reports of calls with values out of range are left out

One entry that reports a time of 1e308 ms for its calls twice made the sum infinite. The coordinator couldn't encode its answers any more, as they hold the state of that endpoint, so the reports and lists of all entries failed. Negative numbers made the calls of others vanish.

An endpoint with a negative or absurd value in a report is passed over; the others in it count.

--- a/spill/calls.go
+++ b/spill/calls.go
@@ -14,6 +14,22 @@
 	Failed  int     `json:"failed,omitempty"`  // failed since the previous report
 }
 
+// Limits of a report. They are far above what an entry sees between two reports; what exceeds
+// them comes from a faulty writer and must not reach sums.
+const (
+	maxReportedCalls = 1 << 20
+	maxReportedMs    = 1e12
+)
+
+func (r CallReport) isValid() bool {
+	for _, n := range []int{r.Running, r.Calls, r.Failed} {
+		if n < 0 || n > maxReportedCalls {
+			return false
+		}
+	}
+	return r.TookMs >= 0 && r.TookMs <= maxReportedMs
+}
+
 // CallState is what is known of the calls of several entries to an endpoint.
 type CallState struct {
 	Running int     `json:"running,omitempty"` // in progress
@@ -68,10 +84,13 @@
 	return &Calls{running: map[string]ownerCalls{}, ends: map[string]callEnds{}}
 }
 
-// Merge adds the complete report of an entry.
+// Merge adds the complete report of an entry. It passes over endpoints with values out of range.
 func (c *Calls) Merge(owner string, reports map[string]CallReport, now time.Time) {
 	running := make(map[string]int, len(reports))
 	for endpoint, r := range reports {
+		if !r.isValid() {
+			continue
+		}
 		if r.Running > 0 {
 			running[endpoint] = r.Running
 		}
