wireform: a negative length of the generated part ends no request

A completion whose extension names a negative number of generated bytes made the handler panic on a slice out of range.

Such a number counts as 0.

--- a/engine/openaiengine/wireform/wireform.go
+++ b/engine/openaiengine/wireform/wireform.go
@@ -73,7 +73,7 @@
 	if extension == nil {
 		return w
 	}
-	cut := len(c.Prompt) - min(extension.Generated, len(c.Prompt))
+	cut := len(c.Prompt) - min(max(extension.Generated, 0), len(c.Prompt))
 	w.Adapter = extension.Adapter
 	w.Prompt.Text = c.Prompt[:cut]
 	w.Generated = c.Prompt[cut:]
