wire: times out of range become the longest time

A time of another process was multiplied without a check. A wait of 2^62 us became 0 s, and others a time that has passed, so that an endpoint with an absurd backlog looked idle.

Times that don't fit become the longest one.

--- a/wire/convert.go
+++ b/wire/convert.go
@@ -4,6 +4,7 @@
 package wire
 
 import (
+	"math"
 	"time"
 
 	"github.com/jacinthplank/jacinthplank/engine"
@@ -235,4 +236,8 @@
 	return out
 }
 
-func microseconds(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+// microseconds returns a number of microseconds, or the longest duration for one out of range.
+func microseconds(us int64) time.Duration {
+	const longest = math.MaxInt64 / int64(time.Microsecond)
+	return time.Duration(min(max(us, -longest), longest)) * time.Microsecond
+}
