--- a/coord/budget/budget.go
+++ b/coord/budget/budget.go
@@ -9,6 +9,7 @@
 package budget
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -94,6 +95,21 @@
 	TokenBuckets map[string]*TokenBucket `json:"streams,omitempty"`
 }
 
+// Validate returns an error for a decoded table that has a name without its budget or bucket.
+func (t *Table) Validate() error {
+	for name, b := range t.Budgets {
+		if b == nil {
+			return fmt.Errorf("budget %q is null", name)
+		}
+	}
+	for name, b := range t.TokenBuckets {
+		if b == nil {
+			return fmt.Errorf("token bucket %q is null", name)
+		}
+	}
+	return nil
+}
+
 // Lease decides on a request at time now.
 func (t *Table) Lease(now int64, r Request) Grant {
 	b := t.findOrCreateBudget(r)
--- a/coord/state/fuzz_test.go
+++ b/coord/state/fuzz_test.go
@@ -27,6 +27,8 @@
 		f.Add(must(m.Snapshot()))
 	}
 	f.Add([]byte(`{"once":{"records":[{"key":{"key":"k"},"state":"running","retention":-9223372036854775808,"due":-9223372036854775808}]}}`))
+	f.Add([]byte(`{"budgets":{"budgets":{"b":null}}}`))
+	f.Add([]byte(`{"budgets":{"streams":{"s":null}}}`))
 	f.Add([]byte(`{"fences":{"last":null},"register":{"document":7,"history":{}}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m := newMachine()
--- a/coord/state/machine.go
+++ b/coord/state/machine.go
@@ -152,6 +152,9 @@
 	if err := json.Unmarshal(snapshot, &s); err != nil {
 		return fmt.Errorf("state: snapshot: %w", err)
 	}
+	if err := s.Budgets.Validate(); err != nil {
+		return fmt.Errorf("state: snapshot: %w", err)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.now = s.Now
