timeline: times that JSON can't represent are moved into its range

A daemon whose events or start of record lie before the year 0 or after 9999 made the whole timeline of an operator fail, with the events of all other daemons.

Such times become the nearest one in range.

--- a/timeline/convert.go
+++ b/timeline/convert.go
@@ -29,7 +29,7 @@
 		Daemon: response.GetDaemon(),
 		Lost:   response.GetLost(),
 		Cut:    response.GetCut(),
-		Since:  time.UnixMicro(response.GetSinceUs()).UTC(),
+		Since:  time.UnixMicro(inRange(response.GetSinceUs())).UTC(),
 		Events: make([]Event, len(response.GetEvents())),
 	}
 	for i, e := range response.GetEvents() {
@@ -86,7 +86,7 @@
 // FromProto is the inverse of ToProto.
 func FromProto(e *jacinthplankv1.Event) Event {
 	return Event{
-		WallMicros: e.GetWallUs(),
+		WallMicros: inRange(e.GetWallUs()),
 		Logical:    e.GetLogical(),
 		Daemon:     e.GetDaemon(),
 		Kind:       Kind(e.GetKind()),
@@ -104,6 +104,14 @@
 	}
 }
 
+// Times that JSON represents, in microseconds.
+var (
+	minMicros = time.Time{}.UnixMicro()
+	maxMicros = time.Date(9999, time.December, 31, 0, 0, 0, 0, time.UTC).UnixMicro()
+)
+
+func inRange(micros int64) int64 { return min(max(micros, minMicros), maxMicros) }
+
 var stateToProto = map[outcome.State]jacinthplankv1.RunState{
 	outcome.NotRun: jacinthplankv1.RunState_RUN_STATE_NOT_RUN,
 	outcome.Ran:    jacinthplankv1.RunState_RUN_STATE_RAN,
