gateway: jobs of other entries with numbers out of range are left out

The coordinator took the jobs that other entries report or ask to be placed as they came.

Such a job is refused with the number as its reason, or passed over in a list; the others in the list count.

FuzzReport holds three such lists as seeds, which failed before: "'odd' takes -2 tokens", -999999 and -1000000.

--- a/gateway/coordinator.go
+++ b/gateway/coordinator.go
@@ -236,13 +236,21 @@
 	}
 }
 
-// reconcile replaces the known jobs of another entry with the list that it reports.
+// reconcile replaces the known jobs of another entry with the list that it reports, without those
+// that no sound entry reports.
 func (p *placer) reconcile(owner string, running []schedule.PlacedJob) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	byService := map[string][]schedule.PlacedJob{}
+	leftOut := 0
 	for _, r := range running {
+		if err := r.Validate(); err != nil {
+			if leftOut++; leftOut == 1 {
+				p.log.Warn("job of another entry left out", "step", "gateway.adopt", "owner", owner, "error", err.Error())
+			}
+			continue
+		}
 		p.serviceByJob[r.Job.ID] = r.Job.Service
 		byService[r.Job.Service] = append(byService[r.Job.Service], r)
 	}
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"encoding/json"
 	"math"
 	"testing"
@@ -35,7 +34,10 @@
 	}
 	f.Add([]byte(`{"limits":[{"endpoint":"e-near","limited":true,"per_second":1e308,"age":-9223372036854775808,"wait":9223372036854775807,"cold":{"per_second":-1,"left":9223372036854775807,"age":-9223372036854775808}}],"charges":{"e-near":-9223372036854775808}}`))
 	f.Add([]byte(`{"caller":"other","calls":{"e":{"running":9223372036854775807,"calls":-1,"failed":-1},"slow":{"calls":1,"took_ms":1e308}},"domain":"a","links":{"b":{"late":-1}}}`))
-	f.Add([]byte(`{"owner":"other","running":[{"job":{"id":"","service":"s","prompt":9223372036854775807,"answer":9223372036854775807}},{}]}`))
+	for _, job := range []string{`"prompt":9223372036854775807,"answer":9223372036854775807`, `"prompt":-1000000,"answer":1`} {
+		f.Add([]byte(`{"owner":"other","running":[{"job":{"id":"odd","owner":"other","service":"s",` + job + `},"decision":{"endpoint":"e-near"}},{}]}`))
+	}
+	f.Add([]byte(`{"owner":"other","running":[{"job":{"id":"odd","owner":"other","service":"s"},"decision":{"endpoint":"e-near","helpers":[{"id":"e-far","tokens":1000000}]}}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var report reportRequest
 		var lists adoptRequest
@@ -86,12 +88,24 @@
 				t.Errorf("limit %+v", r)
 			}
 		}
-		// A request of this entry is still placed, or refused, in its time.
-		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
-		defer cancel()
-		_, err = p.placeForPeer(ctx, testJob("mine"))
-		if ctx.Err() != nil {
-			t.Errorf("no decision: %v", err)
+		// What others tell takes memory of an engine, and adds none.
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, r := range lists.Running {
+			for _, placed := range p.schedulers["s"].PlacedJobs(r.Job.Owner, now) {
+				tokens := placed.Job.Prompt + placed.Job.Answer
+				for _, h := range placed.Decision.Helpers {
+					tokens -= h.Tokens
+				}
+				if tokens < 0 || tokens > 2*math.MaxInt32 {
+					t.Errorf("%q takes %d tokens", placed.Job.ID, tokens)
+				}
+			}
+		}
+		j := testJob("mine")
+		j.Prompt = 200_000
+		if d := p.schedulers["s"].Submit(j, now); len(d) != 1 || !d[0].Refused() {
+			t.Errorf("%d tokens on an engine for 100000: %+v", j.Prompt, d)
 		}
 	})
 }
--- a/gateway/peer_placements.go
+++ b/gateway/peer_placements.go
@@ -107,6 +107,9 @@
 // errNotCoordinator if this entry stops being the coordinator while the job is queued. An
 // entry that asks again for the same job gets the same decision.
 func (p *placer) placeForPeer(ctx context.Context, j schedule.Job) (schedule.Decision, error) {
+	if err := j.Validate(); err != nil {
+		return schedule.Decision{Job: j.ID, Reason: err.Error()}, nil
+	}
 	p.mu.Lock()
 	changed := p.coordinatorChanged
 	p.mu.Unlock()
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "time"
+import (
+	"fmt"
+	"math"
+	"time"
+)
 
 // Job is one request for an engine. Each decision reads the first fields of all running
 // jobs, so they are kept together.
@@ -35,6 +39,22 @@
 	return j
 }
 
+// maxTokens is more than any engine holds. Sums of counts up to it don't overflow.
+const maxTokens = math.MaxInt32
+
+// Validate returns an error that names a number of a job of another writer that is out of range.
+func (j *Job) Validate() error {
+	for name, n := range map[string]int{"prompt": j.Prompt, "answer": j.Answer} {
+		if n < 0 || n > maxTokens {
+			return fmt.Errorf("job %q: %s of %d tokens, allowed are 0 to %d", j.ID, name, n, maxTokens)
+		}
+	}
+	if j.BodyBytes < 0 {
+		return fmt.Errorf("job %q: body of %d bytes", j.ID, j.BodyBytes)
+	}
+	return nil
+}
+
 // need returns the memory that the job needs, in tokens.
 func (j *Job) need() int { return j.Prompt + j.Answer }
 
@@ -97,6 +117,21 @@
 	Decoding bool          `json:"writing"`
 }
 
+// Validate returns an error for a job of another writer with numbers out of range.
+func (p *PlacedJob) Validate() error {
+	if err := p.Job.Validate(); err != nil {
+		return err
+	}
+	left := p.Job.need()
+	for _, h := range p.Decision.Helpers {
+		if h.Tokens < 0 || h.Tokens > left {
+			return fmt.Errorf("job %q: %d tokens at helper %q, %d are left", p.Job.ID, h.Tokens, h.ID, left)
+		}
+		left -= h.Tokens
+	}
+	return nil
+}
+
 // Callers abandon a silent stream after the longest of these times, counted from
 // its start or its last event. The values are the platform's contract with callers.
 const (
