spill: samples of links with counts out of range are left out

A report of another entry with a negative number of events made the estimate of its links no number, and with it the costs of every placement across them.

Such a sample is passed over; the other pairs in the report count.

FuzzReport holds one as a seed, which failed before: "links {From:a To:b Late:NaN}".

--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -34,6 +34,7 @@
 	}
 	f.Add([]byte(`{"limits":[{"endpoint":"e-near","limited":true,"per_second":1e308,"age":-9223372036854775808,"wait":9223372036854775807,"cold":{"per_second":-1,"left":9223372036854775807,"age":-9223372036854775808}}],"charges":{"e-near":-9223372036854775808}}`))
 	f.Add([]byte(`{"caller":"other","calls":{"e":{"running":9223372036854775807,"calls":-1,"failed":-1},"slow":{"calls":1,"took_ms":1e308}},"domain":"a","links":{"b":{"late":-1}}}`))
+	f.Add([]byte(`{"domain":"a","links":{"a":{"n":9,"e":1000,"l":1000},"b":{"n":9,"e":-10000,"l":5}}}`))
 	for _, job := range []string{`"prompt":9223372036854775807,"answer":9223372036854775807`, `"prompt":-1000000,"answer":1`} {
 		f.Add([]byte(`{"owner":"other","running":[{"job":{"id":"odd","owner":"other","service":"s",` + job + `},"decision":{"endpoint":"e-near"}},{}]}`))
 	}
--- a/spill/links.go
+++ b/spill/links.go
@@ -26,6 +26,18 @@
 // IsEmpty reports whether nothing was counted.
 func (s Sample) IsEmpty() bool { return s == Sample{} }
 
+// maxSampleCount is far above what an entry sees between two reports.
+const maxSampleCount = 1 << 30
+
+func (s Sample) isValid() bool {
+	for _, n := range []int{s.Streams, s.Events, s.Late} {
+		if n < 0 || n > maxSampleCount {
+			return false
+		}
+	}
+	return true
+}
+
 // Parameters of the estimate.
 const (
 	// shapeMemory is the time constant of the mean number of events of a stream, which
@@ -99,8 +111,11 @@
 func NewLinks() *Links { return &Links{pairs: map[pair]linkCounts{}, bad: map[pair]bool{}} }
 
 // Observe adds what an entry in one domain saw of the streams from endpoints in another, or
-// in its own.
+// in its own. It passes over a sample with counts out of range.
 func (l *Links) Observe(from, to string, s Sample, now time.Time) {
+	if !s.isValid() {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := pair{from, to}
