questionnaire: ports out of range are refused

A port of 72936 in the answers was cut to 16 bits: the daemons' settings were written with 7400. -1 became 65535 and 65536 became 0.

Ports outside 1 to 65535 are faults that name the group's port.

--- a/questionnaire/check.go
+++ b/questionnaire/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 	"slices"
@@ -137,6 +138,10 @@
 		key := tomlcheck.Element("instances", i)
 		r.CheckKnown(key+".task", string(g.Task), "task", tasks)
 		r.CheckKnown(key+".failure_domain", g.FailureDomain, "failure domain", domains)
+		checkPort(r, key+".port", g.Port)
+		if g.Task == TaskEntry {
+			checkPort(r, key+".caller_port", g.CallerPort)
+		}
 		if len(g.Addresses) == 0 {
 			r.Add(key+".addresses", "missing", "the IP number of each instance")
 		}
@@ -178,6 +183,12 @@
 	}
 }
 
+func checkPort(r *tomlcheck.Report, key string, port int) {
+	if port < 1 || port > math.MaxUint16 {
+		r.Add(key, fmt.Sprintf("found %d", port), fmt.Sprintf("a port from 1 to %d", math.MaxUint16))
+	}
+}
+
 func checkAddress(r *tomlcheck.Report, key, address string, port int, usedAddresses map[string]string) {
 	ip, err := netip.ParseAddr(address)
 	if err != nil || ip.IsUnspecified() {
