questionnaire: names of instances with slashes are refused

The settings of a daemon are written to a file with its name. A name such as "../entry" put the file outside the folder that was given.

--- a/plan/fuzz_test.go
+++ b/plan/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -11,7 +12,8 @@
 	"github.com/jacinthplank/jacinthplank/settings"
 )
 
-// FuzzFiles guards against answers that are taken and from which no files can be made that the daemons take.
+// FuzzFiles guards against answers that are taken and from which no files can be made that the daemons take,
+// or whose files lie outside the folder.
 func FuzzFiles(f *testing.F) {
 	data, err := os.ReadFile("../questionnaire/testdata/answers.toml")
 	if err != nil {
@@ -55,6 +57,9 @@
 			t.Fatalf("answers that were taken: %v", err)
 		}
 		for _, file := range files {
+			if folder := filepath.Dir(file.Path); folder != "." && folder != plan.DaemonsFolder || folder == "." && file.Path != plan.ConfigurationFile {
+				t.Errorf("file %q", file.Path)
+			}
 			if file.Path == plan.ConfigurationFile {
 				_, err = fleet.Parse(file.Path, []byte(file.Text))
 			} else {
--- a/questionnaire/check.go
+++ b/questionnaire/check.go
@@ -138,6 +138,9 @@
 		key := tomlcheck.Element("instances", i)
 		r.CheckKnown(key+".task", string(g.Task), "task", tasks)
 		r.CheckKnown(key+".failure_domain", g.FailureDomain, "failure domain", domains)
+		if strings.ContainsAny(g.Name, `/\`) {
+			r.Add(key+".name", fmt.Sprintf("found %q", g.Name), "a name without slashes, as files are named after it")
+		}
 		checkPort(r, key+".port", g.Port)
 		if g.Task == TaskEntry {
 			checkPort(r, key+".caller_port", g.CallerPort)
