--- a/coord/evacuation/evacuation.go
+++ b/coord/evacuation/evacuation.go
@@ -5,7 +5,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math"
 	"slices"
 )
 
@@ -22,6 +24,19 @@
 	return found
 }
 
+// Validate returns an error for a set of another writer that no command leaves.
+func (s Set) Validate() error {
+	if s.Revision == math.MaxUint64 {
+		return errors.New("evacuation: no command can follow the revision of the set")
+	}
+	for i, d := range s.Domains {
+		if d == "" || (i > 0 && d <= s.Domains[i-1]) {
+			return fmt.Errorf("evacuation: domain %d of the set is empty or out of order", i)
+		}
+	}
+	return nil
+}
+
 // Without returns the domains of s that are not in other.
 func (s Set) Without(other Set) []string {
 	var out []string
@@ -72,12 +87,12 @@
 	Changed   Verdict = "changed"
 	Unchanged Verdict = "unchanged" // the set was already as ordered
 	Stale     Verdict = "stale"     // the sender did not know the current set; nothing changed
-	Invalid   Verdict = "invalid"   // unknown action or no domain; nothing changed
+	Invalid   Verdict = "invalid"   // unknown action, no domain, or a revision that none can follow; nothing changed
 )
 
 // Apply returns the set after a command.
 func (s Set) Apply(c Command) (Set, Verdict) {
-	if c.Domain == "" || (c.Action != ActionBegin && c.Action != ActionFinish) {
+	if c.Domain == "" || (c.Action != ActionBegin && c.Action != ActionFinish) || c.Revision == math.MaxUint64 {
 		return s, Invalid
 	}
 	at, found := slices.BinarySearch(s.Domains, c.Domain)
