once: a resent release is answered as recorded after another claim was granted

Cause, in the product: a client that loses the answer to a release sends it again, and if another claim of the key was granted in between, the table answered "not holder". So the holder was told that its release, which took effect, was not recorded, and the entry logged a failure of a key that stays claimed. No call could run twice by it.

A release that the record remembers is now answered as recorded, and changes nothing: the other claim stays held. The model of the test knows the same, and that a late copy of a released claim is not granted.

--- a/control/linearizable_test.go
+++ b/control/linearizable_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -83,6 +84,8 @@
 		return s.claim(in.request)
 	}
 	switch {
+	case in.state == once.Released && s.holder != in.request && s.wasReleased(in.request):
+		return s, once.WasRecorded
 	case s.holder != in.request || s.state == "":
 		return s, once.NotHolder
 	case s.state == in.state:
@@ -101,6 +104,8 @@
 
 func (s claimState) claim(request string) (claimState, once.Verdict) {
 	switch {
+	case s.holder != request && s.wasReleased(request):
+		return s, once.IsReleased
 	case s.state == "" || s.state == once.Released && s.holder != request:
 		s.holder, s.state = request, once.Running
 		return s, once.Granted
@@ -115,6 +120,10 @@
 	}
 }
 
+func (s claimState) wasReleased(request string) bool {
+	return strings.Contains(s.released+",", ","+request+",")
+}
+
 // history collects operations. An operation with an unknown outcome may take
 // effect at any time after its call.
 type history struct {
--- a/coord/once/table.go
+++ b/coord/once/table.go
@@ -67,13 +67,17 @@
 
 // Record records the outcome of a claim, which only the holder of the claim may
 // do. The first outcome is final and is returned for each resend, except that a
-// holder that outlived its deadline may still change unknown to done.
+// holder that outlived its deadline may still change unknown to done. A release that
+// the record remembers is also answered after another claim was granted.
 func (t *Table) Record(now int64, o Outcome) Answer {
 	t.Advance(now)
 	r, known := t.records[o.Key]
 	if !known {
 		return t.releaseBeforeClaim(now, o)
 	}
+	if o.State == Released && r.Request != o.Request && slices.Contains(r.Released, o.Request) {
+		return Answer{Verdict: WasRecorded, Fence: o.Fence, Request: o.Request}
+	}
 	if r.Request != o.Request || (o.Fence != 0 && o.Fence != r.Fence) {
 		return Answer{Verdict: NotHolder, Request: r.Request}
 	}
