control: an unknown outcome that names a leader may have been applied

A member's answer "unknown" that also gave the address of a leader was followed as a redirect only. If the next member refused the command, the client reported it as not run, although the first one may have applied it. Members of this version give no address with an unknown outcome (classifyError), so the fault was not reachable between them.

TestUnknownOutcomeOutlastsAnswersOfOtherMembers has a member that answers so, and a second one that refuses: it failed 2 of 2 before ("not run"), passes 2 of 2.

--- a/control/client.go
+++ b/control/client.go
@@ -193,13 +193,12 @@
 // final, that is if trying other members cannot help.
 func (s *leaderSearch) handleFailure(address string, r reply) *outcome.Error {
 	s.lastError = wire.FailureFromProto(r.failure)
+	s.maybeApplied = s.maybeApplied || s.lastError.State == outcome.Unknown
 	switch {
 	case r.leader != "" && r.leader != address && s.redirects < maxRedirects:
 		s.redirects++
 		s.remaining = slices.DeleteFunc(s.remaining, func(a string) bool { return a == r.leader })
 		s.remaining = slices.Insert(s.remaining, 0, r.leader)
-	case s.lastError.State == outcome.Unknown:
-		s.maybeApplied = true
 	case s.lastError.Code != outcome.CodeNoQuorum && !s.maybeApplied:
 		return s.lastError
 	}
