gateway: a stream goes on at an endpoint that it could not connect to in time

A stream that breaks is resumed at another endpoint. If the connection to that one timed out (300 ms), it was excluded for the rest of the request, though it never got anything; with no other endpoint left, the caller saw its stream cut with most of its time left.

Cause shown in the log of a failed run of TestBrokenAnswersOfPausedCallersAreResumed (GOMAXPROCS=1, load 30): r-12 broke at i-4 after 79 events as planned, "dial tcp: i/o timeout" at i-3 after that, unexpected EOF for the caller 3.9 s into its 30 s. i-3 is on loopback and served the others: the entry's own process was held up. A lost packet does the same.

A started stream of a plain service is now sent to the endpoints whose connections timed out once more when no other one is left, within the existing limit of tries. Nothing reached them, so it is no further attempt of the route. Requests without an answer so far are refused as before, as are engine services and every failure that may have reached an endpoint.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -43,6 +45,7 @@
 			return f.permitExpired(e)
 		}
 		end = f.recordFailure(h, e)
+		f.noteUnreached(h, e)
 		f.checkEnd(h, run, sentAt, e)
 		return e
 	}
@@ -190,6 +193,15 @@
 	return schedule.Failed
 }
 
+// noteUnreached records that an endpoint never got the request because the connection to it timed
+// out. That may be due to a lost packet, or to this process, which was held up.
+func (f *inflightRequest) noteUnreached(h announce.Record, e *outcome.Error) {
+	var timeout net.Error
+	if e.State == outcome.NotRun && errors.As(e, &timeout) && timeout.Timeout() {
+		f.unreached = append(f.unreached, h.ID)
+	}
+}
+
 // handleRejection handles a response that states that the request was not run.
 func (f *inflightRequest) handleRejection(h announce.Record, reply *forward.Reply) *outcome.Error {
 	faulty := f.faultyEndpoint(h, reply)
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -39,6 +39,7 @@
 	deadline  time.Time
 
 	excluded        []string      // endpoints that failed or rejected this request
+	unreached       []string      // excluded ones that never got the request: the connection timed out
 	placements      int           // number of placements requested
 	sendBefore      time.Time     // of the current attempt at a cold endpoint; zero for none
 	sends           int           // attempts that may have reached an endpoint
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -109,6 +109,12 @@
 		h, found := f.g.plain.pick(f.readyEndpoints(), skip, f.g.settings.FailureDomain, f.g.breakers, f.g.mesh.SyncTurn(),
 			f.g.placer.knownCalls(now), func(to string) float64 { return f.g.placer.links.Late(f.g.settings.FailureDomain, to, now) }, now)
 		switch {
+		case !found && f.headSent && len(f.unreached) > 0:
+			// The caller has part of the answer and can't be refused any more.
+			isUnreached := func(id string) bool { return slices.Contains(f.unreached, id) }
+			f.excluded, skip = slices.DeleteFunc(slices.Clone(f.excluded), isUnreached), slices.DeleteFunc(slices.Clone(skip), isUnreached)
+			f.unreached = nil
+			continue
 		case !found && len(skip) > len(f.excluded):
 			e := outcome.Refuse(outcome.CodeOverloaded, step, "no endpoint takes a request now: each is at its request rate or asked to wait")
 			e.RetryAfter = min(max(shortestWait, minRetryAfter), f.remaining()/maxRetryAfterDivisor)
