recovery: model checks removed voters by the messages that arrived, too

The model took the silence of a removed voter from the leader's own figure, which begins anew with each leader: a voter that was lost seconds ago counted as one that "replied 275ms ago" when a new leader removed it. For a voter that has replied to the leader the check is as before.

--- a/coord/recovery/model_checks_test.go
+++ b/coord/recovery/model_checks_test.go
@@ -12,8 +12,13 @@
 	"github.com/jacinthplank/jacinthplank/coord/quorum"
 )
 
-// removedAfter is the silence of a voter before which it may still live.
-const removedAfter = time.Second
+const (
+	// removedAfter is the silence of a voter before which it may still live.
+	removedAfter = time.Second
+	// returnedWithin is how old the status may be by which a voter is removed. One that returns
+	// meanwhile, after its silence, is removed nevertheless.
+	returnedWithin = 100 * time.Millisecond
+)
 
 // noteLeader checks that a term has one leader.
 func (m *model) noteLeader(s quorum.Status) {
@@ -26,13 +31,43 @@
 	}
 }
 
-// checkRemoval checks that no voter is removed that still replies to the leader: with one fewer
-// that live, a loss that is tolerated may end the quorum.
-func (m *model) checkRemoval(s quorum.Status, change quorum.Change) {
-	silence := s.Progress[change.Member.Disk].Silence
-	isVoter := slices.Contains(s.Voters, change.Member)
-	if change.Kind == quorum.Remove && isVoter && silence < removedAfter {
-		m.t.Errorf("%v: the voter %s is removed, which replied %v ago", time.Since(m.begun), change.Member.Name, silence)
+// heardLink is a disk that sends and an entry that receives.
+type heardLink struct {
+	from quorum.DiskIdentity
+	to   *entry
+}
+
+// noteHeard records that a message of a disk arrives at an entry.
+func (m *model) noteHeard(from quorum.DiskIdentity, to *entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	link := heardLink{from, to}
+	for len(m.heard[link]) > 0 && time.Since(m.heard[link][0]) >= removedAfter {
+		m.heard[link] = m.heard[link][1:]
+	}
+	m.heard[link] = append(m.heard[link], time.Now())
+}
+
+// checkRemoval checks that no voter is removed that still replies to the leader, or whose messages
+// still arrive at the leader or at another entry that the leader reaches: with one fewer that live, a loss
+// that is tolerated may end the quorum. The messages count also if the leader knows nothing of them.
+func (m *model) checkRemoval(leader *entry, s quorum.Status, change quorum.Change) {
+	if change.Kind != quorum.Remove || !slices.Contains(s.Voters, change.Member) {
+		return
+	}
+	if p := s.Progress[change.Member.Disk]; p.HasReplied && p.Silence < removedAfter {
+		m.t.Errorf("%v: the voter %s is removed, which replied %v ago", time.Since(m.begun), change.Member.Name, p.Silence)
+	}
+	for _, e := range m.peers(leader) {
+		m.mu.Lock()
+		heard := slices.Clone(m.heard[heardLink{change.Member.Disk, e}])
+		m.mu.Unlock()
+		for _, at := range heard {
+			if ago := time.Since(at); ago < removedAfter && ago > returnedWithin {
+				m.t.Errorf("%v: the voter %s is removed by %s, %s heard it %v ago", time.Since(m.begun), change.Member.Name, leader.name, e.name, ago)
+				break
+			}
+		}
 	}
 }
 
--- a/coord/recovery/model_test.go
+++ b/coord/recovery/model_test.go
@@ -40,7 +40,8 @@
 	starts  int               // of processes so far
 	acked   uint64            // highest number acknowledged
 	leaders map[uint64]quorum.DiskIdentity
-	starved string // address that gets no messages above starvedMessage
+	heard   map[heardLink][]time.Time // when messages of the last second arrived
+	starved string                    // address that gets no messages above starvedMessage
 	log     []string
 	begun   time.Time
 
@@ -93,7 +94,7 @@
 func newModelWith(t *testing.T, seed uint64, size, tolerated, payload, logBytes int, overtakes bool) *model {
 	m := &model{
 		t: t, tolerated: tolerated, callTimeout: time.Second, payload: payload, logBytes: logBytes, overtakes: overtakes, random: rand.New(rand.NewPCG(seed, 1)),
-		entries: map[string]*entry{}, leaders: map[uint64]quorum.DiskIdentity{}, begun: time.Now(),
+		entries: map[string]*entry{}, leaders: map[uint64]quorum.DiskIdentity{}, heard: map[heardLink][]time.Time{}, begun: time.Now(),
 	}
 	for range size {
 		m.places = append(m.places, m.newEntry())
@@ -161,7 +162,7 @@
 
 // deliver delivers a message after it has left, and returns when the first copy arrives, false if it is lost.
 func (e *entry) deliver(to quorum.Member, message []byte, queued time.Duration) (arrives time.Duration, isDelivered bool) {
-	m := e.model
+	m, disk := e.model, e.diskNow()
 	copies := 1
 	switch m.intN(100) {
 	case 0:
@@ -177,6 +178,7 @@
 		time.AfterFunc(late, func() {
 			if target := m.reachable(e, to.Address); target != nil {
 				if node := target.currentNode(); node != nil {
+					m.noteHeard(disk, target)
 					node.Step(e.name, message)
 				}
 			}
@@ -369,7 +371,7 @@
 	if len(changes) == 0 {
 		return
 	}
-	e.model.checkRemoval(s, changes[0])
+	e.model.checkRemoval(e, s, changes[0])
 	select {
 	case e.changing <- struct{}{}:
 	default:
