--- a/control/mesh_lanes_test.go
+++ b/control/mesh_lanes_test.go
@@ -131,7 +131,7 @@
 			for range all {
 				m.SendBulk(to, [][]byte{[]byte("E")})
 			}
-			g.Eventually(messages.Load, "10s").Should(BeEquivalentTo(all)) // two calls at least, which take long on a busy machine
+			g.Eventually(messages.Load).Should(BeEquivalentTo(all))
 			m.Close()
 			g.Expect(reports.Load()).To(BeNumerically(">", 0))
 			g.Expect(reports.Load()).To(BeNumerically("<=", calls.Load()))
