quorum, recovery: the silence of a voter outlasts a hand-over

Cause: a leader counts a voter's silence from its own election. Leaders that hand over every 0.7 to 0.95 s never reach the second after which a voter of a silent entry is gone, so a removed entry still counted when two more disks were lost, and there was no leader for good.

Change: TimeoutNow carries, for each member, its silence and the time that its replies took, which a leader now measures by heartbeat rounds (each heartbeat starts one). The successor adds its own ticks. It drops what isn't from the leader of its term, what another leader came after, and members that it doesn't know; members that replied to no leader in the chain aren't handed on. Any message of the member ends the inherited silence. The planner removes a voter whose entry is silent, whose first reply to this leader is overdue (two heartbeats and twice the longest of its earlier replies, a majority's replies and the own syncs) and whose whole silence exceeds GoneTimeout. The log line of a removal states the whole silence.

The unit tests fail with the allowance for slow replies, the end by a message, the check of the sender, that of a later leader or the own ticks taken out.

--- a/coord/quorum/codec.go
+++ b/coord/quorum/codec.go
@@ -15,6 +15,7 @@
 		Round: m.Round, Match: m.Match, Reject: m.Reject, Force: m.Force,
 		Entries: entriesToProto(m.Entries), Promise: string(m.Promise),
 		Offset: m.Offset, Total: m.Total, Ballot: ballotToProto(m.Ballot), Founding: foundingToProto(m.Founding),
+		Silences: silencesToProto(m.Silences),
 	}
 	if m.Snapshot != nil {
 		out.Snapshot = snapshotToProto(m.Snapshot)
@@ -53,6 +54,7 @@
 		Round: in.GetRound(), Match: in.GetMatch(), Reject: in.GetReject(), Force: in.GetForce(),
 		Entries: entries, Sender: memberFromProto(in.GetSender()), Promise: DiskIdentity(in.GetPromise()),
 		Offset: in.GetOffset(), Total: in.GetTotal(), Ballot: ballotFromProto(in.GetBallot()), Founding: founding,
+		Silences: silencesFromProto(in.GetSilences()),
 	}
 	if in.GetSnapshot() != nil {
 		m.Snapshot = snapshotFromProto(in.GetSnapshot())
--- a/coord/quorum/core.go
+++ b/coord/quorum/core.go
@@ -131,6 +131,7 @@
 	snapshotToInstall *Snapshot // received snapshot to submit to the disk
 
 	leaderState    leaderState
+	inherited      inheritedSilences
 	incoming       *incomingSnapshot // nil if no snapshot is being received
 	messages       []Message
 	afterSync      []Message
--- a/coord/quorum/election.go
+++ b/coord/quorum/election.go
@@ -27,6 +27,7 @@
 		c.resetTimeout()
 		c.leaderHeard, c.attempts, c.yields = c.now, 0, 0
 		c.observer.reset()
+		c.inherited = inheritedSilences{}
 	}
 	c.leaderState = leaderState{}
 	c.role, c.leader, c.votes, c.preVotes, c.hasElection = Follower, leader, nil, nil, false
@@ -209,8 +210,11 @@
 	}
 }
 
-func (c *Core) stepTimeoutNow() {
+func (c *Core) stepTimeoutNow(m Message) {
 	if c.isVoter() && c.role != Leader {
+		if c.leader == m.From {
+			c.receiveSilences(m.Silences)
+		}
 		c.campaign(true)
 	}
 }
@@ -227,7 +231,9 @@
 		lastProgress: c.now,
 		progress:     map[DiskIdentity]*progress{},
 	}
+	lastTerm := c.log.lastTerm()
 	c.append(Entry{Index: c.log.lastIndex() + 1, Term: c.hardState.Term, Kind: EntryEmpty})
 	c.updateProgress()
+	c.inheritSilences(lastTerm)
 	c.advanceCommit()
 }
--- a/coord/quorum/fuzz_test.go
+++ b/coord/quorum/fuzz_test.go
@@ -8,6 +8,8 @@
 		Entries: []Entry{{Index: 2, Term: 2, Kind: EntryCommand, Data: []byte("x")}},
 	})
 	f.Add(data)
+	data, _ = EncodeMessage(Message{Kind: TimeoutNow, From: "a", To: "b", Cluster: "c", Term: 1, Silences: []memberSilence{{"a", 1, 1}}})
+	f.Add(data)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m, err := DecodeMessage(data)
 		if err != nil {
--- a/coord/quorum/membership.go
+++ b/coord/quorum/membership.go
@@ -92,7 +92,7 @@
 	if c.role != Leader || c.leaderState.transfer != disk || p.match < c.log.lastIndex() {
 		return
 	}
-	c.send(Message{Kind: TimeoutNow, To: disk, Term: c.hardState.Term})
+	c.send(Message{Kind: TimeoutNow, To: disk, Term: c.hardState.Term, Silences: c.silences()})
 }
 
 func (c *Core) tickTransfer() {
--- a/coord/quorum/message.go
+++ b/coord/quorum/message.go
@@ -95,4 +95,5 @@
 	Promise  DiskIdentity // in Promise: the founder
 	Ballot   Ballot
 	Founding foundingState
+	Silences []memberSilence // in TimeoutNow
 }
--- a/coord/quorum/node_core.go
+++ b/coord/quorum/node_core.go
@@ -340,6 +340,9 @@
 			Silence:    time.Duration(n.core.silentTicks(disk)) * n.options.Tick,
 			HasReplied: n.core.leaderState.progress[disk].hasReplied,
 			CaughtUp:   n.core.isCaughtUp(disk),
+
+			TotalSilence: time.Duration(n.core.totalSilence(disk)) * n.options.Tick,
+			IsOverdue:    n.core.isFirstReplyOverdue(disk),
 		}
 	}
 	return out
--- a/coord/quorum/options.go
+++ b/coord/quorum/options.go
@@ -162,7 +162,13 @@
 type MemberProgress struct {
 	Silence    time.Duration // since the member last replied to this leader, or since this leader's election
 	HasReplied bool          // to this leader
-	CaughtUp   bool          // the member has synced the committed entries, except for a few
+	// TotalSilence is the silence to this leader and to those that handed over to it in turn, the first
+	// of which the member has replied to; 0 if unknown.
+	TotalSilence time.Duration
+	// IsOverdue is set if the member has not replied to this leader in the time that its first reply
+	// takes, by the replies to the earlier leaders and to this one's election.
+	IsOverdue bool
+	CaughtUp  bool // the member has synced the committed entries, except for a few
 }
 
 func (o Options) check() error {
--- a/coord/quorum/replication.go
+++ b/coord/quorum/replication.go
@@ -7,7 +7,7 @@
 	firstReplyBy   uint64 // tick until which a new leader waits for replies
 	termStart      uint64 // index of the first entry of the leader's term
 	progress       map[DiskIdentity]*progress
-	round          uint64 // last heartbeat round started
+	round          uint64 // last heartbeat round started, for all heartbeats or for reads
 	roundRequested bool   // a read is waiting for the next round
 	heartbeatTicks int    // ticks since the last heartbeat
 	pendingReads   []pendingRead
@@ -36,6 +36,13 @@
 	hasReplied   bool   // to this leader
 	round        uint64 // last heartbeat round confirmed by the member
 
+	replyTicks    int    // estimate of the time of its replies, 0 if unknown
+	measuredRound uint64 // round whose confirmation is measured
+	measuredSince uint64 // tick at which it started
+
+	silentBefore uint64 // ticks of silence to the leaders that handed over to this one in turn
+	firstReplyBy uint64 // tick until which its first reply to this leader is awaited nevertheless
+
 	inFlight      []sentEntries // messages with entries not acknowledged yet, oldest first; empty unless replicating
 	inFlightBytes int           // bytes of their entries
 	lostAt        uint64        // tick at which the transport reported a loss, 0 without one since the last probe
@@ -130,9 +137,11 @@
 }
 
 func (c *Core) broadcastHeartbeat() {
+	c.leaderState.round++
 	for _, disk := range c.peerDisks() {
 		p := c.leaderState.progress[disk]
 		p.paused = false
+		c.measureRound(p)
 		_, hasPrevious := c.log.term(p.next - 1)
 		needsSnapshot := p.state == replicating && !hasPrevious
 		if needsSnapshot || c.hasLost(p) {
@@ -207,6 +216,7 @@
 		return
 	}
 	p.lastResponse, p.hasReplied = c.now, true
+	c.measureConfirmation(p, m.Round)
 	p.round = max(p.round, m.Round)
 	if m.Reject {
 		c.stepAppendRejected(p, m)
--- a/coord/quorum/step.go
+++ b/coord/quorum/step.go
@@ -22,6 +22,7 @@
 	}
 	c.noteLateVote(m)
 	c.measureReply(m)
+	c.endInheritedSilence(m.From)
 	if !c.enterTerm(m) {
 		c.noteRefused(m)
 		return
@@ -44,7 +45,7 @@
 	case SnapshotReply:
 		c.stepSnapshotReply(m)
 	case TimeoutNow:
-		c.stepTimeoutNow()
+		c.stepTimeoutNow(m)
 	}
 }
 
--- a/coord/recovery/plan.go
+++ b/coord/recovery/plan.go
@@ -81,13 +81,17 @@
 // isGone reports whether a voter has not replied to this leader for GoneTimeout, or for
 // replyTimeout in two cases: its entry has left, or it has never replied to this leader and its entry
 // is silent. The latter outlasts a change of leader: leaders that change more often than GoneTimeout
-// would keep a lost voter for good. That an entry has left may be out of date: after a short
+// would keep a lost voter for good. Where leaders hand over more often than replyTimeout, the silence to
+// all of them counts once its first reply to this one is overdue.
+// That an entry has left may be out of date: after a short
 // restart its voter replies before the leader hears of it. The removal of a voter that lives
 // leaves one fewer that may be lost until its successor votes.
 func isGone(v quorum.Member, s quorum.Status, disks map[string]Disk) bool {
 	p, disk := s.Progress[v.Disk], disks[v.Name]
-	isExpected := disk.Left || (disk.Silent && !p.HasReplied)
-	return p.Silence > GoneTimeout || (isExpected && p.Silence > replyTimeout)
+	isSilent := disk.Silent && !p.HasReplied
+	isExpected := disk.Left || isSilent
+	return p.Silence > GoneTimeout || (isExpected && p.Silence > replyTimeout) ||
+		(isSilent && p.IsOverdue && p.TotalSilence > GoneTimeout)
 }
 
 // settledLearner returns a learner that may vote: it replies, is caught up and has
--- a/coord/recovery/plan_test.go
+++ b/coord/recovery/plan_test.go
@@ -154,6 +154,10 @@
 		{"never replied, entry silent", quorum.MemberProgress{Silence: replyTimeout + time.Millisecond}, true, true},
 		{"its first reply may be late", quorum.MemberProgress{Silence: replyTimeout}, true, false},
 		{"entry answers", quorum.MemberProgress{Silence: replyTimeout + time.Millisecond}, false, false},
+		{"silent to earlier leaders too", quorum.MemberProgress{Silence: 300 * time.Millisecond, TotalSilence: GoneTimeout + time.Millisecond, IsOverdue: true}, true, true},
+		{"silent to earlier leaders, its first reply to this one isn't due", quorum.MemberProgress{Silence: 300 * time.Millisecond, TotalSilence: GoneTimeout + time.Millisecond}, true, false},
+		{"silent to earlier leaders for a short time", quorum.MemberProgress{Silence: 300 * time.Millisecond, TotalSilence: GoneTimeout, IsOverdue: true}, true, false},
+		{"silent to earlier leaders, entry answers", quorum.MemberProgress{Silence: 300 * time.Millisecond, TotalSilence: GoneTimeout + time.Millisecond, IsOverdue: true}, false, false},
 		{"replied to this leader", quorum.MemberProgress{Silence: GoneTimeout, HasReplied: true}, true, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/mesh/member_observer.go
+++ b/mesh/member_observer.go
@@ -166,7 +166,8 @@
 		case change.Kind == quorum.Remove && o.view[m.Name].Left:
 			reason = "left"
 		case change.Kind == quorum.Remove:
-			reason = fmt.Sprintf("gone for %d ms", s.Progress[m.Disk].Silence.Milliseconds())
+			p := s.Progress[m.Disk]
+			reason = fmt.Sprintf("gone for %d ms", max(p.Silence, p.TotalSilence).Milliseconds())
 		case change.Kind == quorum.AddLearner:
 			reason = fmt.Sprintf("%d of %d voters", len(s.Voters), o.wanted)
 		case len(s.Voters) < o.wanted:
--- a/mesh/member_observer_test.go
+++ b/mesh/member_observer_test.go
@@ -84,6 +84,18 @@
 	g.Expect(quorumWanted.Get()).To(BeZero())
 }
 
+// TestReasonTellsSilenceToEarlierLeaders guards against a voter that seems to be removed after a silence
+// that is too short: it was silent to the leaders before this one, too.
+func TestReasonTellsSilenceToEarlierLeaders(t *testing.T) {
+	g := NewWithT(t)
+	o, _ := newTestMemberObserver(t)
+	voters := votersNamed(longNames)
+	s := quorum.Status{Voters: voters, Progress: map[quorum.DiskIdentity]quorum.MemberProgress{
+		voters[1].Disk: {Silence: 300 * time.Millisecond, TotalSilence: 2150 * time.Millisecond},
+	}}
+	g.Expect(o.reasons([]quorum.Change{{Kind: quorum.Remove, Member: voters[1]}}, s)).To(Equal([]string{"gone for 2150 ms"}))
+}
+
 // TestCutLineOfMemberChangeTellsReason guards against a change of the members whose effect on
 // the majority, reason or failure can't be told from the log.
 func TestCutLineOfMemberChangeTellsReason(t *testing.T) {
