quorum: a late heartbeat of an earlier term confirms no read

A member answers a heartbeat of an older term with the current term and with the round of that heartbeat. If its sender leads again by then, it takes the answer for one of its own term. Rounds begin anew with each leader; since each heartbeat starts one, an earlier term's are higher, and reads of all rounds up to it counted as confirmed by that member. A leader that is cut off then could answer a read from before what others had committed.

Such an answer has no round now; those to votes keep theirs.

--- a/coord/quorum/step.go
+++ b/coord/quorum/step.go
@@ -106,7 +106,8 @@
 	case Vote:
 		reply.Kind = VoteReply
 	case Append, InstallSnapshot:
-		reply.Kind = AppendReply
+		// Rounds begin anew with each leader: one of an earlier term confirms none of the current one.
+		reply.Kind, reply.Round = AppendReply, 0
 	default:
 		return
 	}
